Set up the workspace and the interfaces between its libraries

Cause: nothing was there; the parts are to be built apart. Change: uv workspace of eight libraries, formatter, linter, type checker and tests behind make test; timer service, metrics, key=value events, interfaces of the configuration store, instance list, targets and weight store; types of the service document; a store in memory for tests. Conclusion: parts can be built side by side. The lock is requirements.lock with hashes, since uv.lock names registry hosts, which commits may not hold.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Every target works on a fresh clone: the stamp sets up .venv first.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.ready
+UV_VERSION := 0.13.9
+PACKAGES := $(wildcard packages/*)
+SOURCES := packages tests bench
+
+.PHONY: setup test lint types unit format lock demo bench slopes binary protos
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(PACKAGES:%=%/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet uv==$(UV_VERSION)
+	$(VENV)/bin/uv pip sync --quiet --python $(PYTHON) \
+	    --require-hashes requirements.lock
+	$(VENV)/bin/uv pip install --quiet --python $(PYTHON) --no-deps \
+	    $(PACKAGES:%=--editable %)
+	touch $(STAMP)
+
+lock:
+	$(VENV)/bin/uv lock --quiet
+	$(VENV)/bin/uv export --quiet --all-groups --no-emit-workspace \
+	    --no-header --no-annotate --output-file requirements.lock
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+	$(VENV)/bin/ruff format $(SOURCES)
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+
+types: $(STAMP)
+	$(VENV)/bin/mypy $(PACKAGES:%=%/src)
+
+unit: $(STAMP)
+	$(VENV)/bin/pytest
+
+test: lint types unit
--- /dev/null
+++ b/packages/cactusmux-base/src/cactusmux_base/__init__.py
@@ -0,0 +1,1 @@
+"""Timers, identifiers, metrics, key=value logging and failures."""
--- /dev/null
+++ b/packages/cactusmux-base/tests/test_events.py
@@ -0,0 +1,19 @@
+"""Tests of the key=value log lines."""
+
+from cactusmux_base import events
+import pytest
+
+CASES = [
+    ({'peer': '127.0.0.1:80'}, 'event=seen peer=127.0.0.1:80'),
+    ({'name': 'a b'}, 'event=seen name="a b"'),
+    ({'name': 'x\nevent=forged'}, 'event=seen name="x\\nevent=forged"'),
+    ({'name': ''}, 'event=seen name=""'),
+    ({'name': 'é'}, 'event=seen name="\\u00e9"'),
+]
+
+
+@pytest.mark.parametrize('fields, line', CASES)
+def test_value_cannot_end_its_line_or_start_a_key(
+    fields: dict[str, str], line: str
+) -> None:
+    assert events.format_event('seen', **fields) == line
--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/__init__.py
@@ -0,0 +1,1 @@
+"""Documents in force, leases, fencing, claims, placement and orders."""
--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP surface, sessions, streams, plain calls and draining."""
--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/memory_store.py
@@ -0,0 +1,152 @@
+"""A configuration store in memory, with the semantics of the real one."""
+
+from cactusmux_base import timers
+from cactusmux_platform import stores
+from gevent import event
+from returns import result
+
+
+class _Lease:
+    def __init__(self, ttl_s: float, ends_at: float) -> None:
+        self.ttl_s = ttl_s
+        self.ends_at = ends_at
+
+
+class MemoryStore(stores.ConfigStore):
+    """Keeps entries, leases and a history of changes in memory.
+
+    Leases end by the given timer service, checked at each call.
+    """
+
+    def __init__(self, timer: timers.TimerService) -> None:
+        self._timer = timer
+        self._revision = 0
+        self._entry_by_key: dict[str, stores.Entry] = {}
+        self._lease_by_id: dict[int, _Lease] = {}
+        self._history: list[stores.Change] = []
+        self._changed = event.Event()
+
+    def get(
+        self, key: str
+    ) -> result.Result[stores.Entry | None, stores.StoreError]:
+        self._expire()
+        return result.Success(self._entry_by_key.get(key))
+
+    def get_prefix(
+        self, prefix: str
+    ) -> result.Result[tuple[stores.Entry, ...], stores.StoreError]:
+        self._expire()
+        keys = sorted(k for k in self._entry_by_key if k.startswith(prefix))
+        return result.Success(tuple(self._entry_by_key[k] for k in keys))
+
+    def compare_and_swap(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = 0,
+    ) -> result.Result[stores.Entry, stores.StoreError]:
+        self._expire()
+        if lease_id and lease_id not in self._lease_by_id:
+            return result.Failure(stores.LeaseLost(lease_id))
+        found = self._entry_by_key.get(key)
+        revision = found.revision if found else stores.ABSENT
+        if revision != expected_revision:
+            return result.Failure(
+                stores.Conflict(key, expected_revision, found)
+            )
+        self._revision += 1
+        entry = stores.Entry(key, value, self._revision, lease_id)
+        self._entry_by_key[key] = entry
+        self._record(stores.Change(key, entry.revision, entry))
+        return result.Success(entry)
+
+    def delete(
+        self, key: str, expected_revision: int
+    ) -> result.Result[int, stores.StoreError]:
+        self._expire()
+        found = self._entry_by_key.get(key)
+        if found is None or found.revision != expected_revision:
+            return result.Failure(
+                stores.Conflict(key, expected_revision, found)
+            )
+        self._remove(key)
+        return result.Success(self._revision)
+
+    def grant_lease(
+        self, ttl_s: float
+    ) -> result.Result[int, stores.StoreError]:
+        self._revision += 1
+        lease_id = self._revision
+        ends_at = self._timer.now() + ttl_s
+        self._lease_by_id[lease_id] = _Lease(ttl_s, ends_at)
+        return result.Success(lease_id)
+
+    def renew_lease(
+        self, lease_id: int
+    ) -> result.Result[None, stores.StoreError]:
+        self._expire()
+        lease = self._lease_by_id.get(lease_id)
+        if lease is None:
+            return result.Failure(stores.LeaseLost(lease_id))
+        lease.ends_at = self._timer.now() + lease.ttl_s
+        return result.Success(None)
+
+    def revoke_lease(
+        self, lease_id: int
+    ) -> result.Result[None, stores.StoreError]:
+        self._expire()
+        if lease_id not in self._lease_by_id:
+            return result.Failure(stores.LeaseLost(lease_id))
+        self._end_lease(lease_id)
+        return result.Success(None)
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> result.Result[stores.Watched, stores.StoreError]:
+        deadline = self._timer.now() + wait_s
+        while True:
+            self._expire()
+            changes = tuple(
+                change
+                for change in self._history
+                if change.revision > after_revision
+                and change.key.startswith(prefix)
+            )
+            left = deadline - self._timer.now()
+            if changes or left <= 0:
+                return result.Success(stores.Watched(changes, self._revision))
+            self._changed.clear()
+            if isinstance(self._timer, timers.ManualTimers):
+                return result.Success(stores.Watched((), self._revision))
+            self._changed.wait(min(left, 0.1))
+
+    def expire_lease(self, lease_id: int) -> None:
+        """Ends a lease at once, as when its holder was paused too long."""
+        if lease_id in self._lease_by_id:
+            self._end_lease(lease_id)
+
+    def _expire(self) -> None:
+        now = self._timer.now()
+        ended = [i for i, x in self._lease_by_id.items() if x.ends_at <= now]
+        for lease_id in ended:
+            self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: int) -> None:
+        del self._lease_by_id[lease_id]
+        keys = [
+            key
+            for key, entry in self._entry_by_key.items()
+            if entry.lease_id == lease_id
+        ]
+        for key in keys:
+            self._remove(key)
+
+    def _remove(self, key: str) -> None:
+        del self._entry_by_key[key]
+        self._revision += 1
+        self._record(stores.Change(key, self._revision, None))
+
+    def _record(self, change: stores.Change) -> None:
+        self._history.append(change)
+        self._changed.set()
--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and soft-state exchange between instances."""
--- /dev/null
+++ b/packages/cactusmux-platform/src/cactusmux_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces and clients of the platform and of the targets."""
--- /dev/null
+++ b/packages/cactusmux-platform/src/cactusmux_platform/stores.py
@@ -0,0 +1,158 @@
+"""Interface of the platform's configuration store.
+
+Every successful write gives its key a new revision, taken from one counter
+of the whole store. Revision 0 stands for an absent key.
+"""
+
+import abc
+from typing import NamedTuple
+
+from cactusmux_base import failures
+from returns import result
+
+ABSENT = 0
+
+
+class Entry(NamedTuple):
+    """A key with its value, the revision of its last write and its lease."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease_id: int = 0
+
+
+class Change(NamedTuple):
+    """One change seen by a watch; a deletion carries no entry."""
+
+    key: str
+    revision: int
+    entry: Entry | None
+
+
+class Watched(NamedTuple):
+    """Changes in order, and the revision to watch from next."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class StoreError(failures.CactusmuxError):
+    """A call to the configuration store that failed."""
+
+    reason = 'store_error'
+
+
+class StoreUnavailable(StoreError):
+    """The store did not run the call: nothing was written."""
+
+    reason = 'store_unavailable'
+
+    def __init__(self, call: str) -> None:
+        super().__init__(f'store did not accept call {call!r}')
+        self.call = call
+
+
+class OutcomeUnknown(StoreError):
+    """A write was sent and its answer lost: it may have taken effect."""
+
+    reason = 'store_outcome_unknown'
+
+    def __init__(self, key: str) -> None:
+        super().__init__(f'outcome of the write to {key!r} is unknown')
+        self.key = key
+
+
+class Conflict(StoreError):
+    """The key's revision was not the expected one: nothing was written."""
+
+    reason = 'store_conflict'
+
+    def __init__(self, key: str, expected: int, found: Entry | None) -> None:
+        revision = found.revision if found else ABSENT
+        super().__init__(
+            f'key {key!r} is at revision {revision}, not {expected}'
+        )
+        self.key = key
+        self.expected = expected
+        self.found = found
+
+
+class LeaseLost(StoreError):
+    """The store knows no such lease, or no longer."""
+
+    reason = 'lease_lost'
+
+    def __init__(self, lease_id: int) -> None:
+        super().__init__(f'lease {lease_id} does not exist')
+        self.lease_id = lease_id
+
+
+class WatchCompacted(StoreError):
+    """The store no longer has the changes after the given revision."""
+
+    reason = 'watch_compacted'
+
+    def __init__(self, revision: int) -> None:
+        super().__init__(f'changes after revision {revision} are gone')
+        self.revision = revision
+
+
+class ConfigStore(abc.ABC):
+    """Compare-and-swap, leases and watches; calls block their task.
+
+    All calls may fail with :class:`StoreUnavailable`; writes also with
+    :class:`OutcomeUnknown`.
+    """
+
+    @abc.abstractmethod
+    def get(self, key: str) -> result.Result[Entry | None, StoreError]:
+        """Returns the entry of ``key``, or ``None`` when it is absent."""
+
+    @abc.abstractmethod
+    def get_prefix(
+        self, prefix: str
+    ) -> result.Result[tuple[Entry, ...], StoreError]:
+        """Returns all entries whose key starts with ``prefix``, by key."""
+
+    @abc.abstractmethod
+    def compare_and_swap(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = 0,
+    ) -> result.Result[Entry, StoreError]:
+        """Writes ``value`` if the key is at ``expected_revision``.
+
+        ``ABSENT`` creates the key. With a lease the key goes when the
+        lease ends. Fails with :class:`Conflict` or :class:`LeaseLost`.
+        """
+
+    @abc.abstractmethod
+    def delete(
+        self, key: str, expected_revision: int
+    ) -> result.Result[int, StoreError]:
+        """Deletes the key if it is at ``expected_revision``."""
+
+    @abc.abstractmethod
+    def grant_lease(self, ttl_s: float) -> result.Result[int, StoreError]:
+        """Returns the id of a new lease that ends after ``ttl_s``."""
+
+    @abc.abstractmethod
+    def renew_lease(self, lease_id: int) -> result.Result[None, StoreError]:
+        """Extends a lease by its whole ``ttl_s`` from now."""
+
+    @abc.abstractmethod
+    def revoke_lease(self, lease_id: int) -> result.Result[None, StoreError]:
+        """Ends a lease and deletes its keys."""
+
+    @abc.abstractmethod
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> result.Result[Watched, StoreError]:
+        """Waits up to ``wait_s`` for changes after ``after_revision``.
+
+        Returns no changes when none came in time. Fails with
+        :class:`WatchCompacted` when the revision is too old.
+        """
--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Route choice, admission, fair share, retries and circuit breaking."""
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, settings and wiring of the router."""
