--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/baseline_choosers.py
@@ -0,0 +1,67 @@
+"""Well-known ways to choose, kept selectable as baselines."""
+
+import random
+
+from cactusmux_base import timers
+
+from . import choosers
+from . import route_index
+
+
+class RandomChooser(choosers.RouteChooser):
+    """Picks each stage at random, all holders alike."""
+
+    def _pick(
+        self,
+        request: choosers.RouteRequest,
+        candidates: tuple[route_index.Holder, ...],
+        before: route_index.Holder | None,
+    ) -> route_index.Holder:
+        return self._rng.choice(candidates)
+
+
+class RoundRobinChooser(choosers.RouteChooser):
+    """Picks holders of a stage in turn, starting anywhere."""
+
+    def __init__(self, timer: timers.TimerService, rng: random.Random) -> None:
+        super().__init__(timer, rng)
+        self._start = rng.randrange(1 << 16)
+        self._turn_by_stage: dict[tuple[str, int], int] = {}
+
+    def _pick(
+        self,
+        request: choosers.RouteRequest,
+        candidates: tuple[route_index.Holder, ...],
+        before: route_index.Holder | None,
+    ) -> route_index.Holder:
+        stage = (request.model, candidates[0].first)
+        turn = self._turn_by_stage.get(stage, self._start)
+        self._turn_by_stage[stage] = turn + 1
+        return candidates[turn % len(candidates)]
+
+
+class LeastLoadedChooser(choosers.RouteChooser):
+    """Picks the holder with the fewest reported streams per capacity.
+
+    It believes the last report; ties are broken at random.
+    """
+
+    def _pick(
+        self,
+        request: choosers.RouteRequest,
+        candidates: tuple[route_index.Holder, ...],
+        before: route_index.Holder | None,
+    ) -> route_index.Holder:
+        loads = [_reported_load(holder) for holder in candidates]
+        least = min(loads)
+        tied = [
+            h
+            for h, load in zip(candidates, loads, strict=True)
+            if load <= least
+        ]
+        return self._rng.choice(tied)
+
+
+def _reported_load(holder: route_index.Holder) -> float:
+    target = holder.load.target
+    return (target.running + target.queued) / holder.load.capacity_tps
--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/policies.py
@@ -0,0 +1,40 @@
+"""Route choosers by the name that the settings give."""
+
+from collections.abc import Callable
+import random
+
+from cactusmux_base import failures
+from cactusmux_base import timers
+from returns import result
+
+from . import baseline_choosers
+from . import choosers
+
+CHOOSER_BY_NAME: dict[
+    str, Callable[[timers.TimerService, random.Random], choosers.RouteChooser]
+] = {
+    'random': baseline_choosers.RandomChooser,
+    'round_robin': baseline_choosers.RoundRobinChooser,
+    'least_loaded': baseline_choosers.LeastLoadedChooser,
+}
+
+
+class UnknownPolicy(failures.CactusmuxError):
+    """No chooser has this name."""
+
+    reason = 'unknown_policy'
+
+    def __init__(self, name: str) -> None:
+        known = ', '.join(sorted(CHOOSER_BY_NAME))
+        super().__init__(f'routing policy {name!r} is not one of {known}')
+        self.name = name
+
+
+def make_chooser(
+    name: str, timer: timers.TimerService, rng: random.Random
+) -> result.Result[choosers.RouteChooser, UnknownPolicy]:
+    """Makes the chooser called ``name``."""
+    kind = CHOOSER_BY_NAME.get(name)
+    if kind is None:
+        return result.Failure(UnknownPolicy(name))
+    return result.Success(kind(timer, rng))
--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/target_loads.py
@@ -0,0 +1,58 @@
+"""Estimated load of one target between its lagging reports."""
+
+import collections
+
+from . import target_table
+
+# Own starts and ends are remembered as long as a report may lag.
+HISTORY_S = 10.0
+
+
+class TargetLoad:
+    """A target, and the streams that this instance has put on it.
+
+    ``streams`` estimates running and queued streams now: those of the last
+    report, plus what this instance started and ended since it was made.
+    """
+
+    __slots__ = (
+        'target',
+        'streams',
+        'capacity_tps',
+        'own_streams',
+        '_changes',
+    )
+
+    def __init__(self, target: target_table.Target) -> None:
+        self.target = target
+        self.capacity_tps = max(target.capacity_tps, 1e-9)
+        self.streams = target.running + target.queued
+        self.own_streams = 0
+        self._changes: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+
+    @property
+    def wait_s(self) -> float:
+        """Predicted time between two tokens of one more stream."""
+        return (self.streams + 1) / self.capacity_tps
+
+    def report(self, target: target_table.Target) -> None:
+        """Takes in a report; an older one than the last is ignored."""
+        if target.taken_at < self.target.taken_at:
+            return
+        self.target = target
+        self.capacity_tps = max(target.capacity_tps, 1e-9)
+        while self._changes and self._changes[0][0] <= target.taken_at:
+            self._changes.popleft()
+        unreported = sum(amount for _, amount in self._changes)
+        reported = target.running + target.queued
+        self.streams = max(reported + unreported, self.own_streams, 0)
+
+    def change(self, amount: int, now: float) -> None:
+        """Notes that this instance started or ended ``amount`` streams."""
+        self.own_streams = max(self.own_streams + amount, 0)
+        self.streams = max(self.streams + amount, 0)
+        self._changes.append((now, amount))
+        while self._changes[0][0] < now - HISTORY_S:
+            self._changes.popleft()
