Run drafts over stand-in engines, resumed from the last token

Cause: nothing served a request yet. Change: engines by HTTP and in process that hold layer ranges and count each (request, attempt, token, layer) run; a draft checks its route before it is sent and each token as it comes, and resumes on a new route from the last token delivered; a silent stream is closed by one scan for all streams. Measured: 21 tests; each of 4 faults at each of 3 stages gives the undisturbed text with 2 attempts and no layer violation. Ruled out: a timeout for each read, which costs a timer a token; retrying within the HTTP client, which would multiply with our own retries. Conclusion: whole answers over failing stages, in process.

--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/drafts.py
@@ -0,0 +1,283 @@
+"""Runs one request for generated text over as many attempts as it needs."""
+
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import NamedTuple, NoReturn
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_platform import targets
+from cactusmux_routing import choosers
+from cactusmux_routing import retries
+from cactusmux_routing import routes
+from returns import result
+
+from . import answers
+from . import explain
+from . import problems
+from . import stall_watch
+from . import suspects
+
+MAX_ATTEMPTS = 8
+RETRY_AFTER_S = 1.0
+
+
+class DraftRequest(NamedTuple):
+    """A checked request; ``deadline_at`` is on the timer service's clock.
+
+    ``layers`` is how many the model has, ``prefix_hash`` marks the start of
+    the prompt for choosing targets that may have it cached.
+    """
+
+    request_id: str
+    service: str
+    organisation: str
+    kind: str
+    model: str
+    version: str
+    adapter: str
+    layers: int
+    prompt: str
+    max_tokens: int
+    priority: int
+    deadline_at: float
+    prefix_hash: int = 0
+
+
+class DraftServices(NamedTuple):
+    """What drafts are run with; one a process.
+
+    ``token_gap_s`` is the longest silence of a stream, ``first_token_s``
+    the longest wait for its first token, both in seconds.
+    """
+
+    timer: timers.TimerService
+    metrics: metrics.Metrics
+    targets: targets.TargetClient
+    chooser: choosers.RouteChooser
+    budget: retries.RetryBudget
+    backoff: retries.Backoff
+    stalls: stall_watch.StallWatch
+    zone: str
+    token_gap_s: float
+    first_token_s: float
+
+
+class Draft:
+    """One request: its attempts, and the tokens delivered so far.
+
+    Each attempt continues after the last token that was delivered; tokens
+    of an attempt that was given up are dropped.
+    """
+
+    def __init__(
+        self,
+        services: DraftServices,
+        request: DraftRequest,
+        trace: explain.Trace,
+    ) -> None:
+        self._services = services
+        self._request = request
+        self._trace = trace
+        self._checker = answers.AnswerChecker(
+            request.request_id, request.max_tokens, services.metrics
+        )
+        self._deadline = retries.Deadline(request.deadline_at)
+        self._avoided: frozenset[str] = frozenset()
+        self._attempt = 0
+        self._may_have_run = False
+
+    def texts(self) -> Iterator[str]:
+        """Yields the text of each token once, in order.
+
+        :raises problems.RequestFailed: when no attempt can finish it.
+        """
+        request = self._request
+        self._services.budget.note_first_try(
+            request.service, request.organisation
+        )
+        while not self._checker.finished:
+            route = self._choose_route()
+            try:
+                yield from self._run_attempt(route)
+            except targets.TargetError as error:
+                self._note_failure(route, error)
+                self._wait_before_retry(error)
+
+    def _run_attempt(self, route: routes.Route) -> Iterator[str]:
+        """Runs one attempt; raises a ``TargetError`` when it breaks."""
+        services = self._services
+        self._attempt += 1
+        self._checker.start_attempt(self._attempt)
+        services.metrics.count('entry.attempts')
+        self._trace.add(
+            'attempt',
+            attempt=self._attempt,
+            stages=[list(stage) for stage in route.stages],
+            delivered=len(self._checker.texts),
+        )
+        services.chooser.note_started(route)
+        try:
+            stream = self._open(route)
+            yield from self._read(stream, route)
+        finally:
+            services.chooser.note_finished(route)
+
+    def _open(self, route: routes.Route) -> targets.TokenStream:
+        request = self._request
+        routed = targets.RoutedRequest(
+            request.request_id,
+            self._attempt,
+            route.model,
+            route.version,
+            route.adapter,
+            request.prompt,
+            request.max_tokens,
+            route.stages,
+            tuple(self._checker.texts),
+            request.priority,
+            self._deadline.left_s(self._services.timer.now()),
+        )
+        opened = self._services.targets.open_stream(
+            routed, self._services.first_token_s
+        )
+        if isinstance(opened, result.Failure):
+            raise opened.failure()
+        self._may_have_run = True
+        return opened.unwrap()
+
+    def _read(
+        self, stream: targets.TokenStream, route: routes.Route
+    ) -> Iterator[str]:
+        services = self._services
+        now = services.timer.now
+        first_address = route.stages[0].address
+        watched = services.stalls.open(stream, services.first_token_s)
+        try:
+            for token in stream:
+                if self._checker.accept(token, first_address):
+                    watched.pause()
+                    yield token.text
+                watched.expect(now(), services.token_gap_s)
+        except targets.TargetError as error:
+            if watched.stalled:
+                raise targets.StreamStalled(first_address) from error
+            raise
+        finally:
+            services.stalls.close(watched)
+        if not self._checker.finished:
+            raise targets.StreamBroken(first_address, 'ended_early')
+
+    def _choose_route(self) -> routes.Route:
+        request = self._request
+        route_request = choosers.RouteRequest(
+            request.model,
+            request.version,
+            request.adapter,
+            request.layers,
+            self._avoided,
+            self._services.zone,
+            request.prefix_hash,
+        )
+        chosen = self._services.chooser.choose(route_request)
+        if isinstance(chosen, result.Failure):
+            return self._choose_again(route_request, chosen.failure())
+        return self._checked(chosen.unwrap())
+
+    def _choose_again(
+        self, route_request: choosers.RouteRequest, error: choosers.NoRoute
+    ) -> routes.Route:
+        """Falls back to avoided targets; without any, waits or gives up.
+
+        A draft whose first tokens were delivered waits for a repair until
+        its deadline; one that has not run is refused at once.
+        """
+        self._trace.add('no_route', reason=error.reason, detail=str(error))
+        everywhere = route_request._replace(avoid=choosers.NOTHING_AVOIDED)
+        retry = 0
+        while True:
+            chosen = self._services.chooser.choose(everywhere)
+            if isinstance(chosen, result.Success):
+                return self._checked(chosen.unwrap())
+            if not self._checker.texts:
+                self._give_up(error.reason, str(error))
+            self._sleep_before_retry(retry)
+            retry += 1
+
+    def _checked(self, route: routes.Route) -> routes.Route:
+        checked = routes.check_route(route, self._request.layers)
+        if isinstance(checked, result.Failure):
+            error = checked.failure()
+            self._give_up(error.reason, str(error))
+        return route
+
+    def _note_failure(
+        self, route: routes.Route, error: targets.TargetError
+    ) -> None:
+        services = self._services
+        if not isinstance(error, (targets.NotSent, targets.TargetRefused)):
+            self._may_have_run = True
+        failed = frozenset((error.address,))
+        if isinstance(error, targets.StreamStalled):
+            failed = suspects.find_silent(services.targets, route)
+        self._avoided |= failed
+        services.metrics.count(f'entry.retries.{error.reason}')
+        self._trace.add(
+            'attempt_failed',
+            attempt=self._attempt,
+            reason=error.reason,
+            detail=error.detail,
+            avoided=sorted(failed),
+        )
+        events.warning(
+            'attempt_failed',
+            request_id=self._request.request_id,
+            attempt=self._attempt,
+            reason=error.reason,
+            detail=error.detail,
+            targets=','.join(sorted(failed)),
+        )
+
+    def _wait_before_retry(self, error: targets.TargetError) -> None:
+        """Lets the next attempt start, or ends the request.
+
+        The first resumption of a stream that has delivered tokens costs no
+        budget and no wait: its caller is in the middle of an answer.
+        """
+        if self._attempt >= MAX_ATTEMPTS:
+            self._give_up('attempts_exhausted', str(error))
+        if self._checker.texts and self._attempt == 1:
+            return
+        request = self._request
+        taken = self._services.budget.take(
+            request.service, request.organisation
+        )
+        if isinstance(taken, result.Failure):
+            exhausted = taken.failure()
+            self._give_up(
+                exhausted.reason, str(exhausted), exhausted.retry_after_s
+            )
+        self._sleep_before_retry(self._attempt - 1)
+
+    def _sleep_before_retry(self, retry: int) -> None:
+        delay = self._services.backoff.delay_s(retry, self._deadline)
+        if isinstance(delay, result.Failure):
+            self._give_up('deadline_passed', str(delay.failure()))
+        self._services.timer.sleep(delay.unwrap())
+
+    def _give_up(
+        self, reason: str, detail: str, retry_after_s: float = RETRY_AFTER_S
+    ) -> NoReturn:
+        outcome = problems.Outcome.NOT_RUN
+        if self._may_have_run:
+            outcome = problems.Outcome.UNKNOWN
+        raise problems.RequestFailed(
+            problems.Problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                reason,
+                detail,
+                outcome,
+                retry_after_s,
+            )
+        )
--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/explain.py
@@ -0,0 +1,56 @@
+"""Keeps what was decided for each recent request, by request id."""
+
+import collections
+from typing import NamedTuple
+
+from cactusmux_base import timers
+
+MAX_REQUESTS = 2_000
+MAX_STEPS = 64
+
+
+class Step(NamedTuple):
+    """One decision; ``at_s`` is seconds since the request came."""
+
+    at_s: float
+    event: str
+    fields: dict[str, object]
+
+
+class Trace:
+    """The decisions taken for one request, at most ``MAX_STEPS``."""
+
+    def __init__(self, timer: timers.TimerService, request_id: str) -> None:
+        self.request_id = request_id
+        self.steps: list[Step] = []
+        self._timer = timer
+        self._start = timer.now()
+
+    def add(self, event: str, **fields: object) -> None:
+        """Records a decision; those past the limit are left out."""
+        if len(self.steps) >= MAX_STEPS:
+            return
+        at_s = round(self._timer.now() - self._start, 6)
+        self.steps.append(Step(at_s, event, fields))
+
+
+class ExplainLog:
+    """The traces of the last ``MAX_REQUESTS`` requests."""
+
+    def __init__(self, timer: timers.TimerService) -> None:
+        self._timer = timer
+        self._trace_by_request: collections.OrderedDict[str, Trace] = (
+            collections.OrderedDict()
+        )
+
+    def start(self, request_id: str) -> Trace:
+        """Returns a new trace and forgets the oldest one if need be."""
+        trace = Trace(self._timer, request_id)
+        self._trace_by_request[request_id] = trace
+        if len(self._trace_by_request) > MAX_REQUESTS:
+            self._trace_by_request.popitem(last=False)
+        return trace
+
+    def find(self, request_id: str) -> Trace | None:
+        """Returns the trace of a request, unless it is forgotten."""
+        return self._trace_by_request.get(request_id)
--- /dev/null
+++ b/packages/cactusmux-entry/tests/test_drafts.py
@@ -0,0 +1,239 @@
+"""Tests of drafts over failing stages: whole answers, once, in order."""
+
+import random
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_entry import drafts
+from cactusmux_entry import explain
+from cactusmux_entry import problems
+from cactusmux_entry import stall_watch
+from cactusmux_fakes import direct_targets
+from cactusmux_fakes import engines
+from cactusmux_fakes import layers
+from cactusmux_platform import targets
+from cactusmux_routing import policies
+from cactusmux_routing import retries
+from cactusmux_routing import target_table
+import pytest
+
+MODEL_LAYERS = 8
+RANGES = ((0, 3), (3, 6), (6, 8))
+MAX_TOKENS = 24
+
+
+class Rig:
+    """Copies of a model over three engines each, and entry services."""
+
+    def __init__(self, copies: int = 2) -> None:
+        self.clock = timers.ManualTimers()
+        self.metrics = metrics.MemoryMetrics()
+        self.fabric = engines.Fabric(self.clock)
+        self.client = direct_targets.DirectTargetClient(self.fabric)
+        self.engines: list[engines.Engine] = []
+        for copy in range(copies):
+            for first, last in RANGES:
+                address = f'10.0.{copy}.{first}:80'
+                engine = engines.Engine(
+                    self.fabric, address, engines.EngineConfig()
+                )
+                engine.hold(
+                    targets.Holding('m', 'v1', first, last, ('a', 'b'))
+                )
+                self.engines.append(engine)
+        rng = random.Random(7)
+        self.chooser = policies.make_chooser(
+            'least_loaded', self.clock, rng
+        ).unwrap()
+        self.update_table()
+        self.services = drafts.DraftServices(
+            timer=self.clock,
+            metrics=self.metrics,
+            targets=self.client,
+            chooser=self.chooser,
+            budget=retries.RetryBudget(self.clock),
+            backoff=retries.Backoff(self.clock, rng),
+            stalls=stall_watch.StallWatch(self.clock),
+            zone='z1',
+            token_gap_s=0.3,
+            first_token_s=1.0,
+        )
+
+    def update_table(self) -> None:
+        reports = [
+            target_table.AgedReport(engine.report(), 0.0)
+            for engine in self.engines
+        ]
+        self.chooser.update(
+            target_table.build_table(
+                reports, [], frozenset(), self.clock.now(), 10.0
+            )
+        )
+
+    def draft(
+        self, request_id: str = 'r1', adapter: str = 'a'
+    ) -> drafts.Draft:
+        request = drafts.DraftRequest(
+            request_id=request_id,
+            service='s',
+            organisation='o',
+            kind='draft',
+            model='m',
+            version='v1',
+            adapter=adapter,
+            layers=MODEL_LAYERS,
+            prompt=f'prompt of {request_id}',
+            max_tokens=MAX_TOKENS,
+            priority=0,
+            deadline_at=self.clock.now() + 60.0,
+        )
+        trace = explain.Trace(self.clock, request_id)
+        return drafts.Draft(self.services, request, trace)
+
+    def used_stage(self, index: int) -> engines.Engine:
+        """Returns the engine of a stage of the last route opened."""
+        stage = self.client.opened[-1].stages[index]
+        return self.fabric.engine_by_address[stage.address]
+
+    def break_engine(self, engine: engines.Engine, fault: str) -> None:
+        if fault == 'dead':
+            engine.dead = True
+        elif fault == 'frozen':
+            engine.freeze()
+        elif fault == 'unloaded':
+            engine.hold()
+        elif fault == 'cut':
+            for other in self.engines:
+                self.fabric.cut(other.address, engine.address)
+
+
+def expected(request_id: str = 'r1', adapter: str = 'a') -> list[str]:
+    return list(
+        layers.expected_texts(
+            'm',
+            'v1',
+            adapter,
+            f'prompt of {request_id}',
+            MODEL_LAYERS,
+            MAX_TOKENS,
+        )
+    )
+
+
+def test_undisturbed_draft_is_whole() -> None:
+    rig = Rig()
+    assert list(rig.draft().texts()) == expected()
+    assert rig.fabric.ledger.violations() == ()
+    assert rig.fabric.ledger.emitted_tokens == MAX_TOKENS
+
+
+@pytest.mark.parametrize('stage', [0, 1, 2])
+@pytest.mark.parametrize('fault', ['dead', 'frozen', 'cut', 'unloaded'])
+def test_draft_survives_a_stage_that_fails_midway(
+    stage: int, fault: str
+) -> None:
+    rig = Rig()
+    texts = []
+    for text in rig.draft().texts():
+        texts.append(text)
+        if len(texts) == 10:
+            rig.break_engine(rig.used_stage(stage), fault)
+    assert texts == expected()
+    assert rig.fabric.ledger.violations() == ()
+    assert len(rig.client.opened) == 2
+    assert all(engine.running == 0 for engine in rig.engines)
+
+
+def test_draft_survives_two_failures_in_a_row() -> None:
+    rig = Rig(copies=3)
+    texts = []
+    for text in rig.draft().texts():
+        texts.append(text)
+        if len(texts) in (5, 15):
+            rig.used_stage(1).dead = True
+    assert texts == expected()
+    assert rig.fabric.ledger.violations() == ()
+
+
+def test_tokens_that_do_not_belong_are_dropped() -> None:
+    rig = Rig()
+    strange = [
+        targets.Token('other', 1, 3, 'FOREIGN '),
+        targets.Token('r1', 0, 3, 'OLD '),
+        targets.Token('r1', 1, 1, 'REPEATED '),
+    ]
+    texts = []
+    for text in rig.draft().texts():
+        texts.append(text)
+        if len(texts) == 3:
+            rig.client.streams[-1].injected.extend(strange)
+    assert texts == expected()
+    dropped = rig.metrics.counter_by_name
+    assert dropped['entry.dropped_token.foreign'] == 1
+    assert dropped['entry.dropped_token.old_attempt'] == 1
+    assert dropped['entry.dropped_token.repeated'] == 1
+
+
+def test_a_gap_in_positions_is_not_delivered() -> None:
+    rig = Rig()
+    texts = []
+    for text in rig.draft().texts():
+        texts.append(text)
+        if len(texts) == 3:
+            late = targets.Token('r1', 1, 7, 'GAP ')
+            rig.client.streams[-1].injected.append(late)
+    assert texts == expected()
+    assert rig.metrics.counter_by_name['entry.retries.stream_broken'] == 1
+
+
+def test_interleaved_drafts_get_their_own_answers() -> None:
+    rig = Rig()
+    texts_by_id: dict[str, list[str]] = {'r1': [], 'r2': []}
+    first = rig.draft('r1', 'a').texts()
+    second = rig.draft('r2', 'b').texts()
+    for one, other in zip(first, second, strict=True):
+        texts_by_id['r1'].append(one)
+        texts_by_id['r2'].append(other)
+    assert texts_by_id['r1'] == expected('r1', 'a')
+    assert texts_by_id['r2'] == expected('r2', 'b')
+
+
+def test_refusal_says_not_run_when_nothing_ran() -> None:
+    rig = Rig(copies=1)
+    for engine in rig.engines:
+        engine.leaving = True
+    with pytest.raises(problems.RequestFailed) as refused:
+        list(rig.draft().texts())
+    assert refused.value.problem.outcome is problems.Outcome.NOT_RUN
+    assert 'r1' not in rig.fabric.ledger.run_request_ids()
+
+
+def test_failure_after_a_token_ran_is_unknown() -> None:
+    rig = Rig(copies=1)
+    texts = []
+    with pytest.raises(problems.RequestFailed) as failed:
+        for text in rig.draft().texts():
+            texts.append(text)
+            rig.used_stage(1).dead = True
+    assert failed.value.problem.outcome is problems.Outcome.UNKNOWN
+    assert texts == expected()[:1]
+
+
+def test_a_caller_that_leaves_cancels_the_stream() -> None:
+    rig = Rig()
+    stream = rig.draft().texts()
+    next(stream)
+    assert sum(engine.running for engine in rig.engines) == 1
+    stream.close()  # type: ignore[attr-defined]
+    assert sum(engine.running for engine in rig.engines) == 0
+    assert rig.client.streams[-1].closed
+
+
+def test_a_slow_caller_is_not_taken_for_a_stalled_engine() -> None:
+    rig = Rig()
+    texts = []
+    for text in rig.draft().texts():
+        texts.append(text)
+        rig.clock.advance(1.0)
+    assert texts == expected()
+    assert rig.metrics.counter_by_name['entry.attempts'] == 1
--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/ledger.py
@@ -0,0 +1,54 @@
+"""Counts which layers ran for which token of which attempt."""
+
+import collections
+from collections import Counter
+from typing import NamedTuple
+
+
+class TokenKey(NamedTuple):
+    """One token of one attempt of one request."""
+
+    request_id: str
+    attempt: int
+    position: int
+
+
+class Ledger:
+    """What all stand-in engines of a process ran."""
+
+    def __init__(self) -> None:
+        self._layers_by_token: dict[TokenKey, list[int]] = (
+            collections.defaultdict(list)
+        )
+        self._emitted: Counter[TokenKey] = Counter()
+        self.prefilled_tokens = 0
+        self.imported_tokens = 0
+
+    def note_layer(self, token: TokenKey, layer: int) -> None:
+        """Records that ``layer`` ran for ``token``."""
+        self._layers_by_token[token].append(layer)
+
+    def note_emitted(self, token: TokenKey, layers: int) -> None:
+        """Records that ``token`` left the last of ``layers`` layers."""
+        self._emitted[token] += 1
+        expected = list(range(layers))
+        if self._layers_by_token[token] == expected:
+            # A token that ran right needs no further room.
+            self._layers_by_token[token] = []
+
+    @property
+    def emitted_tokens(self) -> int:
+        """How many tokens left the engines, over all attempts."""
+        return self._emitted.total()
+
+    def violations(self) -> tuple[TokenKey, ...]:
+        """Returns emitted tokens whose layers did not run once, in order."""
+        return tuple(
+            token
+            for token, count in self._emitted.items()
+            if count != 1 or self._layers_by_token[token]
+        )
+
+    def run_request_ids(self) -> frozenset[str]:
+        """Returns the requests of which at least one layer ran."""
+        return frozenset(token.request_id for token in self._layers_by_token)
--- /dev/null
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
@@ -0,0 +1,205 @@
+"""Calls to model engines by HTTP."""
+
+from collections.abc import Iterator
+import socket
+
+from geventhttpclient import client as http_client
+from geventhttpclient import response as http_response
+import msgspec
+from returns import result
+
+from . import targets
+
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 1_048_576
+HTTP_OK = 200
+FENCED = 'fenced'
+
+NETWORK_ERRORS = (
+    OSError,
+    http_response.HTTPParseError,
+    http_response.HTTPConnectionClosed,
+)
+# Errors that only connecting raises: no byte of the request was sent.
+NOT_CONNECTED_ERRORS = (ConnectionRefusedError, socket.gaierror)
+
+
+class StreamFailed(msgspec.Struct):
+    """The line by which an engine names the stage that failed."""
+
+    failed: str
+    reason: str
+
+
+class RefusalBody(msgspec.Struct):
+    """The body of a refusal; ``not_run`` is the target's own word."""
+
+    not_run: bool = False
+    reason: str = ''
+
+
+_token_decoder = msgspec.json.Decoder(targets.Token)
+_report_decoder = msgspec.json.Decoder(targets.TargetReport)
+_failed_decoder = msgspec.json.Decoder(StreamFailed)
+_refusal_decoder = msgspec.json.Decoder(RefusalBody)
+
+
+class HttpTokenStream(targets.TokenStream):
+    """Reads one token a line until the final one."""
+
+    def __init__(self, exchange: '_Exchange') -> None:
+        self._exchange = exchange
+
+    def __iter__(self) -> Iterator[targets.Token]:
+        decode = _token_decoder.decode
+        while True:
+            line = self._read_line()
+            try:
+                token = decode(line)
+            except msgspec.DecodeError:
+                raise self._named_failure(line) from None
+            yield token
+            if token.final:
+                return
+
+    def close(self) -> None:
+        self._exchange.close()
+
+    def _read_line(self) -> bytes:
+        try:
+            line = self._exchange.read_line()
+        except NETWORK_ERRORS as error:
+            raise self._exchange.network_failure(error) from error
+        if not line:
+            raise targets.StreamBroken(
+                self._exchange.address, 'connection_closed'
+            )
+        return line
+
+    def _named_failure(self, line: bytes) -> targets.TargetError:
+        """Tells a failed stage, which the engine names, from garbage."""
+        try:
+            failed = _failed_decoder.decode(line)
+        except msgspec.DecodeError:
+            return targets.StreamBroken(
+                self._exchange.address, 'unreadable_line'
+            )
+        return targets.StreamBroken(failed.failed, failed.reason)
+
+
+class HttpTargetClient(targets.TargetClient):
+    """One fresh connection a call, so that no call meets a stale one."""
+
+    def report(
+        self, address: str
+    ) -> result.Result[targets.TargetReport, targets.TargetError]:
+        return self._call(address, 'GET', '/v1/report', b'')
+
+    def send_order(
+        self, address: str, order: targets.Order
+    ) -> result.Result[targets.TargetReport, targets.TargetError]:
+        body = msgspec.json.encode(order)
+        return self._call(address, 'POST', '/v1/orders', body)
+
+    def open_stream(
+        self, request: targets.RoutedRequest, token_gap_s: float
+    ) -> result.Result[targets.TokenStream, targets.TargetError]:
+        address = request.stages[0].address
+        body = msgspec.json.encode(request)
+        exchange = _Exchange(address, token_gap_s)
+        sent = exchange.send('POST', '/v1/streams', body)
+        return sent.map(lambda _: HttpTokenStream(exchange))
+
+    def _call(
+        self, address: str, method: str, path: str, body: bytes
+    ) -> result.Result[targets.TargetReport, targets.TargetError]:
+        exchange = _Exchange(address, CALL_TIMEOUT_S)
+        try:
+            sent = exchange.send(method, path, body)
+            return sent.bind(lambda _: exchange.read_report())
+        finally:
+            exchange.close()
+
+
+class _Exchange:
+    """One request and its response on a connection of their own."""
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        host, _, port = address.rpartition(':')
+        self.address = address
+        self._client = http_client.HTTPClient(
+            host,
+            int(port),
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=timeout_s,
+        )
+        self._response: http_response.HTTPSocketPoolResponse | None = None
+
+    def send(
+        self, method: str, path: str, body: bytes
+    ) -> result.Result[None, targets.TargetError]:
+        """Sends the request and reads the response's head."""
+        try:
+            response = self._client.request(method, path, body)
+        except NOT_CONNECTED_ERRORS as error:
+            return result.Failure(
+                targets.NotSent(self.address, type(error).__name__)
+            )
+        except NETWORK_ERRORS as error:
+            return result.Failure(self.network_failure(error))
+        self._response = response
+        if response.get_code() == HTTP_OK:
+            return result.Success(None)
+        return result.Failure(self._refusal(response))
+
+    def read_line(self) -> bytes:
+        """Returns the next line; empty at the end of the response."""
+        if self._response is None:
+            return b''
+        return bytes(self._response.readline(b'\n'))
+
+    def read_report(
+        self,
+    ) -> result.Result[targets.TargetReport, targets.TargetError]:
+        """Reads the response's body as a report."""
+        try:
+            return result.Success(_report_decoder.decode(self._read_body()))
+        except NETWORK_ERRORS as error:
+            return result.Failure(self.network_failure(error))
+        except msgspec.DecodeError as error:
+            return result.Failure(
+                targets.StreamBroken(self.address, str(error))
+            )
+
+    def network_failure(self, error: Exception) -> targets.TargetError:
+        """Tells silence from a broken connection."""
+        if isinstance(error, TimeoutError):
+            return targets.StreamStalled(self.address)
+        return targets.StreamBroken(self.address, type(error).__name__)
+
+    def close(self) -> None:
+        """Closes the connection, which cancels an unfinished stream."""
+        # A closed client closes a connection that is handed back to it.
+        self._client.close()
+        if self._response is not None:
+            self._response.release()
+
+    def _read_body(self) -> bytes:
+        if self._response is None:
+            return b''
+        return bytes(self._response.read(MAX_BODY_BYTES))
+
+    def _refusal(
+        self, response: http_response.HTTPSocketPoolResponse
+    ) -> targets.TargetError:
+        try:
+            body = _refusal_decoder.decode(self._read_body())
+        except (msgspec.DecodeError, *NETWORK_ERRORS):
+            body = RefusalBody()
+        if body.reason == FENCED:
+            return targets.OrderFenced(self.address, body.reason)
+        if body.not_run:
+            return targets.TargetRefused(self.address, body.reason)
+        status = f'status_{response.get_code()}'
+        return targets.StreamBroken(self.address, body.reason or status)
