--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/leases.py
@@ -0,0 +1,325 @@
+"""Holds a named lease in the configuration store and tells its authority.
+
+The lease is a key bound to a lease of the store: the key goes when the lease
+ends, and the revision that created it is the fencing number.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cactusmux_base import events
+from cactusmux_base import failures
+from cactusmux_base import ids
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_platform import stores
+from gevent import lock
+import msgspec
+from returns import result
+
+LEASE_PREFIX = 'leases/'
+ORDER_LEASE = 'orders'
+
+
+class LeaseSettings(NamedTuple):
+    """Times of a lease, in seconds.
+
+    The store ends the lease ``ttl_s`` after its last renewal; the holder
+    stops ``margin_s`` earlier, which covers clocks that run at different
+    rates. ``period_s`` is the time between renewals, and between attempts
+    of an instance that waits for the lease. ``delivery_s`` is the deadline
+    for delivering one order.
+    """
+
+    ttl_s: float = 10.0
+    margin_s: float = 2.0
+    period_s: float = 2.0
+    delivery_s: float = 2.0
+
+
+class Authority(NamedTuple):
+    """The right to send orders, until a time of the holder's own clock.
+
+    ``unfenced_from`` is when a target that ignores fencing numbers may get
+    its first order under this authority.
+    """
+
+    fencing: int
+    valid_until: float
+    unfenced_from: float
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """The value of the lease's key; ``claim_id`` is new on each attempt."""
+
+    holder: str
+    claim_id: str
+
+
+class LeaseExpired(failures.CactusmuxError):
+    """The holder's own clock passed the end of the lease."""
+
+    reason = 'lease_expired'
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f'lease {name!r} was not renewed in time')
+        self.name = name
+
+
+class LeaseReleased(failures.CactusmuxError):
+    """The holder gave the lease up."""
+
+    reason = 'lease_released'
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f'lease {name!r} was released')
+        self.name = name
+
+
+class _Claim(NamedTuple):
+    """An attempt to take the lease, asked for at ``asked_at``."""
+
+    lease_id: int
+    value: bytes
+    asked_at: float
+
+
+class _Held(NamedTuple):
+    lease_id: int
+    authority: Authority
+
+
+AuthorityCallback = Callable[[Authority | None], None]
+
+
+class LeaseHolder:
+    """Acquires a lease, renews it and releases it at stop.
+
+    :param name: of the lease, such as :data:`ORDER_LEASE`.
+    :param holder: address of this instance, for operators to see.
+    :param may_acquire: tells whether this instance is a candidate now;
+        safety doesn't depend on it, only the number of calls to the store.
+    """
+
+    def __init__(
+        self,
+        store: stores.ConfigStore,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        name: str,
+        holder: str,
+        settings: LeaseSettings = LeaseSettings(),  # noqa: B008
+        may_acquire: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._store = store
+        self._timer = timer
+        self._metric = metric
+        self._name = name
+        self._key = f'{LEASE_PREFIX}{name}'
+        self._holder = holder
+        self._settings = settings
+        self._may_acquire = may_acquire
+        self._callbacks: list[AuthorityCallback] = []
+        self._busy = lock.BoundedSemaphore(1)
+        self._stopped = False
+        self._held: _Held | None = None
+        self._unsettled: _Claim | None = None
+        self._announced = False
+        self._subscription: timers.Subscription | None = None
+        self._expiry: timers.Subscription | None = None
+
+    def subscribe(self, callback: AuthorityCallback) -> None:
+        """Calls ``callback`` with each authority gained, ``None`` if lost."""
+        self._callbacks.append(callback)
+
+    def start(self) -> None:
+        """Runs :meth:`step` every period."""
+        period_s = self._settings.period_s
+        self._subscription = self._timer.every(period_s, self.step)
+
+    def stop(self) -> None:
+        """Gives up authority at once, then releases the lease.
+
+        Blocks until a call to the store that is under way has ended.
+        """
+        self._stopped = True
+        held = self._held
+        if held is not None:
+            self._lose(LeaseReleased(self._name))
+        with self._busy:
+            if self._subscription is not None:
+                self._subscription.cancel()
+            if held is not None:
+                self._revoke(held.lease_id)
+            if self._unsettled is not None:
+                self._revoke(self._unsettled.lease_id)
+                self._unsettled = None
+
+    def authority(self, for_s: float = 0.0) -> Authority | None:
+        """Returns the authority if it is valid for another ``for_s``.
+
+        To be asked right before an order leaves, with the time that its
+        delivery may take.
+        """
+        if self._held is None or self._stopped:
+            return None
+        authority = self._held.authority
+        if self._timer.now() + for_s >= authority.valid_until:
+            return None
+        return authority
+
+    def step(self) -> None:
+        """Renews the lease, or tries to acquire it."""
+        if self._stopped or not self._busy.acquire(blocking=False):
+            return
+        try:
+            if self._held is not None:
+                self._renew(self._held)
+            else:
+                self._acquire()
+        finally:
+            self._busy.release()
+
+    def _acquire(self) -> None:
+        if self._unsettled is None and not self._may_acquire():
+            return
+        match self._store.get(self._key):
+            case result.Success(entry):
+                self._claim_unless_held(entry)
+            case result.Failure(failure):
+                self._count_failure(failure)
+
+    def _claim_unless_held(self, entry: stores.Entry | None) -> None:
+        if self._unsettled is not None:
+            claim = self._unsettled
+            self._unsettled = None
+            if entry is not None and entry.value == claim.value:
+                self._gain(claim, entry.revision)
+                return
+            # A delayed write of this claim fails once its lease is gone.
+            self._revoke(claim.lease_id)
+        if entry is None and self._may_acquire():
+            self._claim()
+
+    def _claim(self) -> None:
+        asked_at = self._timer.now()
+        match self._store.grant_lease(self._settings.ttl_s):
+            case result.Success(lease_id):
+                claim = _Claim(lease_id, self._new_value(), asked_at)
+                self._write_claim(claim)
+            case result.Failure(failure):
+                self._count_failure(failure)
+
+    def _write_claim(self, claim: _Claim) -> None:
+        written = self._store.compare_and_swap(
+            self._key, claim.value, stores.ABSENT, claim.lease_id
+        )
+        match written:
+            case result.Success(entry):
+                self._gain(claim, entry.revision)
+            case result.Failure(stores.OutcomeUnknown() as failure):
+                self._count_failure(failure)
+                self._unsettled = claim
+                self._settle()
+            case result.Failure(failure):
+                self._count_failure(failure)
+                self._revoke(claim.lease_id)
+
+    def _settle(self) -> None:
+        """Reads the key back; the next step tries again if that fails."""
+        match self._store.get(self._key):
+            case result.Success(entry) if entry is not None:
+                self._claim_unless_held(entry)
+            case result.Failure(failure):
+                self._count_failure(failure)
+
+    def _gain(self, claim: _Claim, fencing: int) -> None:
+        if self._stopped:
+            self._revoke(claim.lease_id)
+            return
+        settings = self._settings
+        authority = Authority(
+            fencing=fencing,
+            valid_until=claim.asked_at + settings.ttl_s - settings.margin_s,
+            unfenced_from=self._timer.now()
+            + settings.ttl_s
+            + settings.margin_s
+            + settings.delivery_s,
+        )
+        self._hold(_Held(claim.lease_id, authority))
+
+    def _renew(self, held: _Held) -> None:
+        # The store counts from when the renewal reaches it, never earlier.
+        asked_at = self._timer.now()
+        renewed = self._store.renew_lease(held.lease_id)
+        if self._held is None or self._stopped:
+            return
+        match renewed:
+            case result.Success(_):
+                self._metric.count('leases.renewed')
+                self._extend(held, asked_at)
+            case result.Failure(stores.LeaseLost() as failure):
+                self._lose(failure)
+            case result.Failure(failure):
+                self._count_failure(failure)
+
+    def _extend(self, held: _Held, asked_at: float) -> None:
+        settings = self._settings
+        valid_until = asked_at + settings.ttl_s - settings.margin_s
+        authority = held.authority._replace(valid_until=valid_until)
+        self._hold(held._replace(authority=authority))
+
+    def _hold(self, held: _Held) -> None:
+        self._held = held
+        authority = held.authority
+        if self._timer.now() >= authority.valid_until:
+            return
+        self._watch_expiry(authority)
+        if self._announced:
+            return
+        self._announced = True
+        self._metric.count('leases.gained')
+        events.info('lease_gained', name=self._name, fencing=authority.fencing)
+        for callback in self._callbacks:
+            callback(authority)
+
+    def _watch_expiry(self, authority: Authority) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+        left_s = max(0.0, authority.valid_until - self._timer.now())
+        self._expiry = self._timer.after(left_s, self._expire)
+
+    def _expire(self) -> None:
+        if self._held is None:
+            return
+        if self.authority() is None:
+            self._announce_loss(LeaseExpired(self._name))
+            return
+        self._watch_expiry(self._held.authority)
+
+    def _lose(self, failure: failures.CactusmuxError) -> None:
+        self._held = None
+        if self._expiry is not None:
+            self._expiry.cancel()
+        self._announce_loss(failure)
+
+    def _announce_loss(self, failure: failures.CactusmuxError) -> None:
+        if not self._announced:
+            return
+        self._announced = False
+        self._metric.count(f'leases.lost.{failure.reason}')
+        events.warning('lease_lost', name=self._name, reason=failure.reason)
+        for callback in self._callbacks:
+            callback(None)
+
+    def _revoke(self, lease_id: int) -> None:
+        """Ends a lease early; one that can't be ended lapses by itself."""
+        match self._store.revoke_lease(lease_id):
+            case result.Failure(failure):
+                self._count_failure(failure)
+
+    def _count_failure(self, failure: failures.CactusmuxError) -> None:
+        self._metric.count(f'leases.failed.{failure.reason}')
+
+    def _new_value(self) -> bytes:
+        return msgspec.json.encode(LeaseRecord(self._holder, ids.new_id()))
--- /dev/null
+++ b/packages/cactusmux-control/tests/test_leases_machine.py
@@ -0,0 +1,121 @@
+"""State machine: never two valid authorities, and numbers that rise."""
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import leases
+from cactusmux_fakes import memory_store
+from cactusmux_fakes import scripted_store
+from cactusmux_fakes import skewed_timers
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+RATES = (0.99, 1.0, 1.01)
+KEY = 'leases/orders'
+
+scripts = st.lists(
+    st.builds(
+        scripted_store.Script,
+        before_s=st.sampled_from([0.0, 0.5, 4.0, 11.0]),
+        after_s=st.sampled_from([0.0, 0.5, 4.0, 9.0, 11.0]),
+        dropped=st.booleans(),
+        unanswered=st.booleans(),
+        late=st.booleans(),
+    ),
+    max_size=4,
+)
+holder_numbers = st.integers(0, len(RATES) - 1)
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Holders with clocks at different rates, paused and cut off at will."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = timers.ManualTimers()
+        self.store = memory_store.MemoryStore(self.clock)
+        self.ways = [
+            scripted_store.ScriptedStore(self.store, self.clock) for _ in RATES
+        ]
+        self.holders = [self._new_holder(n) for n in range(len(RATES))]
+        self.number_by_fencing: dict[int, int] = {}
+        self.highest = 0
+        for way in self.ways:
+            way.meanwhile = self.check
+
+    def _new_holder(self, number: int) -> leases.LeaseHolder:
+        return leases.LeaseHolder(
+            self.ways[number],
+            skewed_timers.SkewedTimers(self.clock, RATES[number]),
+            metrics.MemoryMetrics(),
+            leases.ORDER_LEASE,
+            f'10.0.0.{number}:80',
+        )
+
+    @stateful.rule(number=holder_numbers, script=scripts)
+    def step(self, number: int, script: list[scripted_store.Script]) -> None:
+        self.ways[number].scripts = list(script)
+        self.holders[number].step()
+        self.ways[number].scripts = []
+
+    @stateful.rule(number=holder_numbers, other=holder_numbers, script=scripts)
+    def step_while_another_steps(
+        self, number: int, other: int, script: list[scripted_store.Script]
+    ) -> None:
+        def step_other() -> None:
+            self.check()
+            if other != number:
+                self.holders[other].step()
+                self.check()
+
+        self.ways[number].meanwhile = step_other
+        self.step(number, script)
+        self.ways[number].meanwhile = self.check
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 2.0, 7.9, 8.5, 10.0]))
+    def pause_all(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @stateful.rule(number=holder_numbers)
+    def late_write_arrives(self, number: int) -> None:
+        self.ways[number].deliver_late()
+
+    @stateful.rule(number=holder_numbers)
+    def replace_instance(self, number: int) -> None:
+        self.holders[number].stop()
+        self.check()
+        self.holders[number] = self._new_holder(number)
+
+    @stateful.rule(number=holder_numbers)
+    def lose_instance(self, number: int) -> None:
+        self.holders[number] = self._new_holder(number)
+
+    @stateful.invariant()
+    def check(self) -> None:
+        valid = [
+            (number, authority)
+            for number, holder in enumerate(self.holders)
+            if (authority := holder.authority()) is not None
+        ]
+        assert len(valid) <= 1
+        for number, authority in valid:
+            self._check_one(number, authority)
+
+    def _check_one(self, number: int, authority: leases.Authority) -> None:
+        entry = self.store.get(KEY).unwrap()
+        assert entry is not None
+        assert entry.revision == authority.fencing
+        assert authority.fencing >= self.highest
+        self.highest = authority.fencing
+        known = self.number_by_fencing.setdefault(authority.fencing, number)
+        assert known == number
+
+
+LeaseMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=30,
+    deadline=None,
+    database=None,
+)
+TestLeaseMachine = LeaseMachine.TestCase
