--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/faulty_store.py
@@ -0,0 +1,202 @@
+"""A configuration store that fails on request."""
+
+from collections.abc import Callable
+import random
+from typing import Any, NamedTuple
+
+from cactusmux_base import timers
+from cactusmux_platform import stores
+from returns import result
+
+from . import memory_store
+
+
+class Faults(NamedTuple):
+    """What is wrong with the store; rates are from 0 to 1.
+
+    ``down`` refuses every call before it has an effect. ``slow_s`` delays
+    each call by seconds. ``lost_answers`` is how often a write takes effect
+    and its answer is lost, ``lost_writes`` how often both are lost.
+    ``stale_reads`` is how often a read shows the state of an earlier
+    revision. ``watch_hides`` is how many of the newest changes watches don't
+    show yet, ``watch_late_s`` delays what they show, ``watch_skips`` is how
+    often they pass over changes for good, and ``watch_broken`` makes them
+    fail. ``watch_compacted`` makes watches from before the newest revision
+    fail as too old.
+    """
+
+    down: bool = False
+    slow_s: float = 0.0
+    lost_answers: float = 0.0
+    lost_writes: float = 0.0
+    stale_reads: float = 0.0
+    watch_hides: int = 0
+    watch_late_s: float = 0.0
+    watch_skips: float = 0.0
+    watch_broken: bool = False
+    watch_compacted: bool = False
+
+
+NO_FAULTS = Faults()
+
+_Write = Callable[[], result.Result[Any, stores.StoreError]]
+
+
+class FaultyStore(stores.ConfigStore):
+    """Adds faults to a store in memory; ``faults`` may change at any time.
+
+    Which calls fail is drawn from ``rng``, so a seed repeats them.
+    ``calls_by_kind`` counts all calls, also those that failed.
+    """
+
+    def __init__(
+        self,
+        store: memory_store.MemoryStore,
+        timer: timers.TimerService,
+        rng: random.Random,
+    ) -> None:
+        self.faults = NO_FAULTS
+        self.calls_by_kind: dict[str, int] = {}
+        self._store = store
+        self._timer = timer
+        self._rng = rng
+
+    def lapse_lease(self, lease_id: int) -> None:
+        """Ends a lease at once, as when its holder was paused too long."""
+        self._store.expire_lease(lease_id)
+
+    def get(
+        self, key: str
+    ) -> result.Result[stores.Entry | None, stores.StoreError]:
+        if not self._begin('get'):
+            return result.Failure(stores.StoreUnavailable('get'))
+        if self._hits(self.faults.stale_reads):
+            return result.Success(self._earlier_entries().get(key))
+        return self._store.get(key)
+
+    def get_prefix(
+        self, prefix: str
+    ) -> result.Result[tuple[stores.Entry, ...], stores.StoreError]:
+        if not self._begin('get_prefix'):
+            return result.Failure(stores.StoreUnavailable('get_prefix'))
+        if not self._hits(self.faults.stale_reads):
+            return self._store.get_prefix(prefix)
+        entry_by_key = self._earlier_entries()
+        keys = sorted(k for k in entry_by_key if k.startswith(prefix))
+        return result.Success(tuple(entry_by_key[k] for k in keys))
+
+    def compare_and_swap(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = 0,
+    ) -> result.Result[stores.Entry, stores.StoreError]:
+        return self._write(
+            'compare_and_swap',
+            key,
+            lambda: self._store.compare_and_swap(
+                key, value, expected_revision, lease_id
+            ),
+        )
+
+    def delete(
+        self, key: str, expected_revision: int
+    ) -> result.Result[int, stores.StoreError]:
+        return self._write(
+            'delete', key, lambda: self._store.delete(key, expected_revision)
+        )
+
+    def grant_lease(
+        self, ttl_s: float
+    ) -> result.Result[int, stores.StoreError]:
+        return self._write(
+            'grant_lease', 'lease', lambda: self._store.grant_lease(ttl_s)
+        )
+
+    def renew_lease(
+        self, lease_id: int
+    ) -> result.Result[None, stores.StoreError]:
+        return self._write(
+            'renew_lease',
+            f'lease {lease_id}',
+            lambda: self._store.renew_lease(lease_id),
+        )
+
+    def revoke_lease(
+        self, lease_id: int
+    ) -> result.Result[None, stores.StoreError]:
+        return self._write(
+            'revoke_lease',
+            f'lease {lease_id}',
+            lambda: self._store.revoke_lease(lease_id),
+        )
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> result.Result[stores.Watched, stores.StoreError]:
+        if not self._begin('watch') or self.faults.watch_broken:
+            return result.Failure(stores.StoreUnavailable('watch'))
+        newest = self._history().revision
+        if self.faults.watch_compacted and after_revision < newest:
+            return result.Failure(
+                stores.WatchCompacted(after_revision, newest)
+            )
+        outcome = self._store.watch(prefix, after_revision, wait_s)
+        if self.faults.watch_late_s:
+            self._timer.sleep(self.faults.watch_late_s)
+        # The store may have gone down while the watch was waiting.
+        if self.faults.down or self.faults.watch_broken:
+            return result.Failure(stores.StoreUnavailable('watch'))
+        if self._hits(self.faults.watch_skips):
+            return outcome.map(lambda watched: watched._replace(changes=()))
+        return outcome.map(
+            lambda watched: self._hide_newest(watched, after_revision)
+        )
+
+    def _hide_newest(
+        self, watched: stores.Watched, after_revision: int
+    ) -> stores.Watched:
+        hidden = self.faults.watch_hides
+        if not hidden:
+            return watched
+        shown = watched.changes[:-hidden]
+        return stores.Watched(
+            shown, shown[-1].revision if shown else after_revision
+        )
+
+    def _begin(self, call: str) -> bool:
+        """Counts and delays a call; tells whether it may go on."""
+        self.calls_by_kind[call] = self.calls_by_kind.get(call, 0) + 1
+        if self.faults.slow_s:
+            self._timer.sleep(self.faults.slow_s)
+        return not self.faults.down
+
+    def _write(
+        self, call: str, key: str, write: _Write
+    ) -> result.Result[Any, stores.StoreError]:
+        if not self._begin(call):
+            return result.Failure(stores.StoreUnavailable(call))
+        if self._hits(self.faults.lost_writes):
+            return result.Failure(stores.OutcomeUnknown(key))
+        outcome = write()
+        if self._hits(self.faults.lost_answers):
+            return result.Failure(stores.OutcomeUnknown(key))
+        return outcome
+
+    def _hits(self, rate: float) -> bool:
+        return rate > 0 and self._rng.random() < rate
+
+    def _history(self) -> stores.Watched:
+        return self._store.watch('', stores.ABSENT, 0.0).unwrap()
+
+    def _earlier_entries(self) -> dict[str, stores.Entry]:
+        """Returns the entries after a random part of all changes."""
+        changes = self._history().changes
+        entry_by_key: dict[str, stores.Entry] = {}
+        for change in changes[: self._rng.randint(0, len(changes))]:
+            if change.entry is None:
+                entry_by_key.pop(change.key, None)
+            else:
+                entry_by_key[change.key] = change.entry
+        return entry_by_key
--- /dev/null
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
@@ -0,0 +1,142 @@
+"""JSON calls by HTTP that tell whether a failed call was sent."""
+
+import socket
+from typing import NamedTuple
+
+from cactusmux_base import failures
+import gevent
+from geventhttpclient import client
+from geventhttpclient import connectionpool
+from geventhttpclient import response
+from returns import result
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class CallNotSent(failures.CactusmuxError):
+    """No connection was had in time: the server cannot have run the call."""
+
+    reason = 'call_not_sent'
+
+    def __init__(self, address: str, path: str) -> None:
+        super().__init__(f'{address}{path} was not called: no connection')
+        self.address = address
+        self.path = path
+
+
+class AnswerLost(failures.CactusmuxError):
+    """The call was sent, at least in part, and no whole answer came."""
+
+    reason = 'answer_lost'
+
+    def __init__(self, address: str, path: str) -> None:
+        super().__init__(f'{address}{path} was called and did not answer')
+        self.address = address
+        self.path = path
+
+
+CallFailure = CallNotSent | AnswerLost
+
+
+class Answer(NamedTuple):
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpCaller:
+    """Calls one server over a bounded number of kept connections.
+
+    A call is never sent twice, whatever its method.
+    """
+
+    def __init__(
+        self, address: str, connections: int, longest_call_s: float
+    ) -> None:
+        """Prepares calls; connects at the first one.
+
+        :param address: ``host:port``
+        :param connections: calls that may be under way together
+        :param longest_call_s: largest ``deadline_s`` of any call
+        """
+        host, _, port = address.rpartition(':')
+        self._address = address
+        self._client = _Client(
+            host,
+            int(port),
+            concurrency=connections,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=longest_call_s,
+        )
+
+    def call(
+        self, method: str, path: str, body: bytes, deadline_s: float
+    ) -> result.Result[Answer, CallFailure]:
+        """Sends a request and reads its whole answer.
+
+        :param deadline_s: seconds for the answer, after connecting
+        """
+        timeout = gevent.Timeout(CONNECT_TIMEOUT_S + deadline_s)
+        try:
+            with timeout:
+                answer = self._client.request(method, path, body)
+                # A response not read to its end keeps its connection.
+                return result.Success(
+                    Answer(answer.status_code, bytes(answer.read()))
+                )
+        except _NoConnection:
+            return result.Failure(CallNotSent(self._address, path))
+        except (OSError, response.HTTPParseError):
+            return result.Failure(AnswerLost(self._address, path))
+        except gevent.Timeout as raised:
+            if raised is not timeout:
+                raise
+            return result.Failure(AnswerLost(self._address, path))
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._client.close()
+
+
+class _NoConnection(Exception):
+    """No connection was had before the connect timeout."""
+
+
+class _Pool(connectionpool.ConnectionPool):
+    def after_connect(self, sock: gevent.socket.socket) -> None:
+        # The end of a large request would wait 40 ms for a delayed ACK.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def get_socket(self) -> gevent.socket.socket:
+        timeout = gevent.Timeout(self.connection_timeout)
+        try:
+            with timeout:
+                return super().get_socket()
+        except (OSError, RuntimeError) as error:
+            raise _NoConnection from error
+        except gevent.Timeout as raised:
+            if raised is not timeout:
+                raise
+            raise _NoConnection from raised
+
+
+class _Client(client.HTTPClient):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        concurrency: int,
+        connection_timeout: float,
+        network_timeout: float,
+    ) -> None:
+        super().__init__(host, port)
+        self._connection_pool = _Pool(
+            host,
+            port,
+            host,
+            port,
+            size=concurrency,
+            connection_timeout=connection_timeout,
+            network_timeout=network_timeout,
+        )
--- /dev/null
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_instances.py
@@ -0,0 +1,62 @@
+"""Client of the platform's instance list: HTTP with JSON."""
+
+from cactusmux_base import metrics
+import msgspec
+from returns import result
+
+from . import http_calls
+from . import instances
+
+PATH = '/instances'
+CALL_TIMEOUT_S = 2.0
+CONNECTIONS = 2
+
+
+class HttpInstanceList(instances.InstanceList):
+    """Fetches the whole list at each call.
+
+    Counters: ``instances.calls`` and ``instances.failures.<reason>``.
+    """
+
+    def __init__(self, address: str, metric: metrics.Metrics) -> None:
+        """Prepares calls; connects at the first one.
+
+        :param address: ``host:port`` of the list
+        """
+        self._address = address
+        self._metric = metric
+        self._caller = http_calls.HttpCaller(
+            address, CONNECTIONS, CALL_TIMEOUT_S
+        )
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._caller.close()
+
+    def fetch(
+        self,
+    ) -> result.Result[
+        tuple[instances.ListedInstance, ...], instances.ListUnavailable
+    ]:
+        self._metric.count('instances.calls')
+        sent = self._caller.call('GET', PATH, b'', CALL_TIMEOUT_S)
+        listed = _decode(sent.value_or(http_calls.Answer(0, b'')))
+        if listed is not None:
+            return result.Success(listed)
+        failure = instances.ListUnavailable(self._address)
+        self._metric.count(f'instances.failures.{failure.reason}')
+        return result.Failure(failure)
+
+
+def _decode(
+    answer: http_calls.Answer,
+) -> tuple[instances.ListedInstance, ...] | None:
+    """Returns the list, ``None`` unless the answer holds a whole one."""
+    if answer.status != 200:
+        return None
+    try:
+        return msgspec.json.decode(
+            answer.body, type=tuple[instances.ListedInstance, ...]
+        )
+    except msgspec.MsgspecError:
+        return None
--- a/packages/cactusmux-platform/src/cactusmux_platform/stores.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/stores.py
@@ -89,13 +89,17 @@
 
 
 class WatchCompacted(StoreError):
-    """The store no longer has the changes after the given revision."""
+    """The store no longer has the changes after the given revision.
+
+    A watch may go on from revision ``oldest``, after reading anew.
+    """
 
     reason = 'watch_compacted'
 
-    def __init__(self, revision: int) -> None:
+    def __init__(self, revision: int, oldest: int = ABSENT) -> None:
         super().__init__(f'changes after revision {revision} are gone')
         self.revision = revision
+        self.oldest = oldest
 
 
 class ConfigStore(abc.ABC):
