Add membership and soft-state exchange between instances

Cause: instances have to know who is live, which targets are leaving and what is asked for where, with no store of their own.

--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/grpc_transport.py
@@ -0,0 +1,155 @@
+"""Calls between instances over gRPC, one channel a peer.
+
+The process must have run ``gevent.monkey.patch_all()`` and then
+:func:`use_gevent` before it makes a transport.
+"""
+
+from collections.abc import Callable
+from concurrent import futures
+import functools
+
+from cactusmux_base import metrics as metrics_lib
+import grpc
+from grpc.experimental import gevent as grpc_gevent
+from returns import result
+
+from . import transport
+
+_SERVICE = 'cactusmux_peers.Peers'
+_SERVER_TASKS = 16
+_CLOSE_GRACE_S = 0.5
+_OPTIONS = (
+    ('grpc.max_receive_message_length', transport.MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', transport.MAX_MESSAGE_BYTES),
+    ('grpc.enable_retries', 0),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.so_reuseport', 0),
+    ('grpc.initial_reconnect_backoff_ms', 200),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+)
+_NOT_SENT_TEXTS = ('failed to connect', 'connection refused')
+
+_Stub = Callable[..., bytes]
+
+
+@functools.cache
+def use_gevent() -> None:
+    """Makes gRPC wait by gevent; a second call does nothing."""
+    grpc_gevent.init_gevent()
+
+
+class GrpcTransport(transport.PeerTransport):
+    """Answers and calls by gRPC.
+
+    :param listen_address: ``host:port``; port 0 takes a free one.
+    """
+
+    def __init__(
+        self, listen_address: str, metrics: metrics_lib.Metrics
+    ) -> None:
+        self._metrics = metrics
+        self._server = grpc.server(
+            futures.ThreadPoolExecutor(_SERVER_TASKS), options=_OPTIONS
+        )
+        port = self._server.add_insecure_port(listen_address)
+        host = listen_address.rpartition(':')[0]
+        self._address = f'{host}:{port}'
+        self._channel_by_address: dict[str, grpc.Channel] = {}
+        self._stub_by_address: dict[str, dict[transport.Method, _Stub]] = {}
+
+    @property
+    def address(self) -> str:
+        return self._address
+
+    def serve(self, handler: transport.Handler) -> None:
+        self._server.add_generic_rpc_handlers(
+            (_generic_handler(handler, self._metrics),)
+        )
+        self._server.start()
+
+    def call(
+        self,
+        peer_address: str,
+        method: transport.Method,
+        request: bytes,
+        timeout_s: float,
+    ) -> result.Result[bytes, transport.PeerError]:
+        if len(request) > transport.MAX_MESSAGE_BYTES:
+            return result.Failure(transport.MessageTooLarge(peer_address))
+        stub = self._stub(peer_address, method)
+        try:
+            return result.Success(stub(request, timeout=timeout_s))
+        except grpc.RpcError as error:
+            failure = _to_failure(peer_address, error)
+        if not isinstance(failure, transport.PeerRefused):
+            # A new channel connects at once, without waiting for a backoff
+            # or for a connection that a partition has left hanging.
+            self.forget(peer_address)
+        return result.Failure(failure)
+
+    def forget(self, peer_address: str) -> None:
+        self._stub_by_address.pop(peer_address, None)
+        channel = self._channel_by_address.pop(peer_address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        self._server.stop(_CLOSE_GRACE_S).wait()
+        for peer_address in list(self._channel_by_address):
+            self.forget(peer_address)
+
+    def _stub(self, peer_address: str, method: transport.Method) -> _Stub:
+        stub_by_method = self._stub_by_address.get(peer_address)
+        if stub_by_method is None:
+            channel = grpc.insecure_channel(peer_address, options=_OPTIONS)
+            self._channel_by_address[peer_address] = channel
+            stub_by_method = {
+                known: channel.unary_unary(f'/{_SERVICE}/{known}')
+                for known in transport.Method
+            }
+            self._stub_by_address[peer_address] = stub_by_method
+        return stub_by_method[method]
+
+
+def _generic_handler(
+    handler: transport.Handler, metrics: metrics_lib.Metrics
+) -> grpc.GenericRpcHandler:
+    handler_by_method = {
+        method.value: grpc.unary_unary_rpc_method_handler(
+            _answerer(handler, method, metrics)
+        )
+        for method in transport.Method
+    }
+    return grpc.method_handlers_generic_handler(_SERVICE, handler_by_method)
+
+
+def _answerer(
+    handler: transport.Handler,
+    method: transport.Method,
+    metrics: metrics_lib.Metrics,
+) -> Callable[[bytes, grpc.ServicerContext], bytes]:
+    def answer(request: bytes, context: grpc.ServicerContext) -> bytes:
+        try:
+            return handler(method, request)
+        except transport.CallRefused as error:
+            metrics.count(f'peers.refused.{method.lower()}')
+            context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            raise
+
+    return answer
+
+
+def _to_failure(
+    peer_address: str, error: grpc.RpcError
+) -> transport.PeerError:
+    code = error.code()
+    detail = error.details() or ''
+    if code is grpc.StatusCode.INVALID_ARGUMENT:
+        return transport.PeerRefused(peer_address, detail)
+    if code is grpc.StatusCode.RESOURCE_EXHAUSTED:
+        return transport.MessageTooLarge(peer_address, detail)
+    if code is grpc.StatusCode.UNAVAILABLE and any(
+        text in detail.lower() for text in _NOT_SENT_TEXTS
+    ):
+        return transport.PeerNotSent(peer_address, detail)
+    return transport.PeerUnreachable(peer_address, detail)
--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/leaving_targets.py
@@ -0,0 +1,32 @@
+"""Targets that are leaving, from whichever source said so first."""
+
+from cactusmux_base import timers
+
+LEAVING_KEPT_S = 60.0
+
+
+class LeavingTargets:
+    """Remembers each sign for ``LEAVING_KEPT_S``."""
+
+    def __init__(self, timer: timers.TimerService) -> None:
+        self._timer = timer
+        self._seen_at_by_address: dict[str, float] = {}
+
+    def add(self, address: str, seen_at: float) -> bool:
+        """Notes a sign; returns whether the target was not known."""
+        if seen_at <= self._timer.now() - LEAVING_KEPT_S:
+            return False
+        known = self._seen_at_by_address.get(address)
+        self._seen_at_by_address[address] = max(seen_at, known or seen_at)
+        return known is None
+
+    def ages(self) -> dict[str, float]:
+        """Returns the seconds since the last sign, by address."""
+        now = self._timer.now()
+        for address, seen_at in list(self._seen_at_by_address.items()):
+            if seen_at <= now - LEAVING_KEPT_S:
+                del self._seen_at_by_address[address]
+        return {
+            address: now - seen_at
+            for address, seen_at in self._seen_at_by_address.items()
+        }
--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/payloads.py
@@ -0,0 +1,56 @@
+"""Payloads of records: a tag byte that tells the kind, then the body."""
+
+import enum
+from typing import NamedTuple
+
+from . import encodings
+from . import peers_pb2
+
+
+class Tag(enum.IntEnum):
+    """The kinds of records."""
+
+    DETAIL = 1
+    LOAD = 2
+    REVISION = 3
+    LEAVING = 4
+    DEMAND_NAME = 5
+    DEMAND_RATE = 6
+
+
+class DemandKey(NamedTuple):
+    """An organisation of a service."""
+
+    service: str
+    organisation: str
+
+
+def encode(tag: Tag, body: bytes) -> bytes:
+    """Returns the payload of a record."""
+    return bytes((tag,)) + body
+
+
+def encode_revision(service: str, revision: int) -> bytes:
+    """Returns the record of a document revision."""
+    message = peers_pb2.DocumentRevision(service=service, revision=revision)
+    return encode(Tag.REVISION, message.SerializeToString())
+
+
+def decode_revision(body: bytes) -> tuple[str, int]:
+    """Returns service and revision; raises ``MalformedError``."""
+    message = encodings.parse(peers_pb2.DocumentRevision, body)
+    return message.service, message.revision
+
+
+def encode_demand_name(key: DemandKey) -> bytes:
+    """Returns the record that names an organisation."""
+    message = peers_pb2.DemandName(
+        service=key.service, organisation=key.organisation
+    )
+    return encode(Tag.DEMAND_NAME, message.SerializeToString())
+
+
+def decode_demand_name(body: bytes) -> DemandKey:
+    """Returns the organisation; raises ``MalformedError``."""
+    message = encodings.parse(peers_pb2.DemandName, body)
+    return DemandKey(message.service, message.organisation)
--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/probing.py
@@ -0,0 +1,285 @@
+"""Failure detection: one random-ordered member is probed each period."""
+
+from collections.abc import Callable, Iterable
+import random
+
+from cactusmux_base import metrics as metrics_lib
+from cactusmux_base import timers
+from returns import result
+
+from . import encodings
+from . import members
+from . import membership
+from . import peers_pb2
+from . import transport
+
+PROBE_PERIOD_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+# The indirect probe waits for a probe of its own.
+PROBE_VIA_TIMEOUT_S = 1.0
+SYNC_TIMEOUT_S = 2.0
+INDIRECT_PROBES = 3
+# A tick that comes this many periods late means that we were paused.
+PAUSED_PERIODS = 4.0
+REJOIN_PERIODS = 5
+DIFFERENT_VIEW_PERIODS = 15
+
+ListAddresses = Callable[[], Iterable[str]]
+
+
+class Prober:
+    """Probes members, and looks for those that this instance has lost."""
+
+    def __init__(
+        self,
+        view: membership.Membership,
+        peers: transport.PeerTransport,
+        list_addresses: ListAddresses,
+        timer: timers.TimerService,
+        metrics: metrics_lib.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._list_addresses = list_addresses
+        self._timer = timer
+        self._metrics = metrics
+        self._rng = rng
+        self._order: list[str] = []
+        self._ticks = 0
+        self._last_tick_at = timer.now()
+        self._different_since_tick: int | None = None
+
+    def tick(self) -> None:
+        """Runs one period: expires suspects and probes one member."""
+        self._ticks += 1
+        self._allow_for_pause()
+        self._view.expire()
+        if self._ticks % REJOIN_PERIODS == 0 or self._is_alone():
+            self.rejoin()
+        member = self._next_member()
+        if member is not None:
+            self._check(member)
+
+    def rejoin(self) -> None:
+        """Exchanges views with one address that should be a member."""
+        addresses = self._lost_addresses()
+        if addresses:
+            self.sync(self._rng.choice(addresses))
+
+    def tell(self, count: int) -> None:
+        """Probes a few members at once, to spread news of ourselves."""
+        others = [
+            member
+            for member in self._view.live()
+            if member.instance_id != self._view.own.instance_id
+        ]
+        for member in self._rng.sample(others, min(count, len(others))):
+            self._probe(member.peer_address, member.instance_id)
+
+    def sync(self, peer_address: str) -> bool:
+        """Exchanges whole views with an instance; returns whether it did."""
+        request = peers_pb2.Sync(
+            sender=encodings.to_update(self._view.own),
+            members=encodings.to_updates(self._view.all()),
+        )
+        answer = self._peers.call(
+            peer_address,
+            transport.Method.SYNC,
+            request.SerializeToString(),
+            SYNC_TIMEOUT_S,
+        )
+        data = answer.value_or(b'')
+        if not data:
+            return False
+        try:
+            parsed = encodings.parse(peers_pb2.SyncAnswer, data)
+            answerer = encodings.from_update(parsed.answerer)
+            claims = encodings.from_updates(parsed.members)
+        except encodings.MalformedError:
+            self._metrics.count('peers.answer.malformed')
+            return False
+        self._metrics.count('peers.sync')
+        self._take(answerer, claims)
+        return True
+
+    def handle_probe(self, probe: peers_pb2.Probe) -> peers_pb2.ProbeAnswer:
+        """Answers a probe."""
+        sender = encodings.from_update(probe.sender)
+        self._take(sender, encodings.from_updates(probe.updates))
+        return peers_pb2.ProbeAnswer(
+            answerer=encodings.to_update(self._view.own),
+            view_hash=self._view.view_hash,
+            updates=encodings.to_updates(self._updates_for(sender)),
+        )
+
+    def handle_probe_via(
+        self, request: peers_pb2.ProbeVia
+    ) -> peers_pb2.ProbeViaAnswer:
+        """Probes a third member for another instance."""
+        sender = encodings.from_update(request.sender)
+        self._view.claim(sender)
+        answer = self._probe(request.peer_address, request.instance_id)
+        if answer is None:
+            return peers_pb2.ProbeViaAnswer(reached=False)
+        return peers_pb2.ProbeViaAnswer(reached=True, answerer=answer.answerer)
+
+    def handle_sync(self, request: peers_pb2.Sync) -> peers_pb2.SyncAnswer:
+        """Merges another instance's view and answers ours."""
+        sender = encodings.from_update(request.sender)
+        self._take(sender, encodings.from_updates(request.members))
+        return peers_pb2.SyncAnswer(
+            answerer=encodings.to_update(self._view.own),
+            members=encodings.to_updates(self._view.all()),
+        )
+
+    def _allow_for_pause(self) -> None:
+        now = self._timer.now()
+        gap = now - self._last_tick_at
+        self._last_tick_at = now
+        if gap > PAUSED_PERIODS * PROBE_PERIOD_S:
+            self._metrics.count('peers.paused')
+            self._view.extend_suspicions(gap)
+
+    def _is_alone(self) -> bool:
+        return len(self._view.live()) == 1
+
+    def _lost_addresses(self) -> list[str]:
+        """Returns addresses of the dead, of seeds and of listed ones."""
+        own_address = self._view.own.peer_address
+        live = {member.peer_address for member in self._view.live()}
+        lost = {member.peer_address for member in self._view.dead()}
+        lost.update(self._list_addresses())
+        return sorted(lost - live - {own_address, ''})
+
+    def _next_member(self) -> members.Member | None:
+        """Returns members in an order that is shuffled at each round."""
+        own_id = self._view.own.instance_id
+        for _ in range(2):
+            while self._order:
+                member = self._view.get(self._order.pop())
+                if member is not None and member.is_live:
+                    return member
+            self._order = [
+                member.instance_id
+                for member in self._view.live()
+                if member.instance_id != own_id
+            ]
+            self._rng.shuffle(self._order)
+        return None
+
+    def _check(self, member: members.Member) -> None:
+        answer = self._probe(member.peer_address, member.instance_id)
+        if answer is not None:
+            self._compare_views(member, answer)
+            return
+        if self._reached_by_others(member):
+            self._metrics.count('peers.probe.reached_indirectly')
+            return
+        self._view.suspect(member.instance_id)
+
+    def _probe(
+        self, peer_address: str, instance_id: str
+    ) -> peers_pb2.ProbeAnswer | None:
+        """Returns the answer if it came from the instance that was meant."""
+        known = self._view.get(instance_id)
+        request = peers_pb2.Probe(
+            sender=encodings.to_update(self._view.own),
+            view_hash=self._view.view_hash,
+            updates=encodings.to_updates(self._updates_for(known)),
+        )
+        called = self._peers.call(
+            peer_address,
+            transport.Method.PROBE,
+            request.SerializeToString(),
+            PROBE_TIMEOUT_S,
+        )
+        if not isinstance(called, result.Success):
+            self._metrics.count(f'peers.probe.{called.failure().reason}')
+            return None
+        try:
+            answer = encodings.parse(peers_pb2.ProbeAnswer, called.unwrap())
+            answerer = encodings.from_update(answer.answerer)
+            claims = encodings.from_updates(answer.updates)
+        except encodings.MalformedError:
+            self._metrics.count('peers.answer.malformed')
+            return None
+        self._take(answerer, claims)
+        if answerer.instance_id != instance_id:
+            self._view.drop_namesakes(answerer)
+            return None
+        return answer
+
+    def _reached_by_others(self, member: members.Member) -> bool:
+        helpers = [
+            helper
+            for helper in self._view.live()
+            if helper.state is members.State.ALIVE
+            and helper.instance_id
+            not in (member.instance_id, self._view.own.instance_id)
+        ]
+        count = min(INDIRECT_PROBES, len(helpers))
+        for helper in self._rng.sample(helpers, count):
+            if self._probe_via(helper, member):
+                return True
+        return False
+
+    def _probe_via(
+        self, helper: members.Member, member: members.Member
+    ) -> bool:
+        request = peers_pb2.ProbeVia(
+            instance_id=member.instance_id,
+            peer_address=member.peer_address,
+            sender=encodings.to_update(self._view.own),
+        )
+        called = self._peers.call(
+            helper.peer_address,
+            transport.Method.PROBE_VIA,
+            request.SerializeToString(),
+            PROBE_VIA_TIMEOUT_S,
+        )
+        try:
+            answer = encodings.parse(
+                peers_pb2.ProbeViaAnswer, called.value_or(b'')
+            )
+            if answer.reached:
+                self._view.claim(encodings.from_update(answer.answerer))
+        except encodings.MalformedError:
+            self._metrics.count('peers.answer.malformed')
+            return False
+        return answer.reached
+
+    def _take(
+        self, sender: members.Member, claims: Iterable[members.Member]
+    ) -> None:
+        if self._view.claim(sender):
+            self._view.drop_namesakes(sender)
+        for claim in claims:
+            self._view.claim(claim)
+
+    def _updates_for(
+        self, receiver: members.Member | None
+    ) -> list[members.Member]:
+        """Returns news, and what the receiver may have to refute."""
+        updates = self._view.queue.take(len(self._view.live()))
+        known = receiver and self._view.get(receiver.instance_id)
+        if known and known.state in (
+            members.State.SUSPECT,
+            members.State.DEAD,
+        ):
+            updates.append(known)
+        return updates
+
+    def _compare_views(
+        self, member: members.Member, answer: peers_pb2.ProbeAnswer
+    ) -> None:
+        """Exchanges whole views when claims did not make them equal."""
+        if answer.view_hash == self._view.view_hash:
+            self._different_since_tick = None
+            return
+        if self._different_since_tick is None:
+            self._different_since_tick = self._ticks
+        if self._ticks - self._different_since_tick < DIFFERENT_VIEW_PERIODS:
+            return
+        if self.sync(member.peer_address):
+            self._different_since_tick = None
--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/soft_state.py
@@ -0,0 +1,250 @@
+"""What this instance knows that may be lost: each with its age.
+
+Nothing here is agreed or kept; all of it dies with the fleet at no loss.
+"""
+
+from collections.abc import Callable, Mapping
+
+from cactusmux_base import events
+from cactusmux_base import metrics as metrics_lib
+from cactusmux_base import timers
+from cactusmux_platform import targets
+
+from . import demand_tree
+from . import leaving_targets
+from . import levels
+from . import members as members_lib
+from . import membership
+from . import payloads
+from . import published
+from . import publisher
+from . import records
+from . import report_index
+
+# A load or rate that moved by fewer levels waits for the next refresh.
+LOAD_STEP_LEVELS = 2
+RATE_STEP_LEVELS = 3
+MAX_DEMAND_AGE_S = 15.0
+MAX_FAR_DEMAND_AGE_S = 60.0
+
+AgedReport = report_index.AgedReport
+DemandKey = payloads.DemandKey
+Scope = publisher.Scope
+
+_REGION = (Scope.REGION,)
+_BOTH = (Scope.REGION, Scope.EVERYWHERE)
+
+
+class SoftState:
+    """Publishes what this instance sees and reads what others published."""
+
+    def __init__(
+        self,
+        view: membership.Membership,
+        timer: timers.TimerService,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self._view = view
+        self._timer = timer
+        self._metrics = metrics
+        self.demand_tree = demand_tree.DemandTree(view, timer)
+        self._reports = report_index.ReportIndex()
+        self._leaving = leaving_targets.LeavingTargets(timer)
+        self._own_origin = records.origin_of(view.own.instance_id)
+        self._revision_by_service: dict[str, int] = {}
+        self._on_leaving: Callable[[], None] = lambda: None
+        self._untold_leaving: set[str] = set()
+        self.table_by_scope = {
+            Scope.REGION: records.RecordTable(
+                self._own_origin, timer, self._apply
+            ),
+            Scope.EVERYWHERE: records.RecordTable(
+                self._own_origin, timer, lambda *_: None
+            ),
+        }
+        self._publisher = publisher.Publisher(self.table_by_scope, timer)
+
+    def publish_report(self, report: targets.TargetReport) -> None:
+        """Tells the region what a polled target reported."""
+        name, level = report_index.payloads_of(report)
+        key = publisher.Key(payloads.Tag.DETAIL, report.address)
+        self._publisher.write_level(
+            key, name, level, LOAD_STEP_LEVELS, _REGION
+        )
+        if report.leaving:
+            self.mark_target_leaving(report.address)
+
+    def withdraw_report(self, address: str) -> None:
+        """Tells the region that a target no longer answers our polls."""
+        key = publisher.Key(payloads.Tag.DETAIL, address)
+        self._publisher.remove(key, _REGION)
+
+    def report_by_address(self) -> dict[str, AgedReport]:
+        """Returns the newest report of each target of the region.
+
+        None is older than ``report_index.MAX_REPORT_AGE_S``.
+        """
+        return self._reports.by_address(self._timer.now())
+
+    def mark_target_leaving(self, address: str) -> None:
+        """Tells the region that a target takes no new work."""
+        self.note_leaving({address: 0.0})
+        key = publisher.Key(payloads.Tag.LEAVING, address)
+        payload = payloads.encode(payloads.Tag.LEAVING, address.encode())
+        self._publisher.write(key, payload, _REGION)
+
+    def leaving_targets(self) -> frozenset[str]:
+        """Returns the addresses of targets that are leaving."""
+        return frozenset(self._leaving.ages())
+
+    def note_leaving(self, age_s_by_address: Mapping[str, float]) -> None:
+        """Notes signs from any source; what is new will be passed on."""
+        now = self._timer.now()
+        for address, age_s in age_s_by_address.items():
+            if self._leaving.add(address, now - age_s):
+                self._untold_leaving.add(address)
+                events.info('target_leaving', target=address)
+        if self._untold_leaving:
+            self._on_leaving()
+
+    def on_leaving(self, callback: Callable[[], None]) -> None:
+        """Calls ``callback`` when there is news of leaving targets."""
+        self._on_leaving = callback
+
+    def take_leaving_news(self) -> dict[str, float]:
+        """Returns ages by address of what has not been passed on yet."""
+        age_s_by_address = {
+            address: age_s
+            for address, age_s in self._leaving.ages().items()
+            if address in self._untold_leaving
+        }
+        self._untold_leaving.clear()
+        return age_s_by_address
+
+    def publish_demand(
+        self, rate_by_organisation: Mapping[DemandKey, float]
+    ) -> None:
+        """Replaces this instance's rates, in requests a second."""
+        self.demand_tree.set_own(rate_by_organisation)
+
+    def demand(self) -> dict[str, dict[DemandKey, float]]:
+        """Returns requests a second by zone, then by organisation.
+
+        Within the region at most ``MAX_DEMAND_AGE_S`` old, elsewhere
+        ``MAX_FAR_DEMAND_AGE_S``. A zone nobody has told of is absent.
+        """
+        newest_by_zone: dict[str, published.Demand] = {}
+        for member in self._view.live():
+            demand = self._demand_of(member)
+            known = newest_by_zone.get(member.zone)
+            if not demand.rate_by_key:
+                continue
+            if known is None or demand.stamp > known.stamp:
+                newest_by_zone[member.zone] = demand
+        return {
+            zone: demand.rate_by_key for zone, demand in newest_by_zone.items()
+        }
+
+    def publish_revisions(
+        self, revision_by_service: Mapping[str, int]
+    ) -> None:
+        """Tells everyone which document revisions are in force here."""
+        for service, revision in revision_by_service.items():
+            if revision <= self._revision_by_service.get(service, 0):
+                continue
+            self._revision_by_service[service] = revision
+            self._publisher.write(
+                publisher.Key(payloads.Tag.REVISION, service),
+                payloads.encode_revision(service, revision),
+                _BOTH,
+            )
+
+    def members(self) -> tuple[members_lib.Member, ...]:
+        """Returns the live members with the revisions they told of."""
+        return tuple(
+            member._replace(revision_by_service=self._revisions_of(member))
+            for member in self._view.live()
+        )
+
+    def revision_by_service(self) -> dict[str, int]:
+        """Returns the highest revision in force at any live member."""
+        highest: dict[str, int] = {}
+        for member in self._view.live():
+            for service, revision in self._revisions_of(member).items():
+                highest[service] = max(revision, highest.get(service, 0))
+        return highest
+
+    def tick(self) -> None:
+        """Publishes the zone's demand as its root; forgets the gone."""
+        self._forget_left_targets()
+        is_root = self.demand_tree.parent() is None
+        self._publish_zone_demand(
+            self.demand_tree.named_sums() if is_root else {}
+        )
+        known = frozenset(
+            records.origin_of(member.instance_id)
+            for member in self._view.live()
+        )
+        for table in self.table_by_scope.values():
+            table.forget_except(known)
+        self._reports.forget_except(known)
+
+    def _forget_left_targets(self) -> None:
+        leaving = self._leaving.ages()
+        for key in self._publisher.keys(payloads.Tag.LEAVING):
+            if key.name not in leaving:
+                self._publisher.remove(key, _REGION)
+
+    def _publish_zone_demand(
+        self, rate_by_organisation: Mapping[DemandKey, float]
+    ) -> None:
+        for key in self._publisher.keys(payloads.Tag.DEMAND_NAME):
+            if key.name not in rate_by_organisation:
+                self._publisher.remove(key, _BOTH)
+        for name, rate in rate_by_organisation.items():
+            level = levels.to_level(rate, levels.RATE_UNIT_PER_S)
+            self._publisher.write_level(
+                publisher.Key(payloads.Tag.DEMAND_NAME, name),
+                payloads.encode_demand_name(name),
+                payloads.encode(payloads.Tag.DEMAND_RATE, bytes((level,))),
+                RATE_STEP_LEVELS,
+                _BOTH,
+            )
+
+    def _apply(self, origin: int, slot: int, record: records.Record) -> None:
+        """Keeps the views on the region's records up to date."""
+        try:
+            self._apply_checked(origin, slot, record)
+        except ValueError:
+            self._metrics.count('peers.record.malformed')
+
+    def _apply_checked(
+        self, origin: int, slot: int, record: records.Record
+    ) -> None:
+        if not record.payload:
+            self._reports.remove(origin, slot)
+            return
+        tag, body = record.payload[0], record.payload[1:]
+        if tag == payloads.Tag.DETAIL:
+            self._reports.put_detail(origin, slot, body)
+        elif tag == payloads.Tag.LOAD:
+            self._reports.put_load(origin, slot, body, record.stamp)
+        elif tag == payloads.Tag.LEAVING and origin != self._own_origin:
+            age_s = self._timer.now() - record.stamp
+            self.note_leaving({body.decode(): age_s})
+
+    def _records_of(
+        self, member: members_lib.Member
+    ) -> Mapping[int, records.Record]:
+        near = member.region == self._view.own.region
+        table = self.table_by_scope[Scope.REGION if near else Scope.EVERYWHERE]
+        return table.records_of(records.origin_of(member.instance_id))
+
+    def _revisions_of(self, member: members_lib.Member) -> dict[str, int]:
+        return published.revisions(self._records_of(member))
+
+    def _demand_of(self, member: members_lib.Member) -> published.Demand:
+        near = member.region == self._view.own.region
+        max_age_s = MAX_DEMAND_AGE_S if near else MAX_FAR_DEMAND_AGE_S
+        oldest = self._timer.now() - max_age_s
+        return published.demand(self._records_of(member), oldest)
--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/transport.py
@@ -0,0 +1,112 @@
+"""Interface of the calls between instances."""
+
+import abc
+from collections.abc import Callable
+import enum
+
+from cactusmux_base import failures
+from returns import result
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class Method(enum.StrEnum):
+    """The calls that an instance answers."""
+
+    PROBE = 'Probe'
+    PROBE_VIA = 'ProbeVia'
+    SYNC = 'Sync'
+    PULL = 'Pull'
+    NOTICE = 'Notice'
+    FETCH = 'Fetch'
+    FORWARD = 'Forward'
+
+
+class PeerError(failures.CactusmuxError):
+    """A call to another instance that failed."""
+
+    reason = 'peer_error'
+
+    def __init__(self, peer_address: str, detail: str = '') -> None:
+        super().__init__(f'peer {peer_address}: {detail or self.reason}')
+        self.peer_address = peer_address
+        self.detail = detail
+
+
+class PeerUnreachable(PeerError):
+    """No answer came; the call may have run."""
+
+    reason = 'peer_unreachable'
+
+
+class PeerNotSent(PeerError):
+    """There was no connection: the call did not run."""
+
+    reason = 'peer_not_sent'
+
+
+class PeerRefused(PeerError):
+    """The peer answered that it did not run the call."""
+
+    reason = 'peer_refused'
+
+
+class MessageMalformed(PeerError):
+    """A message that is not of the expected form; nothing was changed."""
+
+    reason = 'peer_message_malformed'
+
+
+class MessageTooLarge(PeerError):
+    """A message over ``MAX_MESSAGE_BYTES``; it was not read."""
+
+    reason = 'peer_message_too_large'
+
+
+class CallRefused(failures.CactusmuxError):
+    """Raised by a handler to say that it did not run the call."""
+
+    reason = 'call_refused'
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+
+Handler = Callable[[Method, bytes], bytes]
+
+
+class PeerTransport(abc.ABC):
+    """Carries unary calls between instances; a call blocks its task."""
+
+    @abc.abstractmethod
+    def call(
+        self,
+        peer_address: str,
+        method: Method,
+        request: bytes,
+        timeout_s: float,
+    ) -> result.Result[bytes, PeerError]:
+        """Returns the answer of the instance at ``peer_address``."""
+
+    @property
+    @abc.abstractmethod
+    def address(self) -> str:
+        """The address at which this instance answers."""
+
+    @abc.abstractmethod
+    def serve(self, handler: Handler) -> None:
+        """Starts to answer calls.
+
+        A :class:`CallRefused` that the handler raises reaches the caller
+        as :class:`PeerRefused`; any other error as a call that may have
+        run.
+        """
+
+    @abc.abstractmethod
+    def forget(self, peer_address: str) -> None:
+        """Drops what is kept for an address that is not used any more."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Stops to answer and to call."""
