--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/stage_plans.py
@@ -0,0 +1,133 @@
+"""Ready-made weighted draws of the next stage of a route."""
+
+import bisect
+import hashlib
+import itertools
+from typing import NamedTuple
+
+from . import flow_weights
+from . import links
+from . import route_index
+
+RING_POINTS = 4
+
+
+class Draw(NamedTuple):
+    """Holders of a next stage with their cumulative weights.
+
+    ``ring`` are hash points in order, ``ring_holders`` the holder of each.
+    """
+
+    holders: tuple[route_index.Holder, ...]
+    cumulative: tuple[float, ...]
+    ring: tuple[int, ...]
+    ring_holders: tuple[route_index.Holder, ...]
+
+    def cached(self, prefix_hash: int) -> route_index.Holder:
+        """Returns the holder that all instances send this prefix to."""
+        place = bisect.bisect(self.ring, prefix_hash & 0xFFFFFFFF)
+        return self.ring_holders[place % len(self.ring_holders)]
+
+
+class StagePlan:
+    """Draws by boundary and by the zone that activations come from.
+
+    :param index: holders that lie on a route; there must be one.
+    """
+
+    def __init__(
+        self,
+        index: route_index.RouteIndex,
+        link_table: links.LinkTable,
+    ) -> None:
+        self._index = index
+        self._capacity_by_holder = _split_capacities(index)
+        self._capacity_by_stage: dict[flow_weights.Stage, float] = {}
+        for holder, capacity_tps in self._capacity_by_holder.items():
+            stage = _stage(holder)
+            known = self._capacity_by_stage.get(stage, 0.0)
+            self._capacity_by_stage[stage] = known + capacity_tps
+        self._shares = flow_weights.assign(
+            self._capacity_by_stage, index.layers, link_table
+        )
+        self._draw_by_place: dict[tuple[int, str], Draw] = {}
+
+    def draw(self, boundary: int, before: str) -> Draw:
+        """Returns the draw at a boundary; made when first asked for."""
+        draw = self._draw_by_place.get((boundary, before))
+        if draw is None:
+            draw = self._make(boundary, before)
+            self._draw_by_place[boundary, before] = draw
+        return draw
+
+    def _make(self, boundary: int, before: str) -> Draw:
+        holders = self._index.holders_by_first[boundary]
+        stages = {_stage(holder) for holder in holders}
+        weight_by_stage = self._weights(stages, boundary, before)
+        drawn = []
+        weights = []
+        for holder in holders:
+            stage = _stage(holder)
+            part = (
+                self._capacity_by_holder[holder]
+                / self._capacity_by_stage[stage]
+            )
+            if weight_by_stage[stage] * part > 0:
+                drawn.append(holder)
+                weights.append(weight_by_stage[stage] * part)
+        points = sorted(
+            (_ring_point(holder, number), place)
+            for place, holder in enumerate(drawn)
+            for number in range(RING_POINTS)
+        )
+        return Draw(
+            tuple(drawn),
+            tuple(itertools.accumulate(weights)),
+            tuple(point for point, _ in points),
+            tuple(drawn[place] for _, place in points),
+        )
+
+    def _weights(
+        self, stages: set[flow_weights.Stage], boundary: int, before: str
+    ) -> dict[flow_weights.Stage, float]:
+        shares = self._shares
+        share_by_zone: dict[str, float] = {}
+        for stage in stages:
+            share = shares.share_by_stage.get(stage, 0.0)
+            known = share_by_zone.get(stage.zone, 0.0)
+            share_by_zone[stage.zone] = known + share
+        hop_by_zone = {
+            zone: shares.share_by_hop.get(
+                flow_weights.Hop(boundary, before, zone), 0.0
+            )
+            for zone in share_by_zone
+        }
+        if not any(hop_by_zone.values()):
+            hop_by_zone = share_by_zone
+        return {
+            stage: hop_by_zone[stage.zone]
+            * shares.share_by_stage.get(stage, 0.0)
+            / max(share_by_zone[stage.zone], 1e-12)
+            for stage in stages
+        }
+
+
+def _split_capacities(
+    index: route_index.RouteIndex,
+) -> dict[route_index.Holder, float]:
+    return {
+        holder: holder.load.capacity_tps / len(holder.load.target.holdings)
+        for held in index.holders_by_first.values()
+        for holder in held
+    }
+
+
+def _stage(holder: route_index.Holder) -> flow_weights.Stage:
+    zone = holder.load.target.zone
+    return flow_weights.Stage(holder.first, holder.last, zone)
+
+
+def _ring_point(holder: route_index.Holder, number: int) -> int:
+    text = f'{holder.load.target.address}#{number}'.encode()
+    digest = hashlib.blake2b(text, digest_size=4).digest()
+    return int.from_bytes(digest)
