--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/document_store.py
@@ -0,0 +1,283 @@
+"""Reads and edits service documents in the configuration store."""
+
+from typing import NamedTuple
+
+from cactusmux_base import failures
+from cactusmux_base import ids
+from cactusmux_base import timers
+from cactusmux_platform import stores
+from returns import result
+
+from . import documents
+from . import envelopes
+from . import validation
+
+SETTLE_S = 10.0
+PAUSE_S = 0.2
+READ_TRIES = 5
+
+
+class Applied(NamedTuple):
+    """An edit that took effect at store revision ``revision``.
+
+    It is ``replaced`` when a later edit has already taken its place.
+    """
+
+    service: str
+    revision: int
+    revision_in_force: int
+    write_id: str
+    replaced: bool = False
+
+
+class Shown(NamedTuple):
+    """A stored document and the revision to give with the next edit."""
+
+    service: str
+    revision: int
+    revision_in_force: int
+    write_id: str
+    text: bytes
+
+
+class EditConflict(failures.CactusmuxError):
+    """Another edit came first: nothing was written."""
+
+    reason = 'document_conflict'
+
+    def __init__(self, service: str, expected: int, found: int) -> None:
+        super().__init__(
+            f'document {service!r} is at revision {found}, not {expected}'
+        )
+        self.service = service
+        self.expected = expected
+        self.found = found
+
+
+class OutcomeUnsettled(failures.CactusmuxError):
+    """The write may have taken effect and could not be read back in time."""
+
+    reason = 'document_outcome_unsettled'
+
+    def __init__(self, service: str, expected: int, write_id: str) -> None:
+        super().__init__(
+            f'edit {write_id} of document {service!r} at revision '
+            f'{expected} may have taken effect'
+        )
+        self.service = service
+        self.expected = expected
+        self.write_id = write_id
+
+
+class DocumentAbsent(failures.CactusmuxError):
+    """The store has no document of the service."""
+
+    reason = 'document_absent'
+
+    def __init__(self, service: str) -> None:
+        super().__init__(f'document {service!r} does not exist')
+        self.service = service
+
+
+ApplyFailure = (
+    validation.DocumentInvalid
+    | EditConflict
+    | OutcomeUnsettled
+    | envelopes.EpochInvalid
+    | stores.StoreError
+)
+ShowFailure = DocumentAbsent | envelopes.EnvelopeInvalid | stores.StoreError
+
+_Verdict = result.Result[Applied, ApplyFailure]
+
+
+def show_document(
+    store: stores.ConfigStore, service: str
+) -> result.Result[Shown, ShowFailure]:
+    """Returns the stored document, valid or not."""
+    read = store.get(documents.document_key(service))
+    if isinstance(read, result.Failure):
+        return result.Failure(read.failure())
+    entry = read.unwrap()
+    if entry is None:
+        return result.Failure(DocumentAbsent(service))
+    decoded = envelopes.decode(entry.value)
+    if isinstance(decoded, result.Failure):
+        return result.Failure(decoded.failure())
+    envelope = decoded.unwrap()
+    return result.Success(
+        Shown(
+            service,
+            entry.revision,
+            envelopes.revision_in_force(envelope, entry.revision),
+            envelope.write_id,
+            envelope.text,
+        )
+    )
+
+
+def apply_document(
+    store: stores.ConfigStore,
+    timer: timers.TimerService,
+    text: bytes,
+    expected_revision: int,
+    epoch: int | None = None,
+    settle_s: float = SETTLE_S,
+) -> result.Result[Applied, ApplyFailure]:
+    """Replaces a service's document if it is at ``expected_revision``.
+
+    Nothing is written unless the text is valid. An answer that is lost is
+    settled before this returns, or fails with :class:`OutcomeUnsettled`. It
+    fails with :class:`stores.StoreUnavailable` when nothing was written.
+
+    :param expected_revision: the store's revision, ``stores.ABSENT`` to
+        create the document
+    :param epoch: raises the epoch after the store was restored; keeps it
+        when ``None``
+    :param settle_s: seconds for settling an unknown outcome
+    """
+    checked = validation.check_document(text)
+    if isinstance(checked, result.Failure):
+        return result.Failure(checked.failure())
+    service = checked.unwrap().service
+    read = _read_expected(store, timer, service, expected_revision)
+    if isinstance(read, result.Failure):
+        return result.Failure(read.failure())
+    followed = envelopes.follow(read.unwrap(), ids.new_id(), epoch, text)
+    if isinstance(followed, result.Failure):
+        return result.Failure(followed.failure())
+    edit = _Edit(store, timer, service, followed.unwrap(), expected_revision)
+    return edit.run(settle_s)
+
+
+def _read_expected(
+    store: stores.ConfigStore,
+    timer: timers.TimerService,
+    service: str,
+    expected_revision: int,
+) -> result.Result[stores.Entry | None, ApplyFailure]:
+    """Returns the entry that is to be replaced.
+
+    A revision below the expected one is a stale read, and read again.
+    """
+    found = stores.ABSENT
+    for _ in range(READ_TRIES):
+        read = store.get(documents.document_key(service))
+        if isinstance(read, result.Failure):
+            return result.Failure(read.failure())
+        entry = read.unwrap()
+        found = entry.revision if entry else stores.ABSENT
+        if found == expected_revision:
+            return result.Success(entry)
+        if found > expected_revision:
+            break
+        timer.sleep(PAUSE_S)
+    return result.Failure(EditConflict(service, expected_revision, found))
+
+
+class _Edit:
+    """One write of an envelope, until its outcome is known."""
+
+    def __init__(
+        self,
+        store: stores.ConfigStore,
+        timer: timers.TimerService,
+        service: str,
+        envelope: envelopes.Envelope,
+        expected: int,
+    ) -> None:
+        self._store = store
+        self._timer = timer
+        self._service = service
+        self._envelope = envelope
+        self._expected = expected
+        self._key = documents.document_key(service)
+
+    def run(self, settle_s: float) -> _Verdict:
+        """Writes once; settles the outcome if it is unknown."""
+        written = self._write()
+        if isinstance(written, result.Success):
+            return result.Success(self._applied(written.unwrap().revision))
+        failure = written.failure()
+        if isinstance(failure, stores.Conflict):
+            found = failure.found.revision if failure.found else stores.ABSENT
+            return self._conflict(found)
+        if isinstance(failure, stores.OutcomeUnknown):
+            return self._settle(settle_s)
+        return result.Failure(failure)
+
+    def _settle(self, settle_s: float) -> _Verdict:
+        """Reads back until it is proved whether the write took effect.
+
+        While the key is still at the expected revision the write may yet
+        arrive. The same envelope is then written again: compare-and-swap
+        lets only one of the two take effect.
+        """
+        deadline = self._timer.now() + settle_s
+        while self._timer.now() < deadline:
+            self._timer.sleep(PAUSE_S)
+            entry = self._read_back()
+            verdict = self._judge(entry) if entry else None
+            if verdict is not None:
+                return verdict
+        return result.Failure(
+            OutcomeUnsettled(
+                self._service, self._expected, self._envelope.write_id
+            )
+        )
+
+    def _read_back(self) -> stores.Entry | None:
+        """Returns an entry newer than the expected one, if there is one."""
+        read = self._store.get(self._key)
+        if isinstance(read, result.Failure):
+            return None
+        entry = read.unwrap()
+        if (entry.revision if entry else stores.ABSENT) != self._expected:
+            return entry
+        written = self._write()
+        if isinstance(written, result.Success):
+            return written.unwrap()
+        failure = written.failure()
+        if isinstance(failure, stores.Conflict):
+            return failure.found
+        return None
+
+    def _judge(self, entry: stores.Entry) -> _Verdict | None:
+        """Tells from a later entry whether the write took effect.
+
+        Returns ``None`` when the entry is older than the write or its
+        history does not reach back to it.
+        """
+        if entry.revision <= self._expected:
+            return None
+        decoded = envelopes.decode(entry.value)
+        if isinstance(decoded, result.Failure):
+            return None
+        envelope = decoded.unwrap()
+        if envelope.write_id == self._envelope.write_id:
+            return result.Success(self._applied(entry.revision))
+        for write in envelope.earlier:
+            if write.write_id == self._envelope.write_id:
+                applied = self._applied(write.revision)
+                return result.Success(applied._replace(replaced=True))
+        if any(w.revision == self._expected for w in envelope.earlier):
+            return self._conflict(entry.revision)
+        return None
+
+    def _write(self) -> result.Result[stores.Entry, stores.StoreError]:
+        return self._store.compare_and_swap(
+            self._key, envelopes.encode(self._envelope), self._expected
+        )
+
+    def _applied(self, revision: int) -> Applied:
+        return Applied(
+            self._service,
+            revision,
+            envelopes.revision_in_force(self._envelope, revision),
+            self._envelope.write_id,
+        )
+
+    def _conflict(self, found: int) -> _Verdict:
+        return result.Failure(
+            EditConflict(self._service, self._expected, found)
+        )
