Fetch the last valid document although a newer one was refused

Change: a peer's revision is wanted when it is above the one in force and is not the refused one itself.

--- a/packages/cactusmux-control/src/cactusmux_control/document_pull.py
+++ b/packages/cactusmux-control/src/cactusmux_control/document_pull.py
@@ -1,4 +1,4 @@
-"""Fetches newer document bodies from the peers that told of them."""
+"""Fetches wanted document bodies from the peers that told of them."""
 
 from collections.abc import Callable, Mapping
 import random
@@ -17,7 +17,7 @@
 
 
 class DocumentPull:
-    """Offers every newer body that a peer gives.
+    """Offers every wanted body that a peer gives.
 
     Counters: ``documents.pulls`` and ``documents.pulls_failed``.
     """
@@ -25,7 +25,7 @@
     def __init__(
         self,
         peers: document_sources.DocumentPeers,
-        known_revision: peer_revisions.KnownRevision,
+        is_wanted: peer_revisions.IsWanted,
         timer: timers.TimerService,
         metric: metrics.Metrics,
         rng: random.Random,
@@ -36,13 +36,13 @@
         self._metric = metric
         self._rng = rng
         self._offer_body = offer_body
-        self._told = peer_revisions.PeerRevisions(known_revision, rng)
+        self._told = peer_revisions.PeerRevisions(is_wanted, rng)
         self._scheduled = False
 
     def note(
         self, peer_address: str, revision_by_service: Mapping[str, int]
     ) -> None:
-        """Schedules a pull if a peer has newer revisions."""
+        """Schedules a pull if a peer has wanted revisions."""
         self._told.note(peer_address, revision_by_service)
         if not self.is_behind() or self._scheduled:
             return
@@ -52,7 +52,7 @@
         self._timer.after(delay_s, self._run)
 
     def is_behind(self) -> bool:
-        """Tells whether a peer has a newer revision of any document."""
+        """Tells whether a peer has a wanted revision of any document."""
         return bool(self._told.wanted())
 
     def pull_once(self) -> None:
--- a/packages/cactusmux-control/src/cactusmux_control/held_documents.py
+++ b/packages/cactusmux-control/src/cactusmux_control/held_documents.py
@@ -62,10 +62,16 @@
         held = self.held_by_service.get(service)
         return held.in_force.revision if held else 0
 
-    def known_revision(self, service: str) -> int:
-        """Returns the highest revision in force or refused, 0 for none."""
+    def is_wanted(self, service: str, revision: int) -> bool:
+        """Tells whether a revision should be fetched.
+
+        One below a refused revision is wanted too: it may be the last valid
+        one, which an instance that has just started does not have yet.
+        """
+        if revision <= self.revision(service):
+            return False
         refused = self.refused_by_service.get(service)
-        return max(self.revision(service), refused.revision if refused else 0)
+        return refused is None or refused.revision != revision
 
     def offer(
         self,
@@ -80,7 +86,7 @@
             return None
         envelope = decoded.unwrap()
         revision = envelopes.revision_in_force(envelope, body.store_revision)
-        if not self._is_wanted(body, revision, source):
+        if not self._is_newer(body, revision, source):
             return None
         checked = _check(body.service, envelope)
         if isinstance(checked, result.Failure):
@@ -94,7 +100,7 @@
         held = self.held_by_service.get(service)
         return held.body.store_revision if held else 0
 
-    def _is_wanted(
+    def _is_newer(
         self,
         body: document_sources.DocumentBody,
         revision: int,
--- a/packages/cactusmux-control/src/cactusmux_control/in_force.py
+++ b/packages/cactusmux-control/src/cactusmux_control/in_force.py
@@ -92,7 +92,7 @@
         self._held = held_documents.HeldDocuments(metric)
         self._pull = document_pull.DocumentPull(
             peers,
-            self._held.known_revision,
+            self._held.is_wanted,
             timer,
             metric,
             rng,
--- a/packages/cactusmux-control/src/cactusmux_control/peer_revisions.py
+++ b/packages/cactusmux-control/src/cactusmux_control/peer_revisions.py
@@ -1,21 +1,19 @@
-"""Which peers told of which document revisions that are newer than ours."""
+"""Which peers told of document revisions that are wanted here."""
 
 from collections.abc import Callable, Mapping
 import random
 
-KnownRevision = Callable[[str], int]
+IsWanted = Callable[[str, int], bool]
 
 
 class PeerRevisions:
-    """Remembers newer revisions until they are known here too.
+    """Remembers revisions until they are wanted no more.
 
-    ``known_revision`` tells the highest revision of a service known here.
+    ``is_wanted`` tells whether a revision of a service should be fetched.
     """
 
-    def __init__(
-        self, known_revision: KnownRevision, rng: random.Random
-    ) -> None:
-        self._known_revision = known_revision
+    def __init__(self, is_wanted: IsWanted, rng: random.Random) -> None:
+        self._is_wanted = is_wanted
         self._rng = rng
         self._revision_by_peer_by_service: dict[str, dict[str, int]] = {}
 
@@ -26,7 +24,7 @@
         for service in tuple(self._revision_by_peer_by_service):
             self.forget(peer_address, service)
         for service, revision in revision_by_service.items():
-            if revision <= self._known_revision(service):
+            if not self._is_wanted(service, revision):
                 continue
             revision_by_peer = self._revision_by_peer_by_service.setdefault(
                 service, {}
@@ -39,17 +37,17 @@
         revision_by_peer.pop(peer_address, None)
 
     def wanted(self) -> list[str]:
-        """Returns services of which a peer has a newer revision."""
+        """Returns services of which a peer has a wanted revision."""
         for service in tuple(self._revision_by_peer_by_service):
-            self._drop_known(service)
+            self._drop_unwanted(service)
         return sorted(self._revision_by_peer_by_service)
 
     def choose(self, service: str) -> str | None:
-        """Returns any of the peers that have the newest revision.
+        """Returns any of the peers that have the newest wanted revision.
 
-        Returns ``None`` when none has a newer one than is known here.
+        Returns ``None`` when none has a wanted one.
         """
-        self._drop_known(service)
+        self._drop_unwanted(service)
         revision_by_peer = self._revision_by_peer_by_service.get(service)
         if not revision_by_peer:
             return None
@@ -57,9 +55,12 @@
         holders = [p for p, r in revision_by_peer.items() if r == newest]
         return self._rng.choice(sorted(holders))
 
-    def _drop_known(self, service: str) -> None:
-        known = self._known_revision(service)
+    def _drop_unwanted(self, service: str) -> None:
         revision_by_peer = self._revision_by_peer_by_service.pop(service, {})
-        newer = {p: r for p, r in revision_by_peer.items() if r > known}
-        if newer:
-            self._revision_by_peer_by_service[service] = newer
+        wanted = {
+            peer_address: revision
+            for peer_address, revision in revision_by_peer.items()
+            if self._is_wanted(service, revision)
+        }
+        if wanted:
+            self._revision_by_peer_by_service[service] = wanted
--- a/packages/cactusmux-control/tests/test_in_force.py
+++ b/packages/cactusmux-control/tests/test_in_force.py
@@ -260,6 +260,20 @@
     assert one.state_by_service()[SERVICE].refused_because == ''
 
 
+def test_restarted_instance_gets_the_last_valid_one_from_a_peer(
+    fleet: Fleet,
+) -> None:
+    fleet.start('1')
+    fleet.apply('v1')
+    fleet.links.documents_by_address['1'].poll_once()
+    fleet.put_text(b'{}')
+    two = fleet.start('2')
+    assert two.in_force(SERVICE) is None
+    fleet.links.tell('1', '2')
+    two.pull_once()
+    assert _version(two) == 'v1'
+
+
 def test_value_that_is_no_document_leaves_the_last_valid_one(
     fleet: Fleet,
 ) -> None:
