--- a/packages/cactusmux-routing/src/cactusmux_routing/demand.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/demand.py
@@ -41,12 +41,14 @@
 class DemandMeter:
     """Measures asked tokens a second by leaf, over about a second.
 
-    All that is asked for counts, also what is then refused.
+    All that is asked for counts, also what is then refused; what still
+    waits counts as if it were asked for again each second.
     """
 
     def __init__(self, timer: timers.TimerService) -> None:
         self._timer = timer
         self._rate_by_leaf: dict[Leaf, _Rate] = {}
+        self._backlog_by_leaf: dict[Leaf, float] = {}
 
     def note(self, leaf: Leaf, tokens: float) -> None:
         """Counts a request that asks for ``tokens``."""
@@ -55,9 +57,16 @@
         if rate is None:
             rate = _Rate(now)
             self._rate_by_leaf[leaf] = rate
-        rate.tps = _decayed(rate, now) + tokens / WINDOW_S
+        rate.tps = _decayed(rate, now) + max(tokens, 1.0) / WINDOW_S
         rate.at = now
 
+    def set_backlog(self, leaf: Leaf, tokens: float) -> None:
+        """Takes in what waits for a leaf, in tokens."""
+        if tokens > 0:
+            self._backlog_by_leaf[leaf] = tokens
+        else:
+            self._backlog_by_leaf.pop(leaf, None)
+
     def since(self, leaf: Leaf) -> float:
         """Returns when the leaf began to ask, after it had asked nothing."""
         rate = self._rate_by_leaf.get(leaf)
--- a/packages/cactusmux-routing/src/cactusmux_routing/fair_share.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/fair_share.py
@@ -19,6 +19,7 @@
 SETTLE_S = 1.5
 REFRESH_S = 0.1
 UNLIMITED_TPS = 1e12
+NOTHING = max_min.Portion(0.0, 0.0)
 
 
 class ServicePolicy(NamedTuple):
@@ -31,13 +32,16 @@
 class Shares(NamedTuple):
     """This instance's parts, in tokens a second.
 
-    ``entitled_by_service`` holds when everybody asks for everything;
-    the rest of what a service is granted is lent to it.
+    A leaf's potential is what it would be granted if it alone asked for
+    more. ``entitled_by_service`` holds when everybody asks for everything;
+    the rest of what a service is granted is lent to it. ``limit_tps`` is
+    all that this instance may use, ``capacity_tps`` the whole pool.
     """
 
-    tps_by_leaf: dict[demand.Leaf, float]
+    portion_by_leaf: dict[demand.Leaf, max_min.Portion]
     entitled_by_service: dict[str, float]
     limit_tps: float
+    capacity_tps: float
 
 
 class FairShare:
@@ -55,14 +59,9 @@
         self._policy_by_service: dict[str, ServicePolicy] = {}
         self._heard_by_zone: dict[str, demand.ZoneDemand] = {}
         self._others_by_zone: dict[str, int] = {}
-        self._shares = Shares({}, {}, 0.0)
+        self._shares = Shares({}, {}, 0.0, 0.0)
         self._refresh_at = 0.0
 
-    @property
-    def capacity_tps(self) -> float:
-        """Tokens a second of the whole pool."""
-        return self._capacity_tps
-
     def set_pool(
         self,
         capacity_tps: float,
@@ -90,27 +89,37 @@
 
     def shares(self) -> Shares:
         """Returns this instance's parts; at most ``REFRESH_S`` old."""
+        if self._timer.now() >= self._refresh_at:
+            return self.renew()
+        return self._shares
+
+    def renew(self) -> Shares:
+        """Returns this instance's parts as of now."""
         now = self._timer.now()
-        if now >= self._refresh_at:
-            self._refresh_at = now + REFRESH_S
-            self._shares = self._divide(now)
+        self._refresh_at = now + REFRESH_S
+        self._shares = self._divide(now)
         return self._shares
 
     def _divide(self, now: float) -> Shares:
         own = self._meter.tps_by_leaf()
         others = self._others(own)
-        granted, spare_tps = self._grant(own, others, now)
+        whole_by_leaf = self._grant(own, others, now)
         part_by_leaf = {
             leaf: self._part(leaf, own[leaf], others.get(leaf, 0.0), now)
             for leaf in own
         }
-        tps_by_leaf = {
-            leaf: granted.get(leaf, 0.0) * part_by_leaf[leaf] for leaf in own
-        }
-        members = 1 + sum(self._others_by_zone.values())
-        limit_tps = sum(tps_by_leaf.values()) + spare_tps / members
+        portion_by_leaf = {}
+        for leaf, part in part_by_leaf.items():
+            whole = whole_by_leaf.get(leaf, NOTHING)
+            portion_by_leaf[leaf] = max_min.Portion(
+                whole.granted * part, whole.potential * part
+            )
+        granted_tps = sum(x.granted for x in whole_by_leaf.values())
+        spare_tps = max(self._capacity_tps - granted_tps, 0.0)
+        limit_tps = sum(x.granted for x in portion_by_leaf.values())
+        limit_tps += spare_tps / self._members()
         entitled = self._entitle(own, part_by_leaf)
-        return Shares(tps_by_leaf, entitled, limit_tps)
+        return Shares(portion_by_leaf, entitled, limit_tps, self._capacity_tps)
 
     def _others(
         self, own: Mapping[demand.Leaf, float]
@@ -132,7 +141,7 @@
         own: Mapping[demand.Leaf, float],
         others: Mapping[demand.Leaf, float],
         now: float,
-    ) -> tuple[dict[demand.Leaf, float], float]:
+    ) -> dict[demand.Leaf, max_min.Portion]:
         total = dict(others)
         for leaf, tps in own.items():
             total[leaf] = total.get(leaf, 0.0) + tps
@@ -140,17 +149,17 @@
         for leaf, tps in total.items():
             known = total_by_service.get(leaf.service, 0.0)
             total_by_service[leaf.service] = known + tps
-        tps_by_service = self._by_service(total_by_service, now)
-        granted: dict[demand.Leaf, float] = {}
-        for service, tps in tps_by_service.items():
-            granted.update(self._by_organisation(service, tps, total))
-        spare_tps = self._capacity_tps - sum(granted.values())
-        return granted, max(spare_tps, 0.0)
+        portion_by_leaf: dict[demand.Leaf, max_min.Portion] = {}
+        services = self._by_service(total_by_service, now)
+        for service, portion in services.items():
+            portion_by_leaf.update(
+                self._by_organisation(service, portion, total)
+            )
+        return portion_by_leaf
 
     def _by_service(
         self, total_by_service: Mapping[str, float], now: float
-    ) -> dict[str, float]:
-        entitled = self._entitlement()
+    ) -> dict[str, max_min.Portion]:
         claims = {}
         for service, policy in self._policy_by_service.items():
             asked = total_by_service.get(service, 0.0)
@@ -158,25 +167,36 @@
             if not policy.pool.lend:
                 asked = max(asked, floor)
             claims[service] = max_min.Claim(asked, policy.pool.share, floor)
-        tps_by_service = max_min.divide(self._capacity_tps, claims)
+        portions = max_min.divide(self._capacity_tps, claims)
+        entitled = self._entitlement()
         fresh = self._fresh_fraction(now)
-        for service, tps in tps_by_service.items():
-            lent_tps = max(tps - entitled[service], 0.0)
-            tps -= lent_tps * (1.0 - fresh)
-            asked = total_by_service.get(service, 0.0)
-            tps_by_service[service] = min(tps, asked)
-        return tps_by_service
+        return {
+            service: max_min.Portion(
+                _without_stale_loans(granted, entitled[service], fresh),
+                _without_stale_loans(potential, entitled[service], fresh),
+            )
+            for service, (granted, potential) in portions.items()
+        }
 
     def _by_organisation(
-        self, service: str, tps: float, total: Mapping[demand.Leaf, float]
-    ) -> dict[demand.Leaf, float]:
+        self,
+        service: str,
+        portion: max_min.Portion,
+        total: Mapping[demand.Leaf, float],
+    ) -> dict[demand.Leaf, max_min.Portion]:
         weights = self._policy_by_service[service].weight_by_organisation
         claims = {
             leaf: max_min.Claim(asked, weights.get(leaf.organisation, 0.0))
             for leaf, asked in total.items()
             if leaf.service == service
+            and weights.get(leaf.organisation, 0.0) > 0
+        }
+        granted = max_min.divide(portion.granted, claims)
+        more = max_min.divide(portion.potential, claims)
+        return {
+            leaf: max_min.Portion(granted[leaf].granted, more[leaf].potential)
+            for leaf in claims
         }
-        return max_min.divide(tps, claims)
 
     def _entitlement(self) -> dict[str, float]:
         claims = {
@@ -187,7 +207,8 @@
             )
             for service, policy in self._policy_by_service.items()
         }
-        return max_min.divide(self._capacity_tps, claims)
+        portions = max_min.divide(self._capacity_tps, claims)
+        return {service: x.granted for service, x in portions.items()}
 
     def _entitle(
         self,
@@ -208,10 +229,9 @@
     def _part(
         self, leaf: demand.Leaf, own: float, others: float, now: float
     ) -> float:
-        members = 1 + sum(self._others_by_zone.values())
         if now - self._meter.since(leaf) < SETTLE_S:
             # The same callers may just have come to others too.
-            others = max(others, own * (members - 1))
+            others = max(others, own * (self._members() - 1))
         return own / (own + others) if own > 0 else 0.0
 
     def _fresh_fraction(self, now: float) -> float:
@@ -220,10 +240,16 @@
         What is lent rests on news that owners don't need it; an instance
         that hears of few lends little, down to nothing when cut off.
         """
-        members = 1 + sum(self._others_by_zone.values())
         fresh = 1
         for zone, instances in self._others_by_zone.items():
             heard = self._heard_by_zone.get(zone)
             if heard and now - heard.taken_at <= STALE_AFTER_S:
                 fresh += instances
-        return fresh / members
+        return fresh / self._members()
+
+    def _members(self) -> int:
+        return 1 + sum(self._others_by_zone.values())
+
+
+def _without_stale_loans(tps: float, entitled: float, fresh: float) -> float:
+    return min(tps, entitled) + max(tps - entitled, 0.0) * fresh
--- a/packages/cactusmux-routing/src/cactusmux_routing/max_min.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/max_min.py
@@ -17,9 +17,16 @@
     floor: float = 0.0
 
 
+class Portion(NamedTuple):
+    """What one gets, and what it would get if it alone asked for more."""
+
+    granted: float
+    potential: float
+
+
 def divide(
     capacity: float, claim_by_key: Mapping[Key, Claim]
-) -> dict[Key, float]:
+) -> dict[Key, Portion]:
     """Divides a capacity so that nobody can gain but at one who has less.
 
     Having less is meant by weight, and above the floors. Nobody gets more
@@ -33,10 +40,22 @@
         for key, claim in claim_by_key.items()
     }
     level = _level(capacity, claim_by_key, low_by_key)
-    return {
+    granted_by_key = {
         key: min(claim.demand, max(low_by_key[key], claim.weight * level))
         for key, claim in claim_by_key.items()
     }
+    left = max(capacity - sum(granted_by_key.values()), 0.0)
+    return {
+        key: Portion(
+            granted,
+            max(
+                granted + left,
+                claim_by_key[key].floor * scale,
+                min(claim_by_key[key].weight * level, capacity),
+            ),
+        )
+        for key, granted in granted_by_key.items()
+    }
 
 
 def _level(
--- a/packages/cactusmux-routing/tests/test_fair_share.py
+++ b/packages/cactusmux-routing/tests/test_fair_share.py
@@ -52,6 +52,11 @@
         self.share.hear([heard])
 
 
+def granted(instance: Instance) -> dict[demand.Leaf, float]:
+    portions = instance.share.shares().portion_by_leaf
+    return {leaf: portion.granted for leaf, portion in portions.items()}
+
+
 DIVISIONS = [
     (EVEN, {STEPPE: 200, ARTE: 5000}, {STEPPE: 200, ARTE: 800}),
     (EVEN, {STEPPE: 800, ARTE: 8000}, {STEPPE: 500, ARTE: 500}),
@@ -81,8 +86,7 @@
     instance = Instance(timers.ManualTimers(), 0, policies)
     for leaf, tps in asked.items():
         instance.ask(leaf, tps)
-    shares = instance.share.shares()
-    assert shares.tps_by_leaf == pytest.approx(expected)
+    assert granted(instance) == pytest.approx(expected)
 
 
 def test_spare_capacity_is_headroom_of_all_instances() -> None:
@@ -123,19 +127,19 @@
                 if place != number:
                     others[leaf] = others.get(leaf, 0.0) + tps
         instance.hear(len(asked) - 1, others)
-    granted = sum(i.share.shares().limit_tps for i in instances)
-    assert granted == pytest.approx(CAPACITY_TPS)
+    total = sum(i.share.shares().limit_tps for i in instances)
+    assert total == pytest.approx(CAPACITY_TPS)
 
 
 def test_owner_gets_its_share_at_once_when_it_asks_again() -> None:
     clock = timers.ManualTimers()
     instance = Instance(clock, 0)
     instance.ask(ARTE, 10000)
-    assert instance.share.shares().tps_by_leaf[ARTE] == CAPACITY_TPS
+    assert granted(instance)[ARTE] == CAPACITY_TPS
     instance.ask(STEPPE, 500)
     clock.advance(fair_share.REFRESH_S)
     shares = instance.share.shares()
-    assert shares.tps_by_leaf[ARTE] <= CAPACITY_TPS * 0.56
+    assert granted(instance)[ARTE] <= CAPACITY_TPS * 0.56
     assert shares.entitled_by_service['steppe'] == pytest.approx(500)
 
 
@@ -147,7 +151,7 @@
     instance.ask(ARTE, 10000)
     clock.advance(fair_share.SETTLE_S)
     instance.ask(ARTE, 10000)
-    lent = instance.share.shares().tps_by_leaf[ARTE] - CAPACITY_TPS / 2
+    lent = granted(instance)[ARTE] - CAPACITY_TPS / 2
     assert 0 <= lent <= CAPACITY_TPS / 2 / 10 + 1
 
 
@@ -155,7 +159,7 @@
     instance = Instance(timers.ManualTimers(), 9)
     instance.ask(ARTE, 10000)
     shares = instance.share.shares()
-    assert shares.tps_by_leaf[ARTE] <= CAPACITY_TPS * 0.56 / 10
+    assert granted(instance)[ARTE] <= CAPACITY_TPS * 0.56 / 10
     assert shares.entitled_by_service['arte'] <= CAPACITY_TPS / 2 / 10 + 1
 
 
@@ -165,13 +169,13 @@
     instance.hear(1, {ARTE: 10000.0})
     instance.ask(ARTE, 10000)
     clock.advance(fair_share.REFRESH_S)
-    assert instance.share.shares().tps_by_leaf[ARTE] < CAPACITY_TPS * 0.6
+    assert granted(instance)[ARTE] < CAPACITY_TPS * 0.6
     instance.share.set_members({})
-    assert instance.share.shares().tps_by_leaf[ARTE] == CAPACITY_TPS
+    assert granted(instance)[ARTE] == CAPACITY_TPS
 
 
 def test_unknown_service_gets_nothing() -> None:
     instance = Instance(timers.ManualTimers(), 0)
     unknown = demand.Leaf('nobody', 'o')
     instance.ask(unknown, 100)
-    assert instance.share.shares().tps_by_leaf == {unknown: 0.0}
+    assert granted(instance) == {unknown: 0.0}
--- a/packages/cactusmux-routing/tests/test_max_min.py
+++ b/packages/cactusmux-routing/tests/test_max_min.py
@@ -28,7 +28,9 @@
     capacity: float, claims: dict, expected: dict
 ) -> None:
     claim_by_key = {key: max_min.Claim(*x) for key, x in claims.items()}
-    assert max_min.divide(capacity, claim_by_key) == pytest.approx(expected)
+    got = max_min.divide(capacity, claim_by_key)
+    granted = {key: portion.granted for key, portion in got.items()}
+    assert granted == pytest.approx(expected)
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
@@ -36,7 +38,8 @@
 def test_division_is_max_min(
     capacity: float, claims: dict[int, max_min.Claim]
 ) -> None:
-    got = max_min.divide(capacity, claims)
+    portions = max_min.divide(capacity, claims)
+    got = {key: portion.granted for key, portion in portions.items()}
     slack = 1e-6 * (1 + capacity)
     asked = sum(claim.demand for claim in claims.values())
     assert sum(got.values()) == pytest.approx(min(capacity, asked), abs=slack)
@@ -54,3 +57,18 @@
             if got[other] > rival.floor * scale + slack:
                 level = got[other] / rival.weight
                 assert got[key] / claim.weight >= level - slack * 100
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(capacity=st.floats(1, 1000), claims=CLAIMS)
+def test_potential_is_what_asking_for_more_would_bring(
+    capacity: float, claims: dict[int, max_min.Claim]
+) -> None:
+    portions = max_min.divide(capacity, claims)
+    for key, claim in claims.items():
+        greedy = {**claims, key: claim._replace(demand=1e6)}
+        more = max_min.divide(capacity, greedy)[key].granted
+        assert portions[key].potential >= portions[key].granted - 1e-6
+        # Floors of others may be met first; that is seen as they ask.
+        assert portions[key].potential <= capacity + 1e-6
+        assert portions[key].granted <= more + 1e-6 * (1 + capacity)
