--- a/packages/cactusmux-peers/src/cactusmux_peers/exchange.py
+++ b/packages/cactusmux-peers/src/cactusmux_peers/exchange.py
@@ -1,6 +1,5 @@
 """Carries soft state between instances: pulls of deltas, and notices."""
 
-from collections.abc import Callable
 import random
 
 from cactusmux_base import metrics as metrics_lib
@@ -10,6 +9,7 @@
 from . import encodings
 from . import members
 from . import membership
+from . import neighbours
 from . import peers_pb2
 from . import records
 from . import soft_state
@@ -47,6 +47,7 @@
         self._timer = timer
         self._metrics = metrics
         self._rng = rng
+        self._neighbours = neighbours.Neighbours(view)
         self._ticks = 0
         self._notice: timers.Subscription | None = None
         state.on_leaving(self._schedule_notice)
@@ -59,9 +60,9 @@
         if parent is not None and self._ticks % PARENT_EVERY_TICKS == 0:
             self._pull(parent, soft_state.Scope.REGION, to_parent=True)
         else:
-            self._pull_from_any(soft_state.Scope.REGION, self._in_region)
+            self._pull_from_any(soft_state.Scope.REGION)
         if self._ticks % CYCLE_TICKS == 0:
-            self._pull_from_any(soft_state.Scope.EVERYWHERE, _everywhere)
+            self._pull_from_any(soft_state.Scope.EVERYWHERE)
 
     def handle_pull(self, pull: peers_pb2.Pull) -> peers_pb2.PullAnswer:
         """Answers what the asking instance does not have yet."""
@@ -94,34 +95,9 @@
         self._state.note_leaving(age_s_by_address)
         return peers_pb2.NoticeAnswer()
 
-    def _pull_from_any(
-        self,
-        scope: soft_state.Scope,
-        accepts: Callable[[members.Member], bool],
-    ) -> None:
-        candidates = self._candidates(accepts)
-        if candidates:
-            self._pull(self._rng.choice(candidates), scope)
-
-    def _candidates(
-        self, accepts: Callable[[members.Member], bool]
-    ) -> list[members.Member]:
-        """Returns live members to talk to; suspects only if no other."""
-        own_id = self._view.own.instance_id
-        others = [
-            member
-            for member in self._view.live()
-            if member.instance_id != own_id and accepts(member)
-        ]
-        trusted = [
-            member
-            for member in others
-            if member.state is not members.State.SUSPECT
-        ]
-        return trusted or others
-
-    def _in_region(self, member: members.Member) -> bool:
-        return member.region == self._view.own.region
+    def _pull_from_any(self, scope: soft_state.Scope) -> None:
+        for member in self._neighbours.sample(scope, 1, self._rng):
+            self._pull(member, scope)
 
     def _pull(
         self,
@@ -130,13 +106,12 @@
         to_parent: bool = False,
     ) -> None:
         table = self._state.table_by_scope[scope]
-        pull = peers_pb2.Pull(scope=int(scope))
-        for other in self._view.live():
-            if scope is soft_state.Scope.REGION and not self._in_region(other):
-                continue
-            origin = records.origin_of(other.instance_id)
-            pull.origins.append(origin)
-            pull.versions.append(table.version_of(origin))
+        origins = self._neighbours.origins(scope)
+        pull = peers_pb2.Pull(
+            scope=int(scope),
+            origins=origins,
+            versions=table.versions_of(origins),
+        )
         if to_parent:
             pull.sender_id = self._view.own.instance_id
             pull.demand.CopyFrom(self._state.demand_tree.subtree())
@@ -168,9 +143,8 @@
         """Passes news of leaving targets to a few members of the region."""
         self._notice = None
         age_s_by_address = self._state.take_leaving_news()
-        candidates = self._candidates(self._in_region)
-        chosen = self._rng.sample(
-            candidates, min(NOTICE_FANOUT, len(candidates))
+        chosen = self._neighbours.sample(
+            soft_state.Scope.REGION, NOTICE_FANOUT, self._rng
         )
         addresses = list(age_s_by_address)
         for start in range(0, len(addresses), MAX_NOTICE_ADDRESSES):
@@ -194,7 +168,3 @@
         )
         if not isinstance(called, result.Success):
             self._metrics.count(f'peers.notice.{called.failure().reason}')
-
-
-def _everywhere(member: members.Member) -> bool:
-    return True
--- a/packages/cactusmux-peers/src/cactusmux_peers/probing.py
+++ b/packages/cactusmux-peers/src/cactusmux_peers/probing.py
@@ -12,6 +12,7 @@
 from . import membership
 from . import peers_pb2
 from . import transport
+from . import update_queue
 
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.5
@@ -22,7 +23,11 @@
 # A tick that comes this many periods late means that we were paused.
 PAUSED_PERIODS = 4.0
 REJOIN_PERIODS = 5
+# How long claims have to make two views equal, before the whole views
+# are exchanged; less when there are more claims than messages carry soon.
 DIFFERENT_VIEW_PERIODS = 15
+MANY_CLAIMS_PERIODS = 4
+MANY_CLAIMS = 3 * update_queue.MAX_UPDATES
 
 ListAddresses = Callable[[], Iterable[str]]
 
@@ -279,7 +284,9 @@
             return
         if self._different_since_tick is None:
             self._different_since_tick = self._ticks
-        if self._ticks - self._different_since_tick < DIFFERENT_VIEW_PERIODS:
+        many = len(self._view.queue) > MANY_CLAIMS
+        allowed = MANY_CLAIMS_PERIODS if many else DIFFERENT_VIEW_PERIODS
+        if self._ticks - self._different_since_tick < allowed:
             return
         if self.sync(member.peer_address):
             self._different_since_tick = None
--- a/packages/cactusmux-peers/src/cactusmux_peers/records.py
+++ b/packages/cactusmux-peers/src/cactusmux_peers/records.py
@@ -5,7 +5,7 @@
 says exactly what a holder has, whoever it got them from.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 import zlib
 
@@ -64,9 +64,10 @@
             self._put(self._own_origin, records, slot, record)
         self._version_by_origin[self._own_origin] = version
 
-    def version_of(self, origin: int) -> int:
-        """Returns the version up to which an origin's records are here."""
-        return self._version_by_origin.get(origin, 0)
+    def versions_of(self, origins: Iterable[int]) -> list[int]:
+        """Returns up to which version each origin's records are here."""
+        version_by_origin = self._version_by_origin
+        return [version_by_origin.get(origin, 0) for origin in origins]
 
     def records_of(self, origin: int) -> Mapping[int, Record]:
         """Returns the records of an origin by slot."""
--- /dev/null
+++ b/packages/cactusmux-peers/src/cactusmux_peers/rendezvous.py
@@ -0,0 +1,27 @@
+"""Choice of a job's holders by rendezvous hashing.
+
+Instances with the same view choose alike. A member that comes or goes
+moves only the jobs that it gains or loses.
+"""
+
+from collections.abc import Sequence
+import hashlib
+import heapq
+
+from . import members
+
+
+def choose(
+    key: str, candidates: Sequence[members.Member], count: int
+) -> tuple[members.Member, ...]:
+    """Returns up to ``count`` holders of ``key``, the first one first."""
+    return tuple(
+        heapq.nlargest(
+            count, candidates, key=lambda member: _score(key, member)
+        )
+    )
+
+
+def _score(key: str, member: members.Member) -> bytes:
+    text = f'{key} {member.instance_id}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/packages/cactusmux-peers/src/cactusmux_peers/soft_state.py
+++ b/packages/cactusmux-peers/src/cactusmux_peers/soft_state.py
@@ -54,6 +54,7 @@
         self._revision_by_service: dict[str, int] = {}
         self._on_leaving: Callable[[], None] = lambda: None
         self._untold_leaving: set[str] = set()
+        self._kept_for: tuple[members_lib.Member, ...] = ()
         self.table_by_scope = {
             Scope.REGION: records.RecordTable(
                 self._own_origin, timer, self._apply
@@ -86,6 +87,10 @@
         """
         return self._reports.by_address(self._timer.now())
 
+    def report_of_others_by_address(self) -> dict[str, AgedReport]:
+        """Returns the newest reports that other instances published."""
+        return self._reports.by_address(self._timer.now(), self._own_origin)
+
     def mark_target_leaving(self, address: str) -> None:
         """Tells the region that a target takes no new work."""
         self.note_leaving({address: 0.0})
@@ -181,9 +186,12 @@
         self._publish_zone_demand(
             self.demand_tree.named_sums() if is_root else {}
         )
+        live = self._view.live()
+        if live is self._kept_for:
+            return
+        self._kept_for = live
         known = frozenset(
-            records.origin_of(member.instance_id)
-            for member in self._view.live()
+            records.origin_of(member.instance_id) for member in live
         )
         for table in self.table_by_scope.values():
             table.forget_except(known)
