--- a/packages/cactusmux-routing/src/cactusmux_routing/baseline_choosers.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/baseline_choosers.py
@@ -7,6 +7,8 @@
 from . import choosers
 from . import route_index
 
+DRAWS = 2
+
 
 class RandomChooser(choosers.RouteChooser):
     """Picks each stage at random, all holders alike."""
@@ -62,6 +64,40 @@
         return self._rng.choice(tied)
 
 
+class PredictedTimeChooser(choosers.RouteChooser):
+    """Picks the holder with the shortest predicted time between tokens.
+
+    Unlike least loaded it adds what this instance sent since the report.
+    """
+
+    def _pick(
+        self,
+        request: choosers.RouteRequest,
+        candidates: tuple[route_index.Holder, ...],
+        before: route_index.Holder | None,
+    ) -> route_index.Holder:
+        return min(candidates, key=wait_s)
+
+
+class PowerOfTwoChooser(choosers.RouteChooser):
+    """Draws two holders by capacity and takes the faster one."""
+
+    def _pick(
+        self,
+        request: choosers.RouteRequest,
+        candidates: tuple[route_index.Holder, ...],
+        before: route_index.Holder | None,
+    ) -> route_index.Holder:
+        weights = [holder.load.capacity_tps for holder in candidates]
+        drawn = self._rng.choices(candidates, weights, k=DRAWS)
+        return min(drawn, key=wait_s)
+
+
+def wait_s(holder: route_index.Holder) -> float:
+    """Returns the predicted seconds between two tokens of a new stream."""
+    return holder.load.wait_s
+
+
 def _reported_load(holder: route_index.Holder) -> float:
     target = holder.load.target
     return (target.running + target.queued) / holder.load.capacity_tps
--- a/packages/cactusmux-routing/src/cactusmux_routing/choosers.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/choosers.py
@@ -35,6 +35,22 @@
     prefix_hash: int = 0
 
 
+class IndexKey(NamedTuple):
+    """What requests that share an index have in common."""
+
+    model: str
+    version: str
+    adapter: str
+    layers: int
+
+
+def index_key(request: RouteRequest) -> IndexKey:
+    """Returns the key of the index that a request is routed by."""
+    return IndexKey(
+        request.model, request.version, request.adapter, request.layers
+    )
+
+
 class NoRoute(failures.CactusmuxError):
     """No route can be made; nothing was sent."""
 
@@ -87,9 +103,7 @@
         self._rng = rng
         self._load_by_address: dict[str, target_loads.TargetLoad] = {}
         self._addresses_by_model: dict[str, set[str]] = {}
-        self._index_by_key: dict[
-            tuple[str, str, str, int], route_index.RouteIndex
-        ] = {}
+        self._index_by_key: dict[IndexKey, route_index.RouteIndex] = {}
 
     @abc.abstractmethod
     def _pick(
@@ -107,12 +121,13 @@
         index = self._index(request)
         if index.missing:
             return result.Failure(self._explain(request, index.missing))
-        if request.avoid:
-            holders = _holders(index)
-            index = _index_without(holders, request)
-            if index.missing:
-                return result.Failure(AllAvoided(request, index.missing))
-        return result.Success(self._walk(request, index))
+        route = self._walk(request, index)
+        if route is not None:
+            return result.Success(route)
+        index = _index_without(request, index)
+        if index.missing:
+            return result.Failure(AllAvoided(request, index.missing))
+        return result.Success(self._pick_all(request, index))
 
     def note_started(self, route: routes.Route) -> None:
         """Adds a stream to the load of each target of a route."""
@@ -140,9 +155,13 @@
             return
         before = load.target
         load.report(target)
-        if load.target is target and not _same_place(before, target):
+        if load.target is not target:
+            return
+        if not _same_place(before, target):
             self._drop_from_index(before)
             self._add_to_index(target)
+        elif before.capacity_tps != target.capacity_tps:
+            self._capacity_changed(target)
 
     def remove(self, address: str) -> None:
         """Forgets a target: it gets no new work."""
@@ -151,12 +170,7 @@
             self._drop_from_index(load.target)
 
     def _index(self, request: RouteRequest) -> route_index.RouteIndex:
-        key = (
-            request.model,
-            request.version,
-            request.adapter,
-            request.layers,
-        )
+        key = index_key(request)
         index = self._index_by_key.get(key)
         if index is None:
             index = self._build(request)
@@ -195,6 +209,17 @@
 
     def _walk(
         self, request: RouteRequest, index: route_index.RouteIndex
+    ) -> routes.Route | None:
+        """Returns a route, or ``None`` when avoided targets prevent it.
+
+        The index is then built again without them, which is slower.
+        """
+        if request.avoid:
+            return None
+        return self._pick_all(request, index)
+
+    def _pick_all(
+        self, request: RouteRequest, index: route_index.RouteIndex
     ) -> routes.Route:
         stages = []
         boundary = 0
@@ -216,6 +241,10 @@
             if load is not None:
                 load.change(amount, now)
 
+    def _capacity_changed(self, target: target_table.Target) -> None:
+        """Called when a known target reports another capacity."""
+        return None
+
     def _add_to_index(self, target: target_table.Target) -> None:
         for holding in target.holdings:
             addresses = self._addresses_by_model.setdefault(
@@ -230,21 +259,20 @@
             self._forget_index(holding.model)
 
     def _forget_index(self, model: str) -> None:
-        stale = [key for key in self._index_by_key if key[0] == model]
+        stale = [key for key in self._index_by_key if key.model == model]
         for key in stale:
             del self._index_by_key[key]
 
 
-def _holders(
-    index: route_index.RouteIndex,
-) -> list[route_index.Holder]:
-    return [h for held in index.holders_by_first.values() for h in held]
-
-
 def _index_without(
-    holders: list[route_index.Holder], request: RouteRequest
+    request: RouteRequest, index: route_index.RouteIndex
 ) -> route_index.RouteIndex:
-    kept = [h for h in holders if h.load.target.address not in request.avoid]
+    kept = [
+        holder
+        for held in index.holders_by_first.values()
+        for holder in held
+        if holder.load.target.address not in request.avoid
+    ]
     return route_index.build_index(kept, request.layers)
 
 
--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/demand.py
@@ -0,0 +1,91 @@
+"""Demand by organisation, as measured here and as heard from others."""
+
+import math
+from typing import NamedTuple
+
+from cactusmux_base import timers
+
+WINDOW_S = 1.0
+FORGET_TPS = 0.01
+
+
+class Leaf(NamedTuple):
+    """An organisation of a service."""
+
+    service: str
+    organisation: str
+
+
+class ZoneDemand(NamedTuple):
+    """Tokens a second asked for at the other instances of a zone.
+
+    This instance's own demand is never part of it. ``taken_at`` is local
+    monotonic time.
+    """
+
+    zone: str
+    instances: int
+    tps_by_leaf: dict[Leaf, float]
+    taken_at: float
+
+
+class _Rate:
+    __slots__ = ('tps', 'at', 'since')
+
+    def __init__(self, now: float) -> None:
+        self.tps = 0.0
+        self.at = now
+        self.since = now
+
+
+class DemandMeter:
+    """Measures asked tokens a second by leaf, over about a second.
+
+    All that is asked for counts, also what is then refused; what still
+    waits counts as if it were asked for again each second.
+    """
+
+    def __init__(self, timer: timers.TimerService) -> None:
+        self._timer = timer
+        self._rate_by_leaf: dict[Leaf, _Rate] = {}
+        self._backlog_by_leaf: dict[Leaf, float] = {}
+
+    def note(self, leaf: Leaf, tokens: float) -> None:
+        """Counts a request that asks for ``tokens``."""
+        now = self._timer.now()
+        rate = self._rate_by_leaf.get(leaf)
+        if rate is None:
+            rate = _Rate(now)
+            self._rate_by_leaf[leaf] = rate
+        rate.tps = _decayed(rate, now) + max(tokens, 1.0) / WINDOW_S
+        rate.at = now
+
+    def set_backlog(self, leaf: Leaf, tokens: float) -> None:
+        """Takes in what waits for a leaf, in tokens."""
+        if tokens > 0:
+            self._backlog_by_leaf[leaf] = tokens
+        else:
+            self._backlog_by_leaf.pop(leaf, None)
+
+    def since(self, leaf: Leaf) -> float:
+        """Returns when the leaf began to ask, after it had asked nothing."""
+        rate = self._rate_by_leaf.get(leaf)
+        return rate.since if rate else self._timer.now()
+
+    def tps_by_leaf(self) -> dict[Leaf, float]:
+        """Returns all demand now; what has faded away is forgotten."""
+        now = self._timer.now()
+        tps_by_leaf = {
+            leaf: _decayed(rate, now)
+            for leaf, rate in self._rate_by_leaf.items()
+        }
+        for leaf, tps in tps_by_leaf.items():
+            if tps < FORGET_TPS:
+                del self._rate_by_leaf[leaf]
+        return {
+            leaf: tps for leaf, tps in tps_by_leaf.items() if tps >= FORGET_TPS
+        }
+
+
+def _decayed(rate: _Rate, now: float) -> float:
+    return rate.tps * math.exp((rate.at - now) / WINDOW_S)
--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/flow_chooser.py
@@ -0,0 +1,209 @@
+"""The product's chooser: flow weights corrected by predicted load."""
+
+from collections.abc import Mapping
+import random
+
+from cactusmux_base import timers
+from cactusmux_platform import targets
+
+from . import baseline_choosers
+from . import choosers
+from . import flow_weights
+from . import links
+from . import route_index
+from . import routes
+from . import stage_plans
+from . import target_table
+
+# Flow weights are assigned anew no more often than this.
+REPLAN_S = 5.0
+# Smaller changes of a zone's capacity for some layers are not worth it.
+CHANGE = 0.1
+# An assignment takes turns with other tasks after this many increments.
+INCREMENTS_AT_ONCE = 4
+PAUSE_S = 0.005
+MAX_PLANS = 1024
+MAX_DRAWS = 8
+# The holder of a cached prefix may be this much slower than the other.
+CACHE_SLOWDOWN = 1.25
+
+
+class FlowChooser(baseline_choosers.PowerOfTwoChooser):
+    """Draws two holders a stage by flow weight, takes the faster one.
+
+    Weights share the traffic as the achievable bound would; the predicted
+    time between tokens corrects them by load. Drawing spreads instances
+    that have the same old reports. A holder that may have the prompt's
+    prefix cached is preferred as long as it is about as fast. Weights are
+    assigned in the background; until they are ready, draws go by capacity
+    and nearness.
+
+    :param link_table: delay and capacity of links between zones.
+    """
+
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        rng: random.Random,
+        link_table: links.LinkTable = links.NO_LINKS,
+    ) -> None:
+        super().__init__(timer, rng)
+        self._links = link_table
+        self._planning_by_key: dict[choosers.IndexKey, _Planning] = {}
+
+    def _walk(
+        self, request: choosers.RouteRequest, index: route_index.RouteIndex
+    ) -> routes.Route | None:
+        plan = self._plan(request, index)
+        stages = []
+        boundary = 0
+        zone = request.zone
+        while boundary < index.layers:
+            holder = self._draw(request, plan.draw(boundary, zone), zone)
+            if holder is None:
+                return None
+            target = holder.load.target
+            stages.append(targets.Stage(target.address, boundary, holder.last))
+            boundary = holder.last
+            zone = target.zone
+        return routes.Route(
+            request.model, request.version, request.adapter, tuple(stages)
+        )
+
+    def _draw(
+        self,
+        request: choosers.RouteRequest,
+        draw: stage_plans.Draw,
+        zone: str,
+    ) -> route_index.Holder | None:
+        drawn = self._rng.choices(
+            draw.holders,
+            cum_weights=draw.cumulative,
+            k=baseline_choosers.DRAWS,
+        )
+        if request.avoid:
+            drawn = self._allowed(request.avoid, draw, drawn)
+            if not drawn:
+                return None
+        best = min(drawn, key=baseline_choosers.wait_s)
+        if request.prefix_hash:
+            cached = draw.cached(request.prefix_hash)
+            slowest_s = best.load.wait_s * CACHE_SLOWDOWN
+            if (
+                cached.load.wait_s <= slowest_s
+                and cached.load.target.address not in request.avoid
+            ):
+                return cached
+        return best
+
+    def _allowed(
+        self,
+        avoid: frozenset[str],
+        draw: stage_plans.Draw,
+        drawn: list[route_index.Holder],
+    ) -> list[route_index.Holder]:
+        for _ in range(MAX_DRAWS):
+            kept = [h for h in drawn if h.load.target.address not in avoid]
+            if kept:
+                return kept
+            drawn = self._rng.choices(
+                draw.holders,
+                cum_weights=draw.cumulative,
+                k=baseline_choosers.DRAWS,
+            )
+        return []
+
+    def _plan(
+        self, request: choosers.RouteRequest, index: route_index.RouteIndex
+    ) -> stage_plans.StagePlan:
+        key = choosers.index_key(request)
+        planning = self._planning_by_key.get(key)
+        if planning is None:
+            planning = self._add_planning(key)
+        if planning.plan is None:
+            planning.plan = stage_plans.StagePlan(
+                index, planning.shares, self._links
+            )
+        if planning.changed and planning.assignment is None:
+            self._assign(planning, index)
+        return planning.plan
+
+    def _add_planning(self, key: choosers.IndexKey) -> '_Planning':
+        if len(self._planning_by_key) >= MAX_PLANS:
+            oldest = next(iter(self._planning_by_key))
+            del self._planning_by_key[oldest]
+        planning = _Planning()
+        self._planning_by_key[key] = planning
+        return planning
+
+    def _assign(
+        self, planning: '_Planning', index: route_index.RouteIndex
+    ) -> None:
+        now = self._timer.now()
+        if now < planning.next_at:
+            return
+        planning.changed = False
+        planning.next_at = now + REPLAN_S
+        capacity_by_stage = stage_plans.stage_capacities(index)
+        if _is_near(capacity_by_stage, planning.capacity_by_stage):
+            return
+        planning.capacity_by_stage = capacity_by_stage
+        planning.assignment = flow_weights.Assignment(
+            capacity_by_stage, index.layers, self._links
+        )
+        self._timer.after(0.0, lambda: self._work(planning))
+
+    def _work(self, planning: '_Planning') -> None:
+        if planning.assignment is None:
+            return
+        shares = planning.assignment.work(INCREMENTS_AT_ONCE)
+        if shares is None:
+            self._timer.after(PAUSE_S, lambda: self._work(planning))
+            return
+        planning.assignment = None
+        planning.shares = shares
+        planning.plan = None
+
+    def _capacity_changed(self, target: target_table.Target) -> None:
+        models = {holding.model for holding in target.holdings}
+        for key, planning in self._planning_by_key.items():
+            if key.model in models:
+                planning.changed = True
+
+    def _forget_index(self, model: str) -> None:
+        super()._forget_index(model)
+        for key, planning in self._planning_by_key.items():
+            if key.model == model:
+                planning.plan = None
+                planning.changed = True
+
+
+def _is_near(
+    now: Mapping[flow_weights.Stage, float],
+    assigned: Mapping[flow_weights.Stage, float],
+) -> bool:
+    return now.keys() == assigned.keys() and all(
+        abs(now[stage] - assigned[stage]) <= CHANGE * assigned[stage]
+        for stage in now
+    )
+
+
+class _Planning:
+    """The plan of one index, and the assignment that will renew it."""
+
+    __slots__ = (
+        'plan',
+        'shares',
+        'changed',
+        'next_at',
+        'capacity_by_stage',
+        'assignment',
+    )
+
+    def __init__(self) -> None:
+        self.plan: stage_plans.StagePlan | None = None
+        self.shares: flow_weights.Shares | None = None
+        self.changed = True
+        self.next_at = 0.0
+        self.capacity_by_stage: Mapping[flow_weights.Stage, float] = {}
+        self.assignment: flow_weights.Assignment | None = None
--- a/packages/cactusmux-routing/src/cactusmux_routing/policies.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/policies.py
@@ -9,10 +9,14 @@
 
 from . import baseline_choosers
 from . import choosers
+from . import flow_chooser
 
 CHOOSER_BY_NAME: dict[
     str, Callable[[timers.TimerService, random.Random], choosers.RouteChooser]
 ] = {
+    'flow': flow_chooser.FlowChooser,
+    'power_of_two': baseline_choosers.PowerOfTwoChooser,
+    'predicted_time': baseline_choosers.PredictedTimeChooser,
     'random': baseline_choosers.RandomChooser,
     'round_robin': baseline_choosers.RoundRobinChooser,
     'least_loaded': baseline_choosers.LeastLoadedChooser,
--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/tickets.py
@@ -0,0 +1,74 @@
+"""Requests as admission knows them, and those that have leave to run."""
+
+from typing import NamedTuple
+
+from . import fair_queue
+from . import retries
+
+PRIORITY_ENTITLED = 1
+PRIORITY_BORROWED = 0
+
+
+class RequestClass(NamedTuple):
+    """What admission knows of a request.
+
+    ``cost`` is the number of tokens it is expected to take, ``worth`` what
+    its completion is worth.
+    """
+
+    service: str
+    organisation: str
+    kind: str
+    model: str
+    worth: float
+    cost: float
+    deadline: retries.Deadline
+
+
+class Ticket(NamedTuple):
+    """Leave to start; to be released when the request has ended.
+
+    Engines serve a lower ``priority`` later: what is borrowed yields when
+    its owner asks.
+    """
+
+    number: int
+    request: RequestClass
+    priority: int
+    waited_s: float
+
+
+class Running:
+    """Started requests, counted by model and by entitled service."""
+
+    def __init__(self) -> None:
+        self.entry_by_number: dict[int, fair_queue.Entry] = {}
+        self.entitled_by_service: dict[str, int] = {}
+        self.number_by_model: dict[str, int] = {}
+        self._place_by_number: dict[int, tuple[str, int]] = {}
+
+    def begin(
+        self, entry: fair_queue.Entry, model: str, priority: int
+    ) -> None:
+        """Counts a request that starts."""
+        self.entry_by_number[entry.number] = entry
+        self._place_by_number[entry.number] = (model, priority)
+        self._count(entry, model, priority, 1)
+
+    def end(self, number: int) -> fair_queue.Entry | None:
+        """Counts a request that has ended; ``None`` if it is unknown."""
+        entry = self.entry_by_number.pop(number, None)
+        if entry is not None:
+            model, priority = self._place_by_number.pop(number)
+            self._count(entry, model, priority, -1)
+        return entry
+
+    def _count(
+        self, entry: fair_queue.Entry, model: str, priority: int, by: int
+    ) -> None:
+        models = self.number_by_model
+        models[model] = models.get(model, 0) + by
+        if priority == PRIORITY_ENTITLED:
+            service = entry.leaf.service
+            entitled = self.entitled_by_service
+            entitled[service] = entitled.get(service, 0) + by
