Eject failing targets and detect stalls

Cause: an instance kept choosing targets that refuse or stall. Stalls are judged by mean and deviation of the gaps of like routes.

--- a/packages/cactusmux-routing/src/cactusmux_routing/choosers.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/choosers.py
@@ -11,7 +11,7 @@
 
 from . import route_index
 from . import routes
-from . import target_loads
+from . import target_index
 from . import target_table
 
 NOTHING_AVOIDED: frozenset[str] = frozenset()
@@ -21,7 +21,8 @@
     """What a route is asked for.
 
     ``adapter`` is empty for the bare model. ``avoid`` are addresses that
-    may not be on the route. ``zone`` is where the request enters.
+    may not be on the route; ``ejected`` ones only if there is no other
+    route. ``zone`` is where the request enters.
     ``prefix_hash`` marks the prompt's start, 0 for none: routes prefer
     targets that may have it cached.
     """
@@ -33,20 +34,12 @@
     avoid: frozenset[str] = NOTHING_AVOIDED
     zone: str = ''
     prefix_hash: int = 0
+    ejected: frozenset[str] = NOTHING_AVOIDED
 
 
-class IndexKey(NamedTuple):
-    """What requests that share an index have in common."""
-
-    model: str
-    version: str
-    adapter: str
-    layers: int
-
-
-def index_key(request: RouteRequest) -> IndexKey:
+def index_key(request: RouteRequest) -> target_index.IndexKey:
     """Returns the key of the index that a request is routed by."""
-    return IndexKey(
+    return target_index.IndexKey(
         request.model, request.version, request.adapter, request.layers
     )
 
@@ -91,9 +84,6 @@
 class RouteChooser(abc.ABC):
     """Chooses routes; keeps an index of targets and their load.
 
-    The index of a model is built when it is first asked for after a
-    change of what targets hold; a new report alone changes no index.
-
     :param timer: tells the time at which streams start and end.
     :param rng: seeded source of randomness.
     """
@@ -101,9 +91,9 @@
     def __init__(self, timer: timers.TimerService, rng: random.Random) -> None:
         self._timer = timer
         self._rng = rng
-        self._load_by_address: dict[str, target_loads.TargetLoad] = {}
-        self._addresses_by_model: dict[str, set[str]] = {}
-        self._index_by_key: dict[IndexKey, route_index.RouteIndex] = {}
+        self._targets = target_index.TargetIndex(
+            self._holders_changed, self._capacity_changed
+        )
 
     @abc.abstractmethod
     def _pick(
@@ -118,7 +108,19 @@
         self, request: RouteRequest
     ) -> result.Result[routes.Route, NoRoute]:
         """Chooses a whole route, or tells which layers stand in its way."""
-        index = self._index(request)
+        if request.ejected:
+            avoid = request.avoid | request.ejected
+            chosen = self._choose(
+                request._replace(avoid=avoid, ejected=NOTHING_AVOIDED)
+            )
+            if not isinstance(chosen.swap().value_or(None), AllAvoided):
+                return chosen
+        return self._choose(request)
+
+    def _choose(
+        self, request: RouteRequest
+    ) -> result.Result[routes.Route, NoRoute]:
+        index = self._targets.index(index_key(request))
         if index.missing:
             return result.Failure(self._explain(request, index.missing))
         route = self._walk(request, index)
@@ -131,77 +133,45 @@
 
     def note_started(self, route: routes.Route) -> None:
         """Adds a stream to the load of each target of a route."""
-        self._change_load(route, 1)
+        self._targets.change_load(route, 1, self._timer.now())
 
     def note_finished(self, route: routes.Route) -> None:
         """Takes a stream off the load of each target of a route."""
-        self._change_load(route, -1)
+        self._targets.change_load(route, -1, self._timer.now())
 
     def update(self, table: target_table.TargetTable) -> None:
         """Takes in a whole table; targets that it lacks are removed."""
-        gone = self._load_by_address.keys() - table.target_by_address.keys()
-        for address in gone:
-            self.remove(address)
-        for target in table.target_by_address.values():
-            self.update_target(target)
+        self._targets.update(table)
 
     def update_target(self, target: target_table.Target) -> None:
         """Takes in one target, new or known."""
-        load = self._load_by_address.get(target.address)
-        if load is None:
-            load = target_loads.TargetLoad(target)
-            self._load_by_address[target.address] = load
-            self._add_to_index(target)
-            return
-        before = load.target
-        load.report(target)
-        if load.target is not target:
-            return
-        if not _same_place(before, target):
-            self._drop_from_index(before)
-            self._add_to_index(target)
-        elif before.capacity_tps != target.capacity_tps:
-            self._capacity_changed(target)
+        self._targets.update_target(target)
 
     def remove(self, address: str) -> None:
         """Forgets a target: it gets no new work."""
-        load = self._load_by_address.pop(address, None)
-        if load is not None:
-            self._drop_from_index(load.target)
-
-    def _index(self, request: RouteRequest) -> route_index.RouteIndex:
-        key = index_key(request)
-        index = self._index_by_key.get(key)
-        if index is None:
-            index = self._build(request)
-            self._index_by_key[key] = index
-        return index
-
-    def _build(self, request: RouteRequest) -> route_index.RouteIndex:
-        held = self._holders_of(request.model, request.version)
-        if request.adapter:
-            held = tuple(h for h in held if request.adapter in h.adapters)
-        return route_index.build_index(held, request.layers)
-
-    def _holders_of(
-        self, model: str, version: str
-    ) -> tuple[route_index.Holder, ...]:
-        return tuple(
-            route_index.Holder(
-                self._load_by_address[address],
-                holding.first,
-                holding.last,
-                frozenset(holding.adapters),
-            )
-            for address in sorted(self._addresses_by_model.get(model, ()))
-            for holding in self._load_by_address[address].target.holdings
-            if holding.model == model and holding.version == version
-        )
+        self._targets.remove(address)
+
+    def has_routes_without(
+        self, lost: frozenset[str], max_fraction: float
+    ) -> bool:
+        """Tells whether all models keep a route without some targets.
+
+        Of the targets of each model at most ``max_fraction`` may be lost.
+        """
+        return self._targets.has_routes_without(lost, max_fraction)
+
+    def _holders_changed(self, model: str) -> None:
+        """Called when a model's targets are others than before."""
+        return None
+
+    def _capacity_changed(self, target: target_table.Target) -> None:
+        """Called when a known target reports another capacity."""
+        return None
 
     def _explain(
         self, request: RouteRequest, missing: route_index.LayerRange
     ) -> NoRoute:
-        held = self._holders_of(request.model, request.version)
+        held = self._targets.holders(request.model, request.version)
         bare = route_index.build_index(held, request.layers)
         if bare.missing:
             return MissingLayers(request, bare.missing)
@@ -234,35 +204,6 @@
             request.model, request.version, request.adapter, tuple(stages)
         )
 
-    def _change_load(self, route: routes.Route, amount: int) -> None:
-        now = self._timer.now()
-        for stage in route.stages:
-            load = self._load_by_address.get(stage.address)
-            if load is not None:
-                load.change(amount, now)
-
-    def _capacity_changed(self, target: target_table.Target) -> None:
-        """Called when a known target reports another capacity."""
-        return None
-
-    def _add_to_index(self, target: target_table.Target) -> None:
-        for holding in target.holdings:
-            addresses = self._addresses_by_model.setdefault(
-                holding.model, set()
-            )
-            addresses.add(target.address)
-            self._forget_index(holding.model)
-
-    def _drop_from_index(self, target: target_table.Target) -> None:
-        for holding in target.holdings:
-            self._addresses_by_model[holding.model].discard(target.address)
-            self._forget_index(holding.model)
-
-    def _forget_index(self, model: str) -> None:
-        stale = [key for key in self._index_by_key if key.model == model]
-        for key in stale:
-            del self._index_by_key[key]
-
 
 def _index_without(
     request: RouteRequest, index: route_index.RouteIndex
@@ -274,9 +215,3 @@
         if holder.load.target.address not in request.avoid
     ]
     return route_index.build_index(kept, request.layers)
-
-
-def _same_place(
-    before: target_table.Target, after: target_table.Target
-) -> bool:
-    return before.holdings == after.holdings and before.zone == after.zone
--- a/packages/cactusmux-routing/src/cactusmux_routing/flow_chooser.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/flow_chooser.py
@@ -13,6 +13,7 @@
 from . import route_index
 from . import routes
 from . import stage_plans
+from . import target_index
 from . import target_table
 
 # Flow weights are assigned anew no more often than this.
@@ -49,7 +50,7 @@
     ) -> None:
         super().__init__(timer, rng)
         self._links = link_table
-        self._planning_by_key: dict[choosers.IndexKey, _Planning] = {}
+        self._planning_by_key: dict[target_index.IndexKey, _Planning] = {}
 
     def _walk(
         self, request: choosers.RouteRequest, index: route_index.RouteIndex
@@ -128,7 +129,7 @@
             self._assign(planning, index)
         return planning.plan
 
-    def _add_planning(self, key: choosers.IndexKey) -> '_Planning':
+    def _add_planning(self, key: target_index.IndexKey) -> '_Planning':
         if len(self._planning_by_key) >= MAX_PLANS:
             oldest = next(iter(self._planning_by_key))
             del self._planning_by_key[oldest]
@@ -170,8 +171,7 @@
             if key.model in models:
                 planning.changed = True
 
-    def _forget_index(self, model: str) -> None:
-        super()._forget_index(model)
+    def _holders_changed(self, model: str) -> None:
         for key, planning in self._planning_by_key.items():
             if key.model == model:
                 planning.plan = None
--- /dev/null
+++ b/packages/cactusmux-routing/tests/test_token_gaps.py
@@ -0,0 +1,46 @@
+"""Tests of stall detection against a route's own gaps."""
+
+import random
+
+from cactusmux_routing import token_gaps
+import pytest
+
+KEY = token_gaps.GapKey('m', 'v1', 4)
+
+
+def test_nothing_seen_allows_the_longest_gap() -> None:
+    assert token_gaps.GapEstimate().allowed_s == token_gaps.MAX_GAP_S
+
+
+@pytest.mark.parametrize(
+    'mean_s, spread, low_s, high_s',
+    [
+        (0.001, 0.1, token_gaps.MIN_GAP_S, token_gaps.MIN_GAP_S),
+        (0.04, 0.5, token_gaps.MIN_GAP_S, token_gaps.MIN_GAP_S),
+        (0.2, 0.5, 0.3, 1.0),
+        (0.2, 0.0, token_gaps.MIN_GAP_S, token_gaps.MIN_GAP_S),
+        (2.0, 0.5, token_gaps.MAX_GAP_S, token_gaps.MAX_GAP_S),
+    ],
+)
+def test_allowed_gap_follows_the_route_within_bounds(
+    mean_s: float, spread: float, low_s: float, high_s: float
+) -> None:
+    rng = random.Random(4)
+    estimate = token_gaps.GapEstimate()
+    for _ in range(500):
+        gap_s = mean_s * rng.uniform(1 - spread, 1 + spread)
+        assert gap_s <= estimate.allowed_s
+        estimate.note(gap_s)
+    assert low_s <= estimate.allowed_s <= high_s
+
+
+def test_routes_are_measured_apart_and_so_are_first_tokens() -> None:
+    table = token_gaps.GapTable()
+    for _ in range(50):
+        table.later(KEY).note(0.04)
+        table.first(KEY).note(0.3)
+    assert table.later(KEY).allowed_s == token_gaps.MIN_GAP_S
+    assert table.first(KEY).allowed_s == token_gaps.MIN_FIRST_S
+    other = KEY._replace(stages=8)
+    assert table.later(other).allowed_s == token_gaps.MAX_GAP_S
+    assert table.first(other).allowed_s == token_gaps.MAX_FIRST_S
