--- a/packages/cactusmux-control/tests/test_placement.py
+++ b/packages/cactusmux-control/tests/test_placement.py
@@ -250,7 +250,7 @@
 
 
 def test_minimum_is_taken_from_a_full_pool_beyond_the_bound() -> None:
-    pool = make_pool(24)
+    pool = make_pool(24, memory_mb=4000)
     full = placement_types.Limits(
         max_changes=10_000, headroom=0.0, hysteresis=0.0
     )
