--- a/packages/cactusmux-control/src/cactusmux_control/leases.py
+++ b/packages/cactusmux-control/src/cactusmux_control/leases.py
@@ -17,65 +17,12 @@
 import msgspec
 from returns import result
 
+from . import lease_types
+
 LEASE_PREFIX = 'leases/'
 ORDER_LEASE = 'orders'
 
 
-class LeaseSettings(NamedTuple):
-    """Times of a lease, in seconds.
-
-    The store ends the lease ``ttl_s`` after its last renewal; the holder
-    stops ``margin_s`` earlier, which covers clocks that run at different
-    rates. ``period_s`` is the time between renewals, and between attempts
-    of an instance that waits for the lease. ``delivery_s`` is the deadline
-    for delivering one order.
-    """
-
-    ttl_s: float = 10.0
-    margin_s: float = 2.0
-    period_s: float = 2.0
-    delivery_s: float = 2.0
-
-
-class Authority(NamedTuple):
-    """The right to send orders, until a time of the holder's own clock.
-
-    ``unfenced_from`` is when a target that ignores fencing numbers may get
-    its first order under this authority.
-    """
-
-    fencing: int
-    valid_until: float
-    unfenced_from: float
-
-
-class LeaseRecord(msgspec.Struct, frozen=True):
-    """The value of the lease's key; ``claim_id`` is new on each attempt."""
-
-    holder: str
-    claim_id: str
-
-
-class LeaseExpired(failures.CactusmuxError):
-    """The holder's own clock passed the end of the lease."""
-
-    reason = 'lease_expired'
-
-    def __init__(self, name: str) -> None:
-        super().__init__(f'lease {name!r} was not renewed in time')
-        self.name = name
-
-
-class LeaseReleased(failures.CactusmuxError):
-    """The holder gave the lease up."""
-
-    reason = 'lease_released'
-
-    def __init__(self, name: str) -> None:
-        super().__init__(f'lease {name!r} was released')
-        self.name = name
-
-
 class _Claim(NamedTuple):
     """An attempt to take the lease, asked for at ``asked_at``."""
 
@@ -86,10 +33,10 @@
 
 class _Held(NamedTuple):
     lease_id: int
-    authority: Authority
+    authority: lease_types.Authority
 
 
-AuthorityCallback = Callable[[Authority | None], None]
+AuthorityCallback = Callable[[lease_types.Authority | None], None]
 
 
 class LeaseHolder:
@@ -108,7 +55,7 @@
         metric: metrics.Metrics,
         name: str,
         holder: str,
-        settings: LeaseSettings = LeaseSettings(),  # noqa: B008
+        settings: lease_types.LeaseSettings = lease_types.DEFAULT_SETTINGS,
         may_acquire: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
@@ -145,7 +92,7 @@
         self._stopped = True
         held = self._held
         if held is not None:
-            self._lose(LeaseReleased(self._name))
+            self._lose(lease_types.LeaseReleased(self._name))
         with self._busy:
             if self._subscription is not None:
                 self._subscription.cancel()
@@ -155,7 +102,7 @@
                 self._revoke(self._unsettled.lease_id)
                 self._unsettled = None
 
-    def authority(self, for_s: float = 0.0) -> Authority | None:
+    def authority(self, for_s: float = 0.0) -> lease_types.Authority | None:
         """Returns the authority if it is valid for another ``for_s``.
 
         To be asked right before an order leaves, with the time that its
@@ -238,7 +185,7 @@
             self._revoke(claim.lease_id)
             return
         settings = self._settings
-        authority = Authority(
+        authority = lease_types.Authority(
             fencing=fencing,
             valid_until=claim.asked_at + settings.ttl_s - settings.margin_s,
             unfenced_from=self._timer.now()
@@ -283,7 +230,7 @@
         for callback in self._callbacks:
             callback(authority)
 
-    def _watch_expiry(self, authority: Authority) -> None:
+    def _watch_expiry(self, authority: lease_types.Authority) -> None:
         if self._expiry is not None:
             self._expiry.cancel()
         left_s = max(0.0, authority.valid_until - self._timer.now())
@@ -293,7 +240,7 @@
         if self._held is None:
             return
         if self.authority() is None:
-            self._announce_loss(LeaseExpired(self._name))
+            self._announce_loss(lease_types.LeaseExpired(self._name))
             return
         self._watch_expiry(self._held.authority)
 
@@ -322,4 +269,6 @@
         self._metric.count(f'leases.failed.{failure.reason}')
 
     def _new_value(self) -> bytes:
-        return msgspec.json.encode(LeaseRecord(self._holder, ids.new_id()))
+        return msgspec.json.encode(
+            lease_types.LeaseRecord(self._holder, ids.new_id())
+        )
--- a/packages/cactusmux-control/tests/test_leases.py
+++ b/packages/cactusmux-control/tests/test_leases.py
@@ -2,12 +2,13 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_control import lease_types
 from cactusmux_control import leases
 from cactusmux_fakes import memory_store
 from cactusmux_fakes import scripted_store
 import pytest
 
-SETTINGS = leases.LeaseSettings()
+SETTINGS = lease_types.LeaseSettings()
 KEY = 'leases/orders'
 
 
@@ -23,7 +24,7 @@
             for _ in range(2)
         ]
         self.holders = [self.new_holder(n) for n in range(2)]
-        self.news: list[leases.Authority | None] = []
+        self.news: list[lease_types.Authority | None] = []
         self.holders[0].subscribe(self.news.append)
 
     def new_holder(self, number: int) -> leases.LeaseHolder:
@@ -123,6 +124,20 @@
     assert bed.fencing() == entry.revision
 
 
+def test_claim_without_effect_is_not_taken_for_its_rivals() -> None:
+    bed = Bed()
+    bed.ways[0].scripts = [
+        scripted_store.Script(),
+        scripted_store.Script(),
+        scripted_store.Script(late=True),
+    ]
+    bed.holders[0].step()
+    bed.holders[1].step()
+    assert bed.holders[1].authority() is not None
+    bed.holders[0].step()
+    assert bed.holders[0].authority() is None
+
+
 def test_claim_settled_late_counts_from_when_it_was_asked() -> None:
     bed = Bed()
     asked_at = bed.clock.now()
--- a/packages/cactusmux-control/tests/test_leases_machine.py
+++ b/packages/cactusmux-control/tests/test_leases_machine.py
@@ -2,6 +2,7 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_control import lease_types
 from cactusmux_control import leases
 from cactusmux_fakes import memory_store
 from cactusmux_fakes import scripted_store
@@ -13,17 +14,20 @@
 RATES = (0.99, 1.0, 1.01)
 KEY = 'leases/orders'
 
-scripts = st.lists(
-    st.builds(
-        scripted_store.Script,
-        before_s=st.sampled_from([0.0, 0.5, 4.0, 11.0]),
-        after_s=st.sampled_from([0.0, 0.5, 4.0, 9.0, 11.0]),
-        dropped=st.booleans(),
-        unanswered=st.booleans(),
-        late=st.booleans(),
-    ),
-    max_size=4,
+FINE = scripted_store.Script()
+SCRIPTS = (
+    FINE,
+    FINE,
+    FINE,
+    FINE._replace(before_s=0.5, after_s=0.5),
+    FINE._replace(after_s=9.0),
+    FINE._replace(before_s=11.0),
+    FINE._replace(dropped=True),
+    FINE._replace(unanswered=True),
+    FINE._replace(unanswered=True, after_s=4.0),
+    FINE._replace(late=True),
 )
+scripts = st.lists(st.sampled_from(SCRIPTS), max_size=4)
 holder_numbers = st.integers(0, len(RATES) - 1)
 
 
@@ -72,6 +76,13 @@
         self.step(number, script)
         self.ways[number].meanwhile = self.check
 
+    @stateful.rule(number=holder_numbers, times=st.integers(1, 4))
+    def run_on(self, number: int, times: int) -> None:
+        for _ in range(times):
+            self.step(number, [])
+            self.clock.advance(2.0)
+            self.check()
+
     @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 2.0, 7.9, 8.5, 10.0]))
     def pause_all(self, seconds: float) -> None:
         self.clock.advance(seconds)
@@ -101,7 +112,9 @@
         for number, authority in valid:
             self._check_one(number, authority)
 
-    def _check_one(self, number: int, authority: leases.Authority) -> None:
+    def _check_one(
+        self, number: int, authority: lease_types.Authority
+    ) -> None:
         entry = self.store.get(KEY).unwrap()
         assert entry is not None
         assert entry.revision == authority.fencing
@@ -113,8 +126,8 @@
 
 LeaseMachine.TestCase.settings = hypothesis.settings(
     derandomize=True,
-    max_examples=150,
-    stateful_step_count=30,
+    max_examples=200,
+    stateful_step_count=40,
     deadline=None,
     database=None,
 )
