--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/document_watch.py
@@ -0,0 +1,159 @@
+"""Watches and polls the documents in the configuration store."""
+
+from collections.abc import Callable
+import random
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import rendezvous
+from cactusmux_base import timers
+from cactusmux_platform import stores
+
+from . import document_sources
+from . import documents
+
+WATCHERS_PER_ZONE = 2
+WATCH_JOB = 'documents'
+WATCH_WAIT_S = 6.0
+ROLE_CHECK_S = 1.0
+MIN_WATCH_INTERVAL_S = 0.1
+FIRST_RETRY_S = 0.5
+MAX_RETRY_S = 2.0
+
+OfferEntry = Callable[[str, stores.Entry], None]
+
+
+class DocumentWatch:
+    """Offers every document entry that the store shows.
+
+    ``heard`` tells whether the store has ever answered.
+    ``seen_by_service`` has the revision that the store showed last.
+
+    Counters: ``documents.polls``, ``documents.watches``, each with
+    ``_failed`` for failures, ``documents.key_deleted`` and
+    ``documents.store_went_back``.
+    """
+
+    def __init__(
+        self,
+        store: stores.ConfigStore,
+        members: document_sources.LiveMembers,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        rng: random.Random,
+        offer_entry: OfferEntry,
+    ) -> None:
+        self.heard = False
+        self.seen_by_service: dict[str, int] = {}
+        self._store = store
+        self._members = members
+        self._timer = timer
+        self._metric = metric
+        self._rng = rng
+        self._offer_entry = offer_entry
+        self._next_revision: int | None = None
+
+    def run(self) -> None:
+        """Watches whenever it is this instance's turn, until killed."""
+        retry_s = FIRST_RETRY_S
+        while True:
+            if not self.is_watcher():
+                self._timer.sleep(ROLE_CHECK_S)
+                continue
+            if self.watch_once():
+                retry_s = FIRST_RETRY_S
+                self._timer.sleep(MIN_WATCH_INTERVAL_S)
+                continue
+            self._timer.sleep(self._rng.uniform(0.5, 1.0) * retry_s)
+            retry_s = min(2.0 * retry_s, MAX_RETRY_S)
+
+    def is_watcher(self) -> bool:
+        """Tells whether this instance is one of its zone's watchers.
+
+        One that sees no members at all watches for itself.
+        """
+        zone_members = self._members.zone_members()
+        if not zone_members:
+            return True
+        chosen = rendezvous.choose(zone_members, WATCH_JOB, WATCHERS_PER_ZONE)
+        return self._members.own_address() in chosen
+
+    def poll_once(self) -> bool:
+        """Reads all documents; ``False`` when the store did not answer."""
+        self._metric.count('documents.polls')
+        read = self._store.get_prefix(documents.DOCUMENT_PREFIX)
+        entries = read.value_or(None)
+        if entries is None:
+            self._metric.count('documents.polls_failed')
+            return False
+        self.heard = True
+        shown = {_service(entry.key) for entry in entries}
+        for service in self.seen_by_service.keys() - shown:
+            self._note_deleted(service)
+        for entry in entries:
+            self._offer(entry)
+        return True
+
+    def watch_once(self) -> bool:
+        """Waits for one answer of the watch; ``False`` when it failed.
+
+        Polls first whenever it does not know where to watch from.
+        """
+        if self._next_revision is None:
+            if not self.poll_once():
+                return False
+            seen = self.seen_by_service.values()
+            self._next_revision = max(seen, default=stores.ABSENT)
+        return self._watch_from(self._next_revision)
+
+    def _watch_from(self, revision: int) -> bool:
+        self._metric.count('documents.watches')
+        answer = self._store.watch(
+            documents.DOCUMENT_PREFIX, revision, WATCH_WAIT_S
+        )
+        watched = answer.value_or(None)
+        if watched is None:
+            self._metric.count('documents.watches_failed')
+            return self._recover(answer.failure())
+        self.heard = True
+        for change in watched.changes:
+            self._offer_change(change)
+        self._next_revision = watched.revision
+        if watched.revision < revision:
+            # The store was restored, or answered from an old copy.
+            self._metric.count('documents.store_went_back')
+            return self.poll_once()
+        return True
+
+    def _recover(self, failure: stores.StoreError) -> bool:
+        if not isinstance(failure, stores.WatchCompacted):
+            return False
+        # The poll comes after the revision to go on from was learnt, so
+        # that it shows every change up to there.
+        polled = self.poll_once()
+        if not polled or failure.oldest == stores.ABSENT:
+            self._next_revision = None
+            return False
+        self._next_revision = failure.oldest
+        return True
+
+    def _offer_change(self, change: stores.Change) -> None:
+        if change.entry is None:
+            self._note_deleted(_service(change.key))
+            return
+        self._offer(change.entry)
+
+    def _offer(self, entry: stores.Entry) -> None:
+        service = _service(entry.key)
+        self.seen_by_service[service] = entry.revision
+        self._offer_entry(service, entry)
+
+    def _note_deleted(self, service: str) -> None:
+        if self.seen_by_service.pop(service, None) is None:
+            return
+        self._metric.count('documents.key_deleted')
+        events.warning('document_key_deleted', service=service)
+
+
+def _service(key: str) -> str:
+    return key.removeprefix(documents.DOCUMENT_PREFIX)
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/faulty_store.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/faulty_store.py
@@ -17,8 +17,9 @@
     ``down`` refuses every call before it has an effect. ``slow_s`` delays
     each call by seconds. ``lost_answers`` is how often a write takes effect
     and its answer is lost, ``lost_writes`` how often both are lost.
-    ``stale_reads`` is how often a read shows the state of an earlier
-    revision. ``watch_hides`` is how many of the newest changes watches don't
+    ``stale_reads`` is how often a read shows the state of any earlier
+    revision, and ``reads_hide`` is how many of the newest changes no read
+    shows yet. ``watch_hides`` is how many of the newest changes watches don't
     show yet, ``watch_late_s`` delays what they show, ``watch_skips`` is how
     often they pass over changes for good, and ``watch_broken`` makes them
     fail. ``watch_compacted`` makes watches from before the newest revision
@@ -30,6 +31,7 @@
     lost_answers: float = 0.0
     lost_writes: float = 0.0
     stale_reads: float = 0.0
+    reads_hide: int = 0
     watch_hides: int = 0
     watch_late_s: float = 0.0
     watch_skips: float = 0.0
@@ -61,6 +63,10 @@
         self._timer = timer
         self._rng = rng
 
+    def restore(self, store: memory_store.MemoryStore) -> None:
+        """Goes on with another state, as after restoring a backup."""
+        self._store = store
+
     def lapse_lease(self, lease_id: int) -> None:
         """Ends a lease at once, as when its holder was paused too long."""
         self._store.expire_lease(lease_id)
@@ -70,16 +76,16 @@
     ) -> result.Result[stores.Entry | None, stores.StoreError]:
         if not self._begin('get'):
             return result.Failure(stores.StoreUnavailable('get'))
-        if self._hits(self.faults.stale_reads):
-            return result.Success(self._earlier_entries().get(key))
-        return self._store.get(key)
+        if not self._reads_are_stale():
+            return self._store.get(key)
+        return result.Success(self._earlier_entries().get(key))
 
     def get_prefix(
         self, prefix: str
     ) -> result.Result[tuple[stores.Entry, ...], stores.StoreError]:
         if not self._begin('get_prefix'):
             return result.Failure(stores.StoreUnavailable('get_prefix'))
-        if not self._hits(self.faults.stale_reads):
+        if not self._reads_are_stale():
             return self._store.get_prefix(prefix)
         entry_by_key = self._earlier_entries()
         keys = sorted(k for k in entry_by_key if k.startswith(prefix))
@@ -190,11 +196,17 @@
     def _history(self) -> stores.Watched:
         return self._store.watch('', stores.ABSENT, 0.0).unwrap()
 
+    def _reads_are_stale(self) -> bool:
+        return bool(self.faults.reads_hide or self.faults.stale_reads)
+
     def _earlier_entries(self) -> dict[str, stores.Entry]:
-        """Returns the entries after a random part of all changes."""
+        """Returns the entries that a read shows in place of the newest."""
         changes = self._history().changes
+        shown = max(0, len(changes) - self.faults.reads_hide)
+        if self._hits(self.faults.stale_reads):
+            shown = self._rng.randint(0, shown)
         entry_by_key: dict[str, stores.Entry] = {}
-        for change in changes[: self._rng.randint(0, len(changes))]:
+        for change in changes[:shown]:
             if change.entry is None:
                 entry_by_key.pop(change.key, None)
             else:
--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/linked_documents.py
@@ -0,0 +1,73 @@
+"""Documents in force of several instances, linked within one process."""
+
+from cactusmux_control import document_sources
+from cactusmux_control import in_force
+from returns import result
+
+
+class DocumentLinks:
+    """All linked instances; ``cut`` has the addresses that reach no peer."""
+
+    def __init__(self) -> None:
+        self.zone_by_address: dict[str, str] = {}
+        self.documents_by_address: dict[str, in_force.DocumentsInForce] = {}
+        self.cut: set[str] = set()
+
+    def peers_of(self, address: str) -> list[str]:
+        """Returns the addresses that ``address`` reaches, in order."""
+        if address in self.cut:
+            return []
+        return [
+            other
+            for other in sorted(self.documents_by_address)
+            if other != address and other not in self.cut
+        ]
+
+    def tell(self, from_address: str, to_address: str) -> None:
+        """Tells the revisions of one instance to another it reaches."""
+        if to_address not in self.peers_of(from_address):
+            return
+        told = self.documents_by_address[from_address].revision_by_service()
+        receiver = self.documents_by_address[to_address]
+        receiver.note_peer_revisions(from_address, told)
+
+    def tell_all(self) -> None:
+        """Tells the revisions of every instance to all that it reaches."""
+        for address in sorted(self.documents_by_address):
+            for other in self.peers_of(address):
+                self.tell(address, other)
+
+
+class LinkedPeers(
+    document_sources.DocumentPeers, document_sources.LiveMembers
+):
+    """The peers and members that one linked instance sees."""
+
+    def __init__(self, links: DocumentLinks, address: str, zone: str) -> None:
+        self._links = links
+        self._address = address
+        self._zone = zone
+        links.zone_by_address[address] = zone
+
+    def fetch_body(
+        self, peer_address: str, service: str
+    ) -> result.Result[
+        document_sources.DocumentBody, document_sources.BodyUnavailable
+    ]:
+        body: document_sources.DocumentBody | None = None
+        if peer_address in self._links.peers_of(self._address):
+            peer = self._links.documents_by_address[peer_address]
+            body = peer.body(service)
+        if body is not None:
+            return result.Success(body)
+        return result.Failure(
+            document_sources.BodyUnavailable(peer_address, service)
+        )
+
+    def own_address(self) -> str:
+        return self._address
+
+    def zone_members(self) -> tuple[str, ...]:
+        zone_by_address = self._links.zone_by_address
+        reached = [self._address, *self._links.peers_of(self._address)]
+        return tuple(a for a in reached if zone_by_address[a] == self._zone)
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/memory_store.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/memory_store.py
@@ -1,5 +1,7 @@
 """A configuration store in memory, with the semantics of the real one."""
 
+import bisect
+
 from cactusmux_base import timers
 from cactusmux_platform import stores
 from gevent import event
@@ -109,9 +111,8 @@
             self._expire()
             changes = tuple(
                 change
-                for change in self._history
-                if change.revision > after_revision
-                and change.key.startswith(prefix)
+                for change in self._changes_after(after_revision)
+                if change.key.startswith(prefix)
             )
             left = deadline - self._timer.now()
             if changes or left <= 0:
@@ -147,6 +148,12 @@
         self._revision += 1
         self._record(stores.Change(key, self._revision, None))
 
+    def _changes_after(self, revision: int) -> list[stores.Change]:
+        first = bisect.bisect_right(
+            self._history, revision, key=lambda change: change.revision
+        )
+        return self._history[first:]
+
     def _record(self, change: stores.Change) -> None:
         self._history.append(change)
         self._changed.set()
