Take an instance's part of the pool by service, averaged

Cause: the parts of all instances added up to more than the pool. Parts by organisation rest on few requests, and what starts at a peak of a part still runs after it; an owner who came back was taken to be alone by each instance. Parts are now by service, averaged over 6 s unless they jump, and equal until news is younger than the own asking.

--- a/packages/cactusmux-routing/src/cactusmux_routing/demand.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/demand.py
@@ -5,7 +5,7 @@
 
 from cactusmux_base import timers
 
-WINDOW_S = 1.0
+WINDOW_S = 2.0
 FORGET_TPS = 0.01
 
 
@@ -30,19 +30,18 @@
 
 
 class _Rate:
-    __slots__ = ('tps', 'at', 'since')
+    __slots__ = ('tps', 'at')
 
     def __init__(self, now: float) -> None:
         self.tps = 0.0
         self.at = now
-        self.since = now
 
 
 class DemandMeter:
-    """Measures asked tokens a second by leaf, over about a second.
+    """Measures asked tokens a second by leaf, over about two seconds.
 
     All that is asked for counts, also what is then refused; what still
-    waits counts as if it were asked for again each second.
+    waits counts as if it were asked for again all the time.
     """
 
     def __init__(self, timer: timers.TimerService) -> None:
@@ -67,11 +66,6 @@
         else:
             self._backlog_by_leaf.pop(leaf, None)
 
-    def since(self, leaf: Leaf) -> float:
-        """Returns when the leaf began to ask, after it had asked nothing."""
-        rate = self._rate_by_leaf.get(leaf)
-        return rate.since if rate else self._timer.now()
-
     def tps_by_leaf(self) -> dict[Leaf, float]:
         """Returns all demand now; what has faded away is forgotten."""
         now = self._timer.now()
--- a/packages/cactusmux-routing/src/cactusmux_routing/fair_share.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/fair_share.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+import math
 from typing import NamedTuple
 
 from cactusmux_base import timers
@@ -15,8 +16,13 @@
 from . import max_min
 
 STALE_AFTER_S = 3.0
-# So long after an organisation begins to ask, others may not have told.
-SETTLE_S = 1.5
+# An instance's part of a service's demand is averaged over this time, as
+# streams last about as long; it starts as an equal part.
+PART_WINDOW_S = 6.0
+# A part that is off by this factor is not noise: it is followed at once.
+PART_JUMP = 3.0
+# News of others counts once it is so much younger than our own asking.
+SETTLE_S = 0.5
 REFRESH_S = 0.1
 UNLIMITED_TPS = 1e12
 NOTHING = max_min.Portion(0.0, 0.0)
@@ -60,6 +66,8 @@
         self._heard_by_zone: dict[str, demand.ZoneDemand] = {}
         self._others_by_zone: dict[str, int] = {}
         self._shares = Shares({}, {}, 0.0, 0.0)
+        self._part_by_service: dict[str, _Part] = {}
+        self._parted_at = timer.now()
         self._refresh_at = 0.0
 
     def set_pool(
@@ -104,21 +112,20 @@
         own = self._meter.tps_by_leaf()
         others = self._others(own)
         whole_by_leaf = self._grant(own, others, now)
-        part_by_leaf = {
-            leaf: self._part(leaf, own[leaf], others.get(leaf, 0.0), now)
-            for leaf in own
-        }
         portion_by_leaf = {}
-        for leaf, part in part_by_leaf.items():
+        for leaf, tps in own.items():
+            part = tps / (tps + others.get(leaf, 0.0))
             whole = whole_by_leaf.get(leaf, NOTHING)
             portion_by_leaf[leaf] = max_min.Portion(
                 whole.granted * part, whole.potential * part
             )
-        granted_tps = sum(x.granted for x in whole_by_leaf.values())
-        spare_tps = max(self._capacity_tps - granted_tps, 0.0)
-        limit_tps = sum(x.granted for x in portion_by_leaf.values())
+        parts = self._service_parts(_sum(own), _sum(others), now)
+        granted = _sum({x: y.granted for x, y in whole_by_leaf.items()})
+        limit_tps = sum(granted.get(x, 0.0) * parts[x] for x in parts)
+        spare_tps = max(self._capacity_tps - sum(granted.values()), 0.0)
         limit_tps += spare_tps / self._members()
-        entitled = self._entitle(own, part_by_leaf)
+        entitlement = self._entitlement()
+        entitled = {x: entitlement.get(x, 0.0) * parts[x] for x in parts}
         return Shares(portion_by_leaf, entitled, limit_tps, self._capacity_tps)
 
     def _others(
@@ -145,12 +152,8 @@
         total = dict(others)
         for leaf, tps in own.items():
             total[leaf] = total.get(leaf, 0.0) + tps
-        total_by_service: dict[str, float] = {}
-        for leaf, tps in total.items():
-            known = total_by_service.get(leaf.service, 0.0)
-            total_by_service[leaf.service] = known + tps
         portion_by_leaf: dict[demand.Leaf, max_min.Portion] = {}
-        services = self._by_service(total_by_service, now)
+        services = self._by_service(_sum(total), now)
         for service, portion in services.items():
             portion_by_leaf.update(
                 self._by_organisation(service, portion, total)
@@ -210,29 +213,45 @@
         portions = max_min.divide(self._capacity_tps, claims)
         return {service: x.granted for service, x in portions.items()}
 
-    def _entitle(
+    def _service_parts(
         self,
-        own: Mapping[demand.Leaf, float],
-        part_by_leaf: Mapping[demand.Leaf, float],
+        own: Mapping[str, float],
+        others: Mapping[str, float],
+        now: float,
     ) -> dict[str, float]:
-        """Splits entitlements by this instance's part of the demand."""
-        entitled = {}
-        for service, tps in self._entitlement().items():
-            asked = {leaf: x for leaf, x in own.items() if x > 0}
-            asked = {x: asked[x] for x in asked if x.service == service}
-            # Own demand over everybody's, leaf by leaf.
-            total = sum(asked[x] / max(part_by_leaf[x], 1e-9) for x in asked)
-            part = sum(asked.values()) / total if total > 0 else 0.0
-            entitled[service] = tps * part
-        return entitled
-
-    def _part(
-        self, leaf: demand.Leaf, own: float, others: float, now: float
-    ) -> float:
-        if now - self._meter.since(leaf) < SETTLE_S:
-            # The same callers may just have come to others too.
-            others = max(others, own * (self._members() - 1))
-        return own / (own + others) if own > 0 else 0.0
+        """Averages this instance's part of each service's demand.
+
+        Parts that changed with every request would add up to more than
+        one: what starts at a peak of the part still runs after it.
+        """
+        kept = math.exp((self._parted_at - now) / PART_WINDOW_S)
+        self._parted_at = now
+        parts = {}
+        for service, tps in own.items():
+            known = self._part_by_service.get(service)
+            if known is None:
+                known = _Part(1.0 / self._members(), now)
+            elsewhere = others.get(service, 0.0)
+            if self._oldest_news_at() < known.since + SETTLE_S:
+                # The same callers may just have come to others too.
+                elsewhere = max(elsewhere, tps * (self._members() - 1))
+            part = tps / (tps + elsewhere)
+            if 1.0 / PART_JUMP < part / known.part < PART_JUMP:
+                part += (known.part - part) * kept
+            parts[service] = _Part(part, known.since)
+        self._part_by_service = parts
+        return {service: part.part for service, part in parts.items()}
+
+    def _oldest_news_at(self) -> float:
+        """Returns when the least recent news of any zone was made."""
+        return min(
+            (
+                heard.taken_at
+                for zone, heard in self._heard_by_zone.items()
+                if zone in self._others_by_zone
+            ),
+            default=math.inf,
+        )
 
     def _fresh_fraction(self, now: float) -> float:
         """Returns how much of the fleet is heard of, by instances.
@@ -251,5 +270,18 @@
         return 1 + sum(self._others_by_zone.values())
 
 
+class _Part(NamedTuple):
+    part: float
+    since: float
+
+
+def _sum(tps_by_leaf: Mapping[demand.Leaf, float]) -> dict[str, float]:
+    tps_by_service: dict[str, float] = {}
+    for leaf, tps in tps_by_leaf.items():
+        known = tps_by_service.get(leaf.service, 0.0)
+        tps_by_service[leaf.service] = known + tps
+    return tps_by_service
+
+
 def _without_stale_loans(tps: float, entitled: float, fresh: float) -> float:
     return min(tps, entitled) + max(tps - entitled, 0.0) * fresh
