Send absolute orders of a recorded plan, with authority only

Cause: nothing brought targets to what placement decided, and a holder that is paused between its check and its write can order a target that ignores fencing numbers at any later time. Change: a round plans, records the plan by compare-and-swap, then orders what differs from the reports, with authority checked before each order for the whole time of its delivery. Loads keep within 10 s of the weight store's rate, urgent ones within 20 s. Ruled out: recomputing the plan from reports alone, as a new holder would not know what its predecessor has in hand; one record a target (a write for each order, 1,600 keys).

--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/order_tasks.py
@@ -0,0 +1,120 @@
+"""Targets that report something else than they are to hold."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from cactusmux_base import timers
+
+from . import documents
+from . import placement_types
+from . import pool
+
+FIRST_RETRY_S = 4.0
+LONGEST_RETRY_S = 60.0
+
+
+class Task(NamedTuple):
+    """A target to bring to ``holdings``, which takes a load of some MB."""
+
+    address: str
+    holdings: placement_types.Holdings
+    load_mb: float
+    urgent: bool
+    unfenced: bool
+    loading: bool
+
+
+def list_tasks(
+    in_force: Sequence[documents.ServiceDocument],
+    known_by_address: Mapping[str, pool.KnownTarget],
+    plan: placement_types.Plan,
+) -> list[Task]:
+    """Returns targets to order: urgent first, then those that only drop."""
+    layer_mb_by_model = pool.layer_mb_by_model(in_force)
+    tasks = []
+    for address, holdings in plan.holdings_by_address.items():
+        known = known_by_address[address]
+        assert known.report is not None
+        reported = known.report.holdings
+        if set(holdings) == set(reported):
+            continue
+        load_mb = sum(
+            (one.last - one.first) * layer_mb_by_model.get(one.model, 0)
+            for one in holdings
+            if one not in reported
+        )
+        tasks.append(
+            Task(
+                address=address,
+                holdings=holdings,
+                load_mb=load_mb,
+                urgent=address in plan.urgent,
+                unfenced=pool.ignores_fencing(known, in_force),
+                loading=known.report.loading,
+            )
+        )
+    return sorted(
+        tasks, key=lambda t: (not t.urgent, t.load_mb > 0, t.address)
+    )
+
+
+class _Sent(NamedTuple):
+    """The last order to a target, and when it may be sent again."""
+
+    holdings: placement_types.Holdings
+    again_at: float
+    attempts: int
+    accepted: bool
+
+
+class OrderHistory:
+    """What was sent under the present authority, for retries."""
+
+    def __init__(self, timer: timers.TimerService) -> None:
+        self._timer = timer
+        self._sent_by_address: dict[str, _Sent] = {}
+
+    def clear(self) -> None:
+        """Forgets all, under a new authority."""
+        self._sent_by_address = {}
+
+    def forget_others(self, tasks: Sequence[Task]) -> None:
+        """Forgets targets that need no order any more."""
+        addresses = {task.address for task in tasks}
+        for address in set(self._sent_by_address) - addresses:
+            del self._sent_by_address[address]
+
+    def is_under_way(self, task: Task) -> bool:
+        """Tells whether the target accepted just this order."""
+        sent = self._sent_by_address.get(task.address)
+        return (
+            sent is not None
+            and sent.accepted
+            and sent.holdings == task.holdings
+        )
+
+    def is_due(self, task: Task) -> bool:
+        """Tells whether the order is new, or its retry has come."""
+        sent = self._sent_by_address.get(task.address)
+        if sent is None or sent.holdings != task.holdings:
+            return True
+        return self._timer.now() >= sent.again_at
+
+    def note(self, task: Task, accepted: bool) -> None:
+        """Notes an order that was sent; each retry waits twice as long."""
+        before = self._sent_by_address.get(task.address)
+        attempts = 0
+        if before is not None and before.holdings == task.holdings:
+            attempts = before.attempts + 1
+        wait_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2.0**attempts)
+        self._sent_by_address[task.address] = _Sent(
+            task.holdings, self._timer.now() + wait_s, attempts, accepted
+        )
+
+    def loading_mb(self, tasks: Sequence[Task]) -> float:
+        """Returns what targets are loading now, in MB."""
+        return sum(
+            task.load_mb
+            for task in tasks
+            if task.loading or self.is_under_way(task)
+        )
--- /dev/null
+++ b/packages/cactusmux-control/tests/test_orders.py
@@ -0,0 +1,445 @@
+"""Tests of rounds of orders: authority, record, budget, late orders."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import documents
+from cactusmux_control import leases
+from cactusmux_control import load_budget
+from cactusmux_control import orders
+from cactusmux_control import plan_record
+from cactusmux_control import pool
+from cactusmux_fakes import direct_targets
+from cactusmux_fakes import engines
+from cactusmux_fakes import fixed_weights
+from cactusmux_fakes import memory_store
+from cactusmux_fakes import scripted_store
+from cactusmux_platform import instances
+from cactusmux_platform import stores
+from cactusmux_platform import targets
+import pytest
+from returns import result
+
+MODEL = documents.Model(6, 4096, 500, 'v1', ('a',))
+RATE_MB_PER_S = 10_000.0
+
+
+class PausedClient(targets.TargetClient):
+    """Runs ``before_send`` after the authority was checked.
+
+    Whatever that does happens while the order is in hand, as when the
+    process is paused there.
+    """
+
+    def __init__(self, client: targets.TargetClient) -> None:
+        self._client = client
+        self.before_send: Callable[[], None] = lambda: None
+        self.sent: list[tuple[str, targets.Order]] = []
+
+    def report(self, address: str) -> Any:
+        return self._client.report(address)
+
+    def open_stream(
+        self, request: targets.RoutedRequest, token_gap_s: float
+    ) -> Any:
+        return self._client.open_stream(request, token_gap_s)
+
+    def send_order(self, address: str, order: targets.Order) -> Any:
+        before_send, self.before_send = self.before_send, lambda: None
+        before_send()
+        self.sent.append((address, order))
+        return self._client.send_order(address, order)
+
+
+class Instance:
+    """One of our instances, with its lease and its dispatcher."""
+
+    def __init__(self, bed: 'Bed', number: int) -> None:
+        self.store = scripted_store.ScriptedStore(bed.store, bed.clock)
+        self.metric = metrics.MemoryMetrics()
+        self.client = PausedClient(
+            direct_targets.DirectTargetClient(bed.fabric)
+        )
+        self.lease = leases.LeaseHolder(
+            self.store,
+            bed.clock,
+            self.metric,
+            leases.ORDER_LEASE,
+            f'10.9.0.{number}:80',
+        )
+        self.dispatcher = orders.OrderDispatcher(
+            self.store,
+            bed.clock,
+            self.metric,
+            self.client,
+            bed.weights,
+            orders.Sources(
+                self.lease.authority,
+                lambda: bed.documents,
+                bed.known_targets,
+            ),
+        )
+
+    def run(self) -> result.Result[orders.Round, Any]:
+        self.lease.step()
+        return self.dispatcher.run_round()
+
+
+class Bed:
+    """Engines and instances before one store, on a clock moved by hand."""
+
+    def __init__(self, checks_fencing: bool = True, count: int = 8) -> None:
+        self.clock = timers.ManualTimers()
+        self.store = memory_store.MemoryStore(self.clock)
+        self.weights = fixed_weights.FixedWeightStore(RATE_MB_PER_S)
+        self.fabric = engines.Fabric(self.clock)
+        config = engines.EngineConfig(checks_fencing=checks_fencing)
+        for number in range(count):
+            engines.Engine(self.fabric, f'10.0.0.{number}:80', config)
+        self.documents: tuple[documents.ServiceDocument, ...] | None = (
+            make_document(MODEL),
+        )
+        self.first = Instance(self, 1)
+        self.second = Instance(self, 2)
+
+    def known_targets(self) -> list[pool.KnownTarget]:
+        return [
+            pool.KnownTarget(
+                instances.ListedInstance(
+                    address,
+                    instances.Role.ENGINE,
+                    'r1',
+                    f'z{number % 2}',
+                    accelerator='kind',
+                    memory_mb=3000,
+                ),
+                None if engine.dead else engine.report(),
+                0.0,
+            )
+            for number, (address, engine) in enumerate(
+                sorted(self.fabric.engine_by_address.items())
+            )
+        ]
+
+    def settle(self, instance: Instance, rounds: int = 20) -> None:
+        for _ in range(rounds):
+            instance.run()
+            self.clock.advance(orders.PERIOD_S)
+
+    def held(self) -> dict[str, Any]:
+        return {
+            address: engine.report().holdings
+            for address, engine in self.fabric.engine_by_address.items()
+        }
+
+    def change(self, version: str) -> None:
+        self.documents = (make_document(MODEL._replace(version=version)),)
+
+    def lapse(self) -> None:
+        """Lets time pass until the second instance is the holder."""
+        self.clock.advance(10.0)
+        assert self.second.run().unwrap()
+
+
+def make_document(model: documents.Model) -> documents.ServiceDocument:
+    return documents.ServiceDocument(
+        'art', documents.Pool(0.5), {'conditions': model}, {}, {}, {}
+    )
+
+
+def versions(bed: Bed) -> set[str]:
+    return {one.version for held in bed.held().values() for one in held}
+
+
+def recorded(bed: Bed) -> plan_record.PlanRecord:
+    entry = bed.store.get(plan_record.PLAN_KEY).unwrap()
+    assert entry is not None
+    record = plan_record.decode(entry.value)
+    assert record is not None
+    return record
+
+
+@pytest.mark.parametrize('checks_fencing', [True, False])
+def test_targets_come_to_hold_the_recorded_plan(checks_fencing: bool) -> None:
+    bed = Bed(checks_fencing)
+    bed.settle(bed.first)
+    held = bed.held()
+    assert sum(len(holdings) for holdings in held.values()) >= 6
+    assert held == recorded(bed).holdings_by_address
+    sent = len(bed.first.client.sent)
+    writes = bed.first.store.writes
+    bed.settle(bed.first, rounds=5)
+    assert len(bed.first.client.sent) == sent
+    assert bed.first.store.writes == writes + 5
+
+
+def test_without_the_lease_nothing_is_planned_or_sent() -> None:
+    bed = Bed()
+    bed.first.run()
+    outcome = bed.second.run()
+    assert isinstance(outcome.failure(), orders.NoAuthority)
+    assert bed.second.client.sent == []
+
+
+def test_unknown_documents_hold_all_orders_back() -> None:
+    bed = Bed()
+    bed.settle(bed.first)
+    before = bed.held()
+    bed.documents = None
+    outcome = bed.first.run()
+    assert isinstance(outcome.failure(), orders.DocumentsUnknown)
+    assert bed.held() == before
+
+
+def test_authority_is_checked_before_each_order_of_a_round() -> None:
+    bed = Bed()
+    bed.first.client.before_send = lambda: bed.clock.advance(7.0)
+    bed.first.run()
+    assert len(bed.first.client.sent) == 1
+    counter = bed.first.metric.counter_by_name
+    assert counter['orders.held.round_limit'] == 1
+    bed.clock.advance(0.5)
+    outcome = bed.first.dispatcher.run_round()
+    assert outcome.unwrap().sent == 0
+    assert counter['orders.held.no_authority'] == 1
+
+
+def test_orders_stop_when_authority_would_lapse_in_delivery() -> None:
+    bed = Bed()
+    bed.first.lease.step()
+    bed.clock.advance(6.5)
+    outcome = bed.first.dispatcher.run_round()
+    assert outcome.unwrap().sent == 0
+    assert bed.first.client.sent == []
+
+
+def test_first_orders_to_unfenced_targets_wait() -> None:
+    bed = Bed(checks_fencing=False)
+    gained_at = bed.clock.now()
+    while not bed.first.client.sent:
+        bed.first.run()
+        bed.clock.advance(1.0)
+    assert bed.clock.now() - gained_at >= 14.0
+
+
+def test_nothing_is_sent_that_could_not_be_recorded() -> None:
+    bed = Bed()
+    bed.first.lease.step()
+    down = scripted_store.Script(dropped=True)
+    bed.first.store.scripts = [*[scripted_store.Script()] * 2, down]
+    outcome = bed.first.dispatcher.run_round()
+    assert isinstance(outcome.failure(), stores.StoreUnavailable)
+    assert bed.first.client.sent == []
+
+
+def test_lost_answer_of_the_record_is_settled_by_reading_back() -> None:
+    bed = Bed()
+    bed.first.lease.step()
+    lost = scripted_store.Script(unanswered=True)
+    bed.first.store.scripts = [*[scripted_store.Script()] * 2, lost]
+    assert bed.first.dispatcher.run_round().unwrap().sent > 0
+
+
+def test_lost_write_of_the_record_is_written_again() -> None:
+    bed = Bed()
+    bed.first.lease.step()
+    lost = scripted_store.Script(late=True)
+    bed.first.store.scripts = [*[scripted_store.Script()] * 2, lost]
+    outcome = bed.first.dispatcher.run_round()
+    assert isinstance(outcome.failure(), stores.OutcomeUnknown)
+    bed.settle(bed.first)
+    assert bed.held() == recorded(bed).holdings_by_address
+
+
+@pytest.mark.parametrize('checks_fencing', [True, False])
+def test_order_sent_late_by_a_paused_holder_has_no_effect(
+    checks_fencing: bool,
+) -> None:
+    bed = Bed(checks_fencing)
+    bed.settle(bed.first)
+    bed.change('v2')
+
+    def pause() -> None:
+        bed.lapse()
+        bed.change('v3')
+        bed.settle(bed.second, rounds=30)
+        pause.held = bed.held()  # type: ignore[attr-defined]
+
+    bed.first.client.before_send = pause
+    bed.first.dispatcher.run_round()
+    late = bed.first.client.sent[-1][0]
+    bed.clock.advance(1.0)
+    assert bed.held() == pause.held  # type: ignore[attr-defined]
+    assert bed.first.dispatcher.run_round().failure() == orders.NoAuthority()
+    if not checks_fencing:
+        assert late in recorded(bed).open_addresses
+
+
+def test_pinned_target_follows_the_plan_when_its_pin_has_ended() -> None:
+    bed = Bed(checks_fencing=False)
+    bed.settle(bed.first)
+    bed.change('v2')
+
+    def pause() -> None:
+        bed.lapse()
+        bed.change('v3')
+        bed.settle(bed.second, rounds=20)
+
+    bed.first.client.before_send = pause
+    bed.first.dispatcher.run_round()
+    assert recorded(bed).open_addresses
+    bed.settle(bed.second, rounds=int(orders.PIN_S / orders.PERIOD_S) + 30)
+    assert versions(bed) == {'v3'}
+    assert not recorded(bed).open_addresses
+
+
+def test_order_later_than_any_pin_is_put_right() -> None:
+    bed = Bed(checks_fencing=False)
+    bed.settle(bed.first)
+    before = bed.held()
+    address = sorted(before)[0]
+    stray = targets.Holding('conditions', 'v0', 0, 6, ('a',))
+    late = targets.Order('late', 1, (stray,))
+    bed.second.client.send_order(address, late)
+    bed.clock.advance(1.0)
+    assert bed.held()[address] == (stray,)
+    bed.settle(bed.first, rounds=3)
+    assert bed.held() == before
+
+
+def test_stray_order_just_after_ours_is_put_right_in_the_next_round() -> None:
+    bed = Bed(checks_fencing=False, count=2)
+    while not bed.first.client.sent:
+        bed.first.run()
+        bed.clock.advance(1.0)
+    bed.first.run()
+    before = bed.held()
+    sent = len(bed.first.client.sent)
+    address = bed.first.client.sent[0][0]
+    bed.second.client.send_order(address, targets.Order('late', 1, ()))
+    bed.clock.advance(1.0)
+    assert bed.held()[address] == ()
+    bed.first.run()
+    bed.clock.advance(1.0)
+    assert len(bed.first.client.sent) == sent + 1
+    assert bed.held()[address] == before[address]
+
+
+def test_paused_holder_cannot_record_after_it_was_followed() -> None:
+    bed = Bed()
+    bed.settle(bed.first)
+    bed.change('v2')
+    call = bed.first.store.compare_and_swap
+
+    def pause_then_swap(*arguments: Any) -> Any:
+        bed.first.store.compare_and_swap = call  # type: ignore[method-assign]
+        bed.lapse()
+        return call(*arguments)
+
+    bed.first.store.compare_and_swap = (  # type: ignore[method-assign]
+        pause_then_swap
+    )
+    outcome = bed.first.dispatcher.run_round()
+    assert isinstance(outcome.failure(), stores.Conflict)
+    authority = bed.second.lease.authority()
+    assert authority is not None
+    assert recorded(bed).fencing == authority.fencing
+
+
+def test_loads_stay_within_the_budget_and_urgent_ones_go_first() -> None:
+    bed = Bed(count=30)
+    bed.weights.rate = 600.0
+    bed.first.lease.step()
+    outcome = bed.first.dispatcher.run_round().unwrap()
+    loaded = sum(
+        (one.last - one.first) * MODEL.layer_mb
+        for _, order in bed.first.client.sent
+        for one in order.holdings
+    )
+    assert outcome.waiting > 0
+    # The first copy is urgent and may use the longer window.
+    assert 3000 <= loaded <= 12_000
+    bed.settle(bed.first, rounds=60)
+    assert bed.held() == recorded(bed).holdings_by_address
+
+
+def test_urgent_loads_may_go_further_than_others() -> None:
+    store = fixed_weights.FixedWeightStore(100.0)
+    budget = load_budget.LoadBudget(store, metrics.MemoryMetrics())
+    budget.begin_round(900.0)
+    assert not budget.take(200.0, urgent=False)
+    assert budget.take(200.0, urgent=True)
+    assert not budget.take(1000.0, urgent=True)
+    budget.begin_round(0.0)
+    assert budget.take(5000.0, urgent=False)
+
+
+def test_down_weight_store_starts_no_load_and_later_goes_on() -> None:
+    bed = Bed()
+    bed.weights.down = True
+    bed.settle(bed.first, rounds=3)
+    assert bed.first.client.sent == []
+    bed.weights.down = False
+    bed.settle(bed.first)
+    assert bed.held() == recorded(bed).holdings_by_address
+
+
+def test_unreachable_target_is_retried_at_growing_intervals() -> None:
+    bed = Bed(count=2)
+    bed.first.run()
+    refused: list[float] = []
+
+    def fail(address: str, order: targets.Order) -> Any:
+        refused.append(bed.clock.now())
+        return result.Failure(targets.NotSent(address))
+
+    bed.change('v2')
+    bed.first.client.send_order = fail  # type: ignore[method-assign]
+    bed.settle(bed.first, rounds=40)
+    gaps = [b - a for a, b in zip(refused, refused[1:], strict=False) if b > a]
+    assert gaps == sorted(gaps)
+    assert gaps[-1] >= 4 * gaps[0]
+
+
+def test_leaving_target_gets_no_order_and_is_replaced() -> None:
+    bed = Bed()
+    bed.settle(bed.first)
+    engine = bed.fabric.engine_by_address['10.0.0.0:80']
+    engine.leaving = True
+    sent = len(bed.first.client.sent)
+    bed.change('v2')
+    bed.settle(bed.first)
+    addresses = {address for address, _ in bed.first.client.sent[sent:]}
+    assert addresses
+    assert engine.address not in addresses
+
+
+def test_version_change_never_leaves_a_gap_in_service() -> None:
+    bed = Bed(count=4)
+    bed.settle(bed.first)
+    bed.change('v2')
+    for _ in range(200):
+        if bed.clock.now() % 2.0 < 0.1:
+            bed.first.run()
+        bed.clock.advance(0.1)
+        served = [
+            one.version
+            for holdings in bed.held().values()
+            for one in holdings
+            if (one.first, one.last) == (0, 6)
+        ]
+        whole = served or [
+            version
+            for version in ('v1', 'v2')
+            if sum(
+                one.last - one.first
+                for holdings in bed.held().values()
+                for one in holdings
+                if one.version == version
+            )
+            >= MODEL.layers
+        ]
+        assert whole
+    assert versions(bed) == {'v2'}
