--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/claim_retention.py
@@ -0,0 +1,48 @@
+"""Bounds the store: claims go with a lease that is never renewed."""
+
+from cactusmux_base import timers
+from cactusmux_platform import stores
+from returns import result
+
+from . import claims
+
+
+class RetentionLease:
+    """The store lease under which an instance's claims are written.
+
+    A new lease is granted once a slot; the store deletes all claims of a
+    slot when its lease ends, without a call from us.
+    """
+
+    def __init__(
+        self,
+        store: stores.ConfigStore,
+        timer: timers.TimerService,
+        settings: claims.ClaimSettings,
+    ) -> None:
+        self._store = store
+        self._timer = timer
+        self._settings = settings
+        self._lease_id = 0
+        self._slot_ends_at = 0.0
+
+    def current(self) -> result.Result[int, stores.StoreError]:
+        """Returns a lease that lasts for the whole retention from now.
+
+        Tasks that meet a new slot at once may each grant a lease; one
+        without claims ends by itself like any other.
+        """
+        if self._lease_id and self._timer.now() < self._slot_ends_at:
+            return result.Success(self._lease_id)
+        started_at = self._timer.now()
+        ttl_s = self._settings.retention_s + self._settings.slot_s
+        granted = self._store.grant_lease(ttl_s)
+        if isinstance(granted, result.Success):
+            self._lease_id = granted.unwrap()
+            self._slot_ends_at = started_at + self._settings.slot_s
+        return granted
+
+    def forget(self, lease_id: int) -> None:
+        """Grants another lease next time, as the store lost this one."""
+        if lease_id == self._lease_id:
+            self._lease_id = 0
--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/direct_claims.py
@@ -0,0 +1,265 @@
+"""Claims with one store write each, and one more for the outcome."""
+
+import itertools
+from typing import NamedTuple
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_platform import stores
+from returns import result
+
+from . import claim_retention
+from . import claims
+
+MAX_ROUNDS = 4
+MAX_PENDING = 10_000
+PENDING_RETRY_S = 1.0
+# Bounds the calls to the store after an outage.
+MAX_SETTLED = 20
+# A write whose answer was lost may take effect for as long as this.
+LATE_WRITE_S = 60.0
+
+
+class _Pending(NamedTuple):
+    """An outcome that the store has not taken yet."""
+
+    key: str
+    record: claims.ClaimRecord
+    since: float
+
+
+class _Attempt:
+    """The attempt to win one claim.
+
+    ``expected`` is the revision to replace. ``may_stand`` tells that a
+    write of this claim may have taken effect, or may yet.
+    """
+
+    def __init__(self, grant: claims.Grant) -> None:
+        self.grant = grant
+        self.expected = stores.ABSENT
+        self.may_stand = False
+
+
+_Claimed = result.Result[claims.Grant | claims.Outcome, claims.ClaimError]
+
+
+class DirectClaims(claims.Claims):
+    """Claims a key by compare-and-swap of an entry of its own."""
+
+    def __init__(
+        self,
+        store: stores.ConfigStore,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        instance_id: str,
+        settings: claims.ClaimSettings,
+    ) -> None:
+        self._store = store
+        self._timer = timer
+        self._metric = metric
+        self._instance_id = instance_id
+        self._settings = settings
+        self._retention = claim_retention.RetentionLease(
+            store, timer, settings
+        )
+        self._pending_by_claim: dict[str, _Pending] = {}
+        self._stopped = False
+
+    def start(self) -> timers.Subscription:
+        """Writes pending outcomes from now on, until cancelled."""
+        return self._timer.every(PENDING_RETRY_S, self.retry_pending)
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def pending(self) -> int:
+        return len(self._pending_by_claim)
+
+    def claim(self, request: claims.ClaimRequest) -> _Claimed:
+        claimed = self._claim(request)
+        if isinstance(claimed, result.Failure):
+            self._metric.count(f'claims.refused.{claimed.failure().reason}')
+        elif isinstance(claimed.unwrap(), claims.Grant):
+            self._metric.count('claims.won')
+        else:
+            self._metric.count('claims.repeated')
+        return claimed
+
+    def _claim(self, request: claims.ClaimRequest) -> _Claimed:
+        key = request.idempotency_key
+        if self._stopped:
+            return result.Failure(claims.ClaimsStopped(key))
+        wall = self._timer.wall()
+        if claims.is_expired(key, wall, self._settings.retention_s):
+            return result.Failure(claims.KeyExpired(key))
+        attempt = _Attempt(
+            claims.new_grant(
+                request, self._timer, self._instance_id, self._settings
+            )
+        )
+        for _ in range(MAX_ROUNDS):
+            claimed = self._try(attempt)
+            if claimed is not None:
+                return self._conclude(attempt, claimed)
+        return self._conclude(attempt, self._unavailable(attempt))
+
+    def _conclude(self, attempt: _Attempt, claimed: _Claimed) -> _Claimed:
+        """Gives up a claim that was not won but may stand in the store."""
+        won = isinstance(claimed, result.Success) and isinstance(
+            claimed.unwrap(), claims.Grant
+        )
+        if attempt.may_stand and not won:
+            grant = attempt.grant
+            self._defer(grant.key, claims.released(grant.record))
+        return claimed
+
+    def _try(self, attempt: _Attempt) -> _Claimed | None:
+        """Writes the claim once; ``None`` asks for another round."""
+        leased = self._retention.current()
+        if isinstance(leased, result.Failure):
+            return self._unavailable(attempt)
+        lease_id = leased.unwrap()
+        grant = attempt.grant
+        written = self._store.compare_and_swap(
+            grant.key, claims.encode(grant.record), attempt.expected, lease_id
+        )
+        if isinstance(written, result.Success):
+            return self._won(grant, written.unwrap())
+        failure = written.failure()
+        if isinstance(failure, stores.LeaseLost):
+            self._retention.forget(lease_id)
+            return None
+        if isinstance(failure, stores.Conflict):
+            return self._meet(attempt, failure.found)
+        if isinstance(failure, stores.OutcomeUnknown):
+            self._metric.count('claims.retried.write_outcome_unknown')
+            attempt.may_stand = True
+            return self._read_back(attempt)
+        return self._unavailable(attempt)
+
+    def _read_back(self, attempt: _Attempt) -> _Claimed | None:
+        read = self._store.get(attempt.grant.key)
+        if isinstance(read, result.Failure):
+            return self._unavailable(attempt)
+        return self._meet(attempt, read.unwrap())
+
+    def _meet(
+        self, attempt: _Attempt, found: stores.Entry | None
+    ) -> _Claimed | None:
+        """Decides by the entry that stands in the store."""
+        if found is None:
+            attempt.expected = stores.ABSENT
+            return None
+        grant = attempt.grant
+        record = claims.decode(found.value)
+        if record.claim_id == grant.record.claim_id:
+            return self._won(grant, found)
+        judged = claims.judge(
+            record,
+            grant.request,
+            self._is_given_up(record),
+            self._timer.wall(),
+        )
+        if isinstance(judged, result.Failure):
+            return result.Failure(judged.failure())
+        outcome = judged.unwrap()
+        if outcome is not None:
+            return result.Success(outcome)
+        attempt.expected = found.revision
+        return None
+
+    def _won(self, grant: claims.Grant, entry: stores.Entry) -> _Claimed:
+        return result.Success(
+            grant._replace(revision=entry.revision, lease_id=entry.lease_id)
+        )
+
+    def _is_given_up(self, record: claims.ClaimRecord) -> bool:
+        pending = self._pending_by_claim.get(record.claim_id)
+        return (
+            pending is not None
+            and pending.record.state is claims.ClaimState.RELEASED
+        )
+
+    def _unavailable(self, attempt: _Attempt) -> _Claimed:
+        grant = attempt.grant
+        ids = grant.request.resume_ids
+        if attempt.may_stand:
+            ids = claims.resume_ids(grant.request, grant.record)
+        key = grant.request.idempotency_key
+        return result.Failure(claims.ClaimsUnavailable(key, ids))
+
+    def may_dispatch(self, grant: claims.Grant) -> bool:
+        return self._timer.now() < grant.dispatch_by
+
+    def finish(self, grant: claims.Grant, outcome: claims.Outcome) -> None:
+        state = claims.ClaimState.FINISHED
+        self._record(
+            grant, grant.record._replace(state=state, outcome=outcome)
+        )
+
+    def lose(self, grant: claims.Grant) -> None:
+        state = claims.ClaimState.UNKNOWN
+        self._record(grant, grant.record._replace(state=state))
+
+    def release(self, grant: claims.Grant) -> None:
+        self._record(grant, claims.released(grant.record))
+
+    def _record(self, grant: claims.Grant, record: claims.ClaimRecord) -> None:
+        written = self._store.compare_and_swap(
+            grant.key, claims.encode(record), grant.revision, grant.lease_id
+        )
+        if isinstance(written, result.Success):
+            self._metric.count(f'claims.recorded.{record.state}')
+            return
+        failure = written.failure()
+        self._metric.count(f'claims.deferred.{failure.reason}')
+        if not isinstance(failure, stores.LeaseLost):
+            self._defer(grant.key, record)
+
+    def _defer(self, key: str, record: claims.ClaimRecord) -> None:
+        if len(self._pending_by_claim) >= MAX_PENDING:
+            self._metric.count('claims.dropped.too_many_pending')
+            return
+        pending = _Pending(key, record, self._timer.now())
+        self._pending_by_claim[record.claim_id] = pending
+
+    def retry_pending(self) -> None:
+        """Writes some deferred outcomes; stops at the first failed call."""
+        oldest = itertools.islice(self._pending_by_claim.items(), MAX_SETTLED)
+        for claim_id, pending in list(oldest):
+            settled = self._settle(pending)
+            if isinstance(settled, result.Failure):
+                return
+            self._pending_by_claim.pop(claim_id, None)
+            if not settled.unwrap():
+                # Behind the others, so that each of them has its turn.
+                self._pending_by_claim[claim_id] = pending
+
+    def _settle(
+        self, pending: _Pending
+    ) -> result.Result[bool, stores.StoreError]:
+        """Writes one deferred outcome; tells whether it is done with."""
+        read = self._store.get(pending.key)
+        if isinstance(read, result.Failure):
+            return result.Failure(read.failure())
+        found = read.unwrap()
+        is_late = self._timer.now() - pending.since > LATE_WRITE_S
+        if found is None:
+            return result.Success(is_late)
+        record = claims.decode(found.value)
+        if record.claim_id != pending.record.claim_id:
+            return result.Success(is_late)
+        if record.state is not claims.ClaimState.CLAIMED:
+            return result.Success(True)
+        written = self._store.compare_and_swap(
+            pending.key,
+            claims.encode(pending.record),
+            found.revision,
+            found.lease_id,
+        )
+        if isinstance(written, result.Success):
+            return result.Success(True)
+        if isinstance(written.failure(), stores.Conflict):
+            return result.Success(False)
+        return result.Failure(written.failure())
--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/plain_calls.py
@@ -0,0 +1,270 @@
+"""Runs requests for plain services: repeated, or at most once.
+
+A repeatable request is tried again within the retry budget. Any other is
+claimed first and sent once; after its first byte has left no second target
+is tried.
+"""
+
+import abc
+import collections
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import claims
+from cactusmux_platform import plain_services
+from cactusmux_routing import retries
+from returns import result
+
+from . import explain
+from . import plain_results
+
+MAX_ATTEMPTS = 4
+# A repeatable request leaves this part of its time to another attempt.
+ATTEMPT_FRACTION = 0.5
+BUSY_RETRY_AFTER_S = 0.5
+
+
+class PlainTargets(abc.ABC):
+    """Which instances of a plain service take new work."""
+
+    @abc.abstractmethod
+    def candidates(self, plain_service: str) -> tuple[str, ...]:
+        """Returns addresses, the preferred one first."""
+
+    @abc.abstractmethod
+    def note_failure(
+        self, address: str, failure: plain_services.PlainError
+    ) -> None:
+        """Learns from a call that failed."""
+
+
+class PlainCalls:
+    """Runs each request to its complete answer or its typed failure."""
+
+    def __init__(
+        self,
+        client: plain_services.PlainServiceClient,
+        targets: PlainTargets,
+        claimer: claims.Claims,
+        budget: retries.RetryBudget,
+        backoff: retries.Backoff,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+    ) -> None:
+        self._client = client
+        self._targets = targets
+        self._claimer = claimer
+        self._budget = budget
+        self._backoff = backoff
+        self._timer = timer
+        self._metric = metric
+        self._running_by_service: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    def run(
+        self, request: plain_results.PlainRequest, trace: explain.Trace
+    ) -> plain_results.PlainResult:
+        """Runs a request; blocks its task."""
+        name = (request.service, request.plain_service)
+        if self._running_by_service[name] >= request.concurrency:
+            detail = f'{request.concurrency} requests are in flight'
+            busy = plain_results.PlainNotRun(
+                'plain_service_busy', detail, BUSY_RETRY_AFTER_S, False
+            )
+            return self._conclude(result.Failure(busy), trace)
+        self._running_by_service[name] += 1
+        try:
+            if request.repeatable:
+                ran = self._run_repeatable(request, trace)
+            else:
+                ran = self._run_once(request, trace)
+        finally:
+            self._running_by_service[name] -= 1
+        return self._conclude(ran, trace)
+
+    def _conclude(
+        self, ran: plain_results.PlainResult, trace: explain.Trace
+    ) -> plain_results.PlainResult:
+        if isinstance(ran, result.Success):
+            self._metric.count('plain.completed')
+            return ran
+        failure = ran.failure()
+        kind = (
+            'not_run'
+            if isinstance(failure, plain_results.PlainNotRun)
+            else 'unknown'
+        )
+        self._metric.count(f'plain.{kind}.{failure.reason}')
+        trace.add(f'plain_{kind}', reason=failure.reason)
+        return ran
+
+    def _run_repeatable(
+        self, request: plain_results.PlainRequest, trace: explain.Trace
+    ) -> plain_results.PlainResult:
+        deadline = retries.Deadline(self._timer.now() + request.deadline_s)
+        self._budget.note_first_try(request.service, request.organisation)
+        failed: list[plain_services.PlainError] = []
+        for attempt in range(MAX_ATTEMPTS):
+            address = self._next_address(request, failed)
+            if address is None:
+                break
+            left_s = deadline.left_s(self._timer.now())
+            trace.add('plain_attempt', address=address, attempt=attempt)
+            answered = self._client.call(
+                address, request.call, left_s * ATTEMPT_FRACTION, once=False
+            )
+            if isinstance(answered, result.Success):
+                return result.Success(
+                    plain_results.PlainComplete(answered.unwrap())
+                )
+            failure = answered.failure()
+            failed.append(failure)
+            self._targets.note_failure(address, failure)
+            if isinstance(failure, plain_services.AnswerTooLarge):
+                break
+            if not self._may_retry(request, attempt, deadline, failure):
+                break
+        return result.Failure(plain_results.from_attempts(request, failed))
+
+    def _may_retry(
+        self,
+        request: plain_results.PlainRequest,
+        attempt: int,
+        deadline: retries.Deadline,
+        failure: plain_services.PlainError,
+    ) -> bool:
+        delay = self._backoff.delay_s(attempt, deadline)
+        if isinstance(delay, result.Failure):
+            self._metric.count(f'plain.no_retry.{delay.failure().reason}')
+            return False
+        taken = self._budget.take(request.service, request.organisation)
+        if isinstance(taken, result.Failure):
+            self._metric.count(f'plain.no_retry.{taken.failure().reason}')
+            return False
+        self._metric.count(f'plain.retried.{failure.reason}')
+        self._timer.sleep(delay.unwrap())
+        return True
+
+    def _next_address(
+        self,
+        request: plain_results.PlainRequest,
+        failed: list[plain_services.PlainError],
+    ) -> str | None:
+        """Returns the preferred address, untried ones first."""
+        addresses = self._targets.candidates(request.plain_service)
+        tried = {failure.address for failure in failed}
+        untried = [a for a in addresses if a not in tried]
+        if untried:
+            return untried[0]
+        return addresses[0] if addresses else None
+
+    def _run_once(
+        self, request: plain_results.PlainRequest, trace: explain.Trace
+    ) -> plain_results.PlainResult:
+        call = request.call
+        if not call.idempotency_key:
+            return _not_claimed(
+                'idempotency_key_missing',
+                'a request that may not be repeated needs Idempotency-Key',
+                0.0,
+            )
+        if not self._targets.candidates(request.plain_service):
+            return _not_claimed(
+                'no_plain_target',
+                request.plain_service,
+                plain_results.NO_TARGET_RETRY_AFTER_S,
+            )
+        claimed = self._claimer.claim(
+            claims.ClaimRequest(
+                request.service,
+                request.organisation,
+                call.idempotency_key,
+                claims.request_digest(call.method, call.path, call.body),
+                request.deadline_s,
+                request.resume_ids,
+            )
+        )
+        if isinstance(claimed, result.Failure):
+            return result.Failure(
+                plain_results.from_claim_failure(claimed.failure())
+            )
+        won = claimed.unwrap()
+        if isinstance(won, claims.Outcome):
+            return result.Success(plain_results.repeat_of(won))
+        trace.add('claim_won', revision=won.revision)
+        return self._send_claimed(request, won, trace)
+
+    def _send_claimed(
+        self,
+        request: plain_results.PlainRequest,
+        grant: claims.Grant,
+        trace: explain.Trace,
+    ) -> plain_results.PlainResult:
+        try:
+            answered = self._send_once(request, grant, trace)
+        except BaseException:
+            # Whatever ended this task, the request may have been sent.
+            self._claimer.lose(grant)
+            raise
+        if isinstance(answered, result.Success):
+            answer = answered.unwrap()
+            self._claimer.finish(grant, claims.kept_outcome(*answer))
+            return result.Success(plain_results.PlainComplete(answer))
+        failure = answered.failure()
+        if not isinstance(failure, plain_services.PlainNotRun):
+            self._claimer.lose(grant)
+            return result.Failure(
+                plain_results.PlainUnknown(failure.reason, str(failure), 0.0)
+            )
+        self._claimer.release(grant)
+        return result.Failure(
+            plain_results.PlainNotRun(
+                failure.reason,
+                str(failure),
+                plain_results.NOT_RUN_RETRY_AFTER_S,
+                resume_ids=claims.resume_ids(grant.request, grant.record),
+            )
+        )
+
+    def _send_once(
+        self,
+        request: plain_results.PlainRequest,
+        grant: claims.Grant,
+        trace: explain.Trace,
+    ) -> result.Result[plain_services.PlainAnswer, plain_services.PlainError]:
+        """Sends to the first target that accepts a connection."""
+        deadline = retries.Deadline(self._timer.now() + request.deadline_s)
+        failure: plain_services.PlainError = plain_services.NotSent(
+            request.plain_service, 'no target'
+        )
+        addresses = self._targets.candidates(request.plain_service)
+        for address in addresses[:MAX_ATTEMPTS]:
+            trace.add('plain_attempt', address=address, once=True)
+            answered = self._client.call(
+                address,
+                request.call,
+                deadline.left_s(self._timer.now()),
+                once=True,
+                may_send=lambda: self._claimer.may_dispatch(grant),
+            )
+            if isinstance(answered, result.Success):
+                return answered
+            failure = answered.failure()
+            self._targets.note_failure(address, failure)
+            if not isinstance(failure, plain_services.NotSent):
+                break
+            if not self._claimer.may_dispatch(grant):
+                break
+            self._metric.count(f'plain.retried.{failure.reason}')
+        return result.Failure(failure)
+
+
+def _not_claimed(
+    reason: str, detail: str, retry_after_s: float
+) -> plain_results.PlainResult:
+    return result.Failure(
+        plain_results.PlainNotRun(
+            reason, detail, retry_after_s, earlier_known=False
+        )
+    )
--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/plain_targets.py
@@ -0,0 +1,74 @@
+"""Chooses instances of a plain service from the instance list."""
+
+from collections.abc import Callable, Iterable
+import random
+
+from cactusmux_base import timers
+from cactusmux_platform import instances
+from cactusmux_platform import plain_services
+
+from . import addresses
+from . import leaving_watch
+from . import plain_calls
+
+# A service refuses with this reason once it is about to stop.
+LEAVING_REASON = 'leaving'
+AVOIDED_S = 5.0
+
+
+class ListedPlainTargets(plain_calls.PlainTargets):
+    """Prefers instances that answered, then the own zone, then the region.
+
+    The order among equals is random.
+    """
+
+    def __init__(
+        self,
+        listing: Callable[[], Iterable[instances.ListedInstance]],
+        leaving: leaving_watch.LeavingWatch,
+        place: addresses.Place,
+        timer: timers.TimerService,
+        rng: random.Random,
+    ) -> None:
+        self._listing = listing
+        self._leaving = leaving
+        self._place = place
+        self._timer = timer
+        self._rng = rng
+        self._avoided_until_by_address: dict[str, float] = {}
+
+    def candidates(self, plain_service: str) -> tuple[str, ...]:
+        leaving = self._leaving.leaving()
+        staying = [
+            listed
+            for listed in self._listing()
+            if listed.role is instances.Role.PLAIN
+            and listed.service == plain_service
+            and not listed.leaving
+            and listed.address not in leaving
+        ]
+        self._rng.shuffle(staying)
+        staying.sort(key=self._rank)
+        return tuple(listed.address for listed in staying)
+
+    def note_failure(
+        self, address: str, failure: plain_services.PlainError
+    ) -> None:
+        if isinstance(failure, plain_services.ServiceRefused):
+            if failure.detail == LEAVING_REASON:
+                source = leaving_watch.Source.REFUSAL
+                self._leaving.note(address, source)
+            return
+        if isinstance(failure, plain_services.AnswerTooLarge):
+            return
+        until = self._timer.now() + AVOIDED_S
+        self._avoided_until_by_address[address] = until
+
+    def _rank(self, listed: instances.ListedInstance) -> tuple[bool, int]:
+        avoided_until = self._avoided_until_by_address.get(listed.address)
+        is_avoided = False
+        if avoided_until is not None:
+            is_avoided = self._timer.now() < avoided_until
+            if not is_avoided:
+                del self._avoided_until_by_address[listed.address]
+        return is_avoided, self._place.distance(listed.zone, listed.region)
