Take the choice of watchers from the duties of the peers

Cause: rendezvous hashing stood twice, in cactusmux_base for documents and in cactusmux_peers for all duties.

Change: documents in force ask an interface whether they are to watch, answered by the duties. The test of the choice moves from the stand-in's choice to the real membership, with a member that is cut off.

--- a/packages/cactusmux-control/src/cactusmux_control/document_sources.py
+++ b/packages/cactusmux-control/src/cactusmux_control/document_sources.py
@@ -48,22 +48,23 @@
         """Returns the body that a peer has in force; has a deadline."""
 
 
-class LiveMembers(abc.ABC):
-    """The members that this instance holds to be alive."""
+class WatchDuty(abc.ABC):
+    """Tells what this instance does for its availability zone."""
 
     @abc.abstractmethod
-    def own_address(self) -> str:
-        """Returns this instance's own peer address."""
+    def is_watcher(self) -> bool:
+        """Tells whether this instance is to hold a waiting watch.
 
-    @abc.abstractmethod
-    def zone_members(self) -> tuple[str, ...]:
-        """Returns peer addresses of the own availability zone.
-
-        They include the own one and leave out members that are leaving.
+        All members of a zone have to choose the same few, and one that sees
+        no other member has to choose itself.
         """
 
+    @abc.abstractmethod
+    def zone_size(self) -> int:
+        """Returns how many live members the zone has, this one too."""
+
 
-class NoPeers(DocumentPeers, LiveMembers):
+class NoPeers(DocumentPeers, WatchDuty):
     """Stands for the others of an instance that runs alone."""
 
     def fetch_body(
@@ -71,8 +72,8 @@
     ) -> result.Result[DocumentBody, BodyUnavailable]:
         return result.Failure(BodyUnavailable(peer_address, service))
 
-    def own_address(self) -> str:
-        return 'alone'
+    def is_watcher(self) -> bool:
+        return True
 
-    def zone_members(self) -> tuple[str, ...]:
-        return (self.own_address(),)
+    def zone_size(self) -> int:
+        return 1
--- a/packages/cactusmux-control/src/cactusmux_control/document_watch.py
+++ b/packages/cactusmux-control/src/cactusmux_control/document_watch.py
@@ -5,15 +5,12 @@
 
 from cactusmux_base import events
 from cactusmux_base import metrics
-from cactusmux_base import rendezvous
 from cactusmux_base import timers
 from cactusmux_platform import stores
 
 from . import document_sources
 from . import documents
 
-WATCHERS_PER_ZONE = 2
-WATCH_JOB = 'documents'
 WATCH_WAIT_S = 6.0
 ROLE_CHECK_S = 1.0
 MIN_WATCH_INTERVAL_S = 0.1
@@ -37,7 +34,7 @@
     def __init__(
         self,
         store: stores.ConfigStore,
-        members: document_sources.LiveMembers,
+        duty: document_sources.WatchDuty,
         timer: timers.TimerService,
         metric: metrics.Metrics,
         rng: random.Random,
@@ -46,7 +43,7 @@
         self.heard = False
         self.seen_by_service: dict[str, int] = {}
         self._store = store
-        self._members = members
+        self._duty = duty
         self._timer = timer
         self._metric = metric
         self._rng = rng
@@ -57,7 +54,7 @@
         """Watches whenever it is this instance's turn, until killed."""
         retry_s = FIRST_RETRY_S
         while True:
-            if not self.is_watcher():
+            if not self._duty.is_watcher():
                 self._timer.sleep(ROLE_CHECK_S)
                 continue
             if self.watch_once():
@@ -67,17 +64,6 @@
             self._timer.sleep(self._rng.uniform(0.5, 1.0) * retry_s)
             retry_s = min(2.0 * retry_s, MAX_RETRY_S)
 
-    def is_watcher(self) -> bool:
-        """Tells whether this instance is one of its zone's watchers.
-
-        One that sees no members at all watches for itself.
-        """
-        zone_members = self._members.zone_members()
-        if not zone_members:
-            return True
-        chosen = rendezvous.choose(zone_members, WATCH_JOB, WATCHERS_PER_ZONE)
-        return self._members.own_address() in chosen
-
     def poll_once(self) -> bool:
         """Reads all documents; ``False`` when the store did not answer."""
         self._metric.count('documents.polls')
--- a/packages/cactusmux-control/src/cactusmux_control/in_force.py
+++ b/packages/cactusmux-control/src/cactusmux_control/in_force.py
@@ -60,7 +60,7 @@
         self,
         store: stores.ConfigStore,
         peers: document_sources.DocumentPeers,
-        members: document_sources.LiveMembers,
+        duty: document_sources.WatchDuty,
         timer: timers.TimerService,
         metric: metrics.Metrics,
         rng: random.Random,
@@ -70,7 +70,7 @@
 
         :param start_grace_s: seconds to wait for a newer copy at a peer
         """
-        self._members = members
+        self._duty = duty
         self._timer = timer
         self._metric = metric
         self._rng = rng
@@ -85,7 +85,7 @@
             self._offer_from_peer,
         )
         self._watch = document_watch.DocumentWatch(
-            store, members, timer, metric, rng, self._offer_entry
+            store, duty, timer, metric, rng, self._offer_entry
         )
         self._callbacks: list[Callback] = []
         self._settled = False
@@ -162,7 +162,7 @@
 
     def is_watcher(self) -> bool:
         """Tells whether this instance is to hold a waiting watch."""
-        return self._watch.is_watcher()
+        return self._duty.is_watcher()
 
     def watch_once(self) -> bool:
         """Waits for one answer of the watch; ``False`` when it failed."""
@@ -212,7 +212,7 @@
             return self._rng.uniform(0.5, 1.0) * retry_s
         period_s = POLL_PERIOD_S
         if self._peers_tell():
-            period_s *= max(1, len(self._members.zone_members()))
+            period_s *= max(1, self._duty.zone_size())
         return self._rng.uniform(0.5, 1.5) * period_s
 
     def _heard_any(self) -> bool:
--- a/packages/cactusmux-control/src/cactusmux_control/peer_documents.py
+++ b/packages/cactusmux-control/src/cactusmux_control/peer_documents.py
@@ -1,6 +1,7 @@
 """Connects documents in force with the exchange between instances."""
 
 from cactusmux_base import timers
+from cactusmux_peers import duties
 from cactusmux_peers import peer_service
 from returns import result
 
@@ -12,12 +13,13 @@
 
 
 class PeerDocuments(
-    document_sources.DocumentPeers, document_sources.LiveMembers
+    document_sources.DocumentPeers, document_sources.WatchDuty
 ):
-    """Fetches bodies from peers and tells who is in the own zone."""
+    """Fetches bodies from peers and tells who watches for the zone."""
 
     def __init__(self, peers: peer_service.PeerService) -> None:
         self._peers = peers
+        self._duties = duties.Duties(peers.view)
 
     def fetch_body(
         self, peer_address: str, service: str
@@ -34,17 +36,13 @@
             document_sources.DocumentBody(service, body.revision, body.value)
         )
 
-    def own_address(self) -> str:
-        return self._peers.view.own.peer_address
+    def is_watcher(self) -> bool:
+        return self._duties.is_watcher()
 
-    def zone_members(self) -> tuple[str, ...]:
+    def zone_size(self) -> int:
         own = self._peers.view.own
-        return tuple(
-            member.peer_address
-            for member in self._peers.view.live()
-            if member.is_staying
-            and (member.region, member.zone) == (own.region, own.zone)
-        )
+        members = self._peers.view.live()
+        return sum(member.zone == own.zone for member in members)
 
 
 class DocumentExchange:
--- a/packages/cactusmux-control/tests/test_in_force.py
+++ b/packages/cactusmux-control/tests/test_in_force.py
@@ -1,6 +1,5 @@
 """Documents in force: what brings one in, and that none ever reverts."""
 
-from collections.abc import Sequence
 import random
 
 from cactusmux_base import metrics
@@ -388,26 +387,6 @@
     assert _revision(one) == edited.revision_in_force > 5
 
 
-def _watchers(all_started: Sequence[in_force.DocumentsInForce]) -> list[int]:
-    return [n for n, one in enumerate(all_started) if one.is_watcher()]
-
-
-def test_two_instances_of_a_zone_watch(fleet: Fleet) -> None:
-    zones = ['a'] * 8 + ['b'] * 8 + ['c']
-    all_started = [
-        fleet.start(f'10.0.0.{n}:1', zone) for n, zone in enumerate(zones)
-    ]
-    watchers = _watchers(all_started)
-    by_zone = [zones[n] for n in watchers]
-    assert by_zone == ['a', 'a', 'b', 'b', 'c']
-    gone = f'10.0.0.{watchers[0]}:1'
-    fleet.links.cut = {gone}
-    after = _watchers(all_started)
-    # It sees nobody and so watches for itself; another one takes its place.
-    assert set(watchers) < set(after)
-    assert len(after) == len(watchers) + 1
-
-
 def test_zone_polls_as_often_whatever_its_size(fleet: Fleet) -> None:
     for size in (4, 16):
         while len(fleet.links.documents_by_address) < size:
--- a/packages/cactusmux-control/tests/test_peer_documents.py
+++ b/packages/cactusmux-control/tests/test_peer_documents.py
@@ -78,15 +78,25 @@
         assert other.find(SERVICE).unwrap().revision > revision
 
 
-def test_members_of_the_own_zone_watch() -> None:
+def test_two_instances_of_a_zone_watch() -> None:
     fleet = Fleet()
-    zones = 'aaaab'
+    zones = 'aaaaabbbc'
     held = [
         fleet.start(f'{number + 1}', zone) for number, zone in enumerate(zones)
     ]
-    fleet.clock.advance(10.0)
-    watchers = [zones[n] for n, one in enumerate(held) if one.is_watcher()]
-    assert watchers == ['a', 'a', 'b']
+
+    def watchers() -> list[int]:
+        return [n for n, one in enumerate(held) if one.is_watcher()]
+
+    fleet.clock.advance(20.0)
+    before = watchers()
+    assert [zones[n] for n in before] == ['a', 'a', 'b', 'b', 'c']
+    fleet.network.split([str(before[0] + 1)])
+    fleet.clock.advance(60.0)
+    after = watchers()
+    # It sees nobody and so watches for itself; another one takes its place.
+    assert set(before) < set(after)
+    assert [zones[n] for n in after] == ['a', 'a', 'a', 'b', 'b', 'c']
 
 
 def test_body_that_a_peer_lacks_is_unavailable() -> None:
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/linked_documents.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/linked_documents.py
@@ -4,6 +4,8 @@
 from cactusmux_control import in_force
 from returns import result
 
+WATCHERS_PER_ZONE = 2
+
 
 class DocumentLinks:
     """All linked instances; ``cut`` has the addresses that reach no peer."""
@@ -38,9 +40,7 @@
                 self.tell(address, other)
 
 
-class LinkedPeers(
-    document_sources.DocumentPeers, document_sources.LiveMembers
-):
+class LinkedPeers(document_sources.DocumentPeers, document_sources.WatchDuty):
     """The peers and members that one linked instance sees."""
 
     def __init__(self, links: DocumentLinks, address: str, zone: str) -> None:
@@ -64,10 +64,13 @@
             document_sources.BodyUnavailable(peer_address, service)
         )
 
-    def own_address(self) -> str:
-        return self._address
+    def is_watcher(self) -> bool:
+        return self._address in self._zone_members()[:WATCHERS_PER_ZONE]
+
+    def zone_size(self) -> int:
+        return len(self._zone_members())
 
-    def zone_members(self) -> tuple[str, ...]:
+    def _zone_members(self) -> list[str]:
         zone_by_address = self._links.zone_by_address
         reached = [self._address, *self._links.peers_of(self._address)]
-        return tuple(a for a in reached if zone_by_address[a] == self._zone)
+        return sorted(a for a in reached if zone_by_address[a] == self._zone)
