--- a/packages/cactusmux-fakes/src/cactusmux_fakes/platform_server.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/platform_server.py
@@ -70,7 +70,9 @@
         return f'{self._host}:{self._port}'
 
     def start(self) -> None:
-        """Listens; after a stop it does so on the same port again."""
+        """Listens unless it does; after a stop on the same port again."""
+        if self._server is not None:
+            return
         self._server = pywsgi.WSGIServer(
             (self._host, self._port), self._serve, log=None
         )
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/sample_documents.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/sample_documents.py
@@ -6,7 +6,9 @@
 OTHER_SERVICE = 'consigna-arte'
 
 
-def document_text(version: str, service: str = SERVICE) -> bytes:
+def document_text(
+    version: str, service: str = SERVICE, organisations: int = 1
+) -> bytes:
     """Returns a valid document that differs by its model's version."""
     return json.dumps(
         {
@@ -23,7 +25,9 @@
             'kind_by_name': {
                 'draft': {'worth': 5, 'deadline_s': 60, 'model': 'drafter'}
             },
-            'organisation_by_name': {'retail': {}},
+            'organisation_by_name': {
+                f'retail-{number}': {} for number in range(organisations)
+            },
             'plain_service_by_name': {},
         }
     ).encode()
