--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.ready
 UV_VERSION := 0.13.9
 PACKAGES := $(wildcard packages/*)
-SOURCES := packages tests bench
+SOURCES := packages tests bench demo
 
 .PHONY: setup test lint types unit format lock demo bench slopes binary protos
 
@@ -40,3 +40,6 @@
 	$(VENV)/bin/pytest
 
 test: lint types unit
+
+demo: $(STAMP)
+	$(PYTHON) -m demo
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole path with real processes on loopback."""
--- a/packages/cactusmux-control/src/cactusmux_control/validation.py
+++ b/packages/cactusmux-control/src/cactusmux_control/validation.py
@@ -4,8 +4,9 @@
 refuse the same documents.
 """
 
+from collections.abc import Callable, Iterable
 import typing
-from typing import Annotated, Any, NotRequired
+from typing import Annotated, Any, NotRequired, TypeVar
 
 from cactusmux_base import failures
 import pydantic
@@ -27,7 +28,17 @@
 _Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
 _Names = Annotated[list[_Name], pydantic.Field(max_length=MAX_NAMED)]
 _Weight = Annotated[float, pydantic.Field(gt=0, le=1000)]
-_STRICT = pydantic.ConfigDict(extra='forbid', strict=True, allow_inf_nan=False)
+# Values that are not exactly of a schema's type are faults, as are keys
+# that it does not have.
+STRICT = pydantic.ConfigDict(extra='forbid', strict=True, allow_inf_nan=False)
+
+
+Checked = TypeVar('Checked')
+Faults = tuple[json_text.Fault, ...]
+
+
+def _no_more(parsed: Any) -> Iterable[json_text.Fault]:
+    return ()
 
 
 class DocumentInvalid(failures.CactusmuxError):
@@ -35,20 +46,20 @@
 
     reason = 'document_invalid'
 
-    def __init__(self, faults: tuple[json_text.Fault, ...]) -> None:
+    def __init__(self, faults: Faults) -> None:
         lines = [f'{fault.path}: {fault.message}' for fault in faults]
         super().__init__('; '.join(lines))
         self.faults = faults
 
 
-@pydantic.with_config(_STRICT)
+@pydantic.with_config(STRICT)
 class _Pool(TypedDict):
     share: Annotated[float, pydantic.Field(gt=0, le=1)]
     floor: NotRequired[Annotated[float, pydantic.Field(ge=0, le=MAX_FLOOR)]]
     lend: NotRequired[bool]
 
 
-@pydantic.with_config(_STRICT)
+@pydantic.with_config(STRICT)
 class _Model(TypedDict):
     layers: Annotated[int, pydantic.Field(ge=1, le=1024)]
     hidden_width: Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
@@ -58,7 +69,7 @@
     min_copies: NotRequired[Annotated[int, pydantic.Field(ge=1, le=1024)]]
 
 
-@pydantic.with_config(_STRICT)
+@pydantic.with_config(STRICT)
 class _Kind(TypedDict):
     worth: _Weight
     deadline_s: Annotated[float, pydantic.Field(gt=0, le=3600)]
@@ -67,12 +78,12 @@
     repeatable: NotRequired[bool]
 
 
-@pydantic.with_config(_STRICT)
+@pydantic.with_config(STRICT)
 class _Organisation(TypedDict):
     weight: NotRequired[_Weight]
 
 
-@pydantic.with_config(_STRICT)
+@pydantic.with_config(STRICT)
 class _PlainService(TypedDict):
     concurrency: NotRequired[Annotated[int, pydantic.Field(ge=1, le=100_000)]]
 
@@ -81,7 +92,7 @@
 _NOT_EMPTY = pydantic.Field(min_length=1, max_length=MAX_NAMED)
 
 
-@pydantic.with_config(_STRICT)
+@pydantic.with_config(STRICT)
 class _Document(TypedDict):
     service: _Name
     pool: _Pool
@@ -103,19 +114,32 @@
         message = f'{len(text)} bytes, more than {MAX_DOCUMENT_BYTES}'
         fault = json_text.Fault(json_text.ROOT, message)
         return result.Failure(DocumentInvalid((fault,)))
+    checked = check_text(text, _ADAPTER, references.find_faults)
+    return checked.map(_to_document).alt(DocumentInvalid)
+
+
+def check_text(
+    text: bytes,
+    schema: pydantic.TypeAdapter[Checked],
+    find_more: Callable[[Any], Iterable[json_text.Fault]] = _no_more,
+) -> result.Result[Checked, Faults]:
+    """Checks JSON text against a schema; fails with every fault in it.
+
+    :param find_more: finds what the schema can't express; it is given the
+        parsed text, which may be of any shape.
+    """
     parsed = json_text.parse(text)
     if isinstance(parsed, json_text.Fault):
-        return result.Failure(DocumentInvalid((parsed,)))
+        return result.Failure((parsed,))
     faults = set(json_text.find_faults(parsed))
-    faults.update(references.find_faults(parsed))
-    checked: _Document | None = None
+    faults.update(find_more(parsed))
     try:
-        checked = _ADAPTER.validate_python(parsed)
+        checked = schema.validate_python(parsed)
     except pydantic.ValidationError as error:
         faults.update(_schema_faults(error))
-    if faults or checked is None:
-        return result.Failure(DocumentInvalid(tuple(sorted(faults))))
-    return result.Success(_to_document(checked))
+    if faults:
+        return result.Failure(tuple(sorted(faults)))
+    return result.Success(checked)
 
 
 def _schema_faults(
--- a/packages/cactusmux-entry/src/cactusmux_entry/drafts.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/drafts.py
@@ -15,6 +15,8 @@
 
 from . import answers
 from . import explain
+from . import leaving_watch
+from . import plain_targets
 from . import problems
 from . import stall_watch
 from . import suspects
@@ -59,6 +61,7 @@
     budget: retries.RetryBudget
     backoff: retries.Backoff
     stalls: stall_watch.StallWatch
+    leaving: leaving_watch.LeavingWatch
     zone: str
     token_gap_s: float
     first_token_s: float
@@ -218,6 +221,8 @@
         services = self._services
         if not isinstance(error, (targets.NotSent, targets.TargetRefused)):
             self._may_have_run = True
+        if error.detail == plain_targets.LEAVING_REASON:
+            services.leaving.note(error.address, leaving_watch.Source.REFUSAL)
         failed = frozenset((error.address,))
         if isinstance(error, targets.StreamStalled):
             failed = suspects.find_silent(services.targets, route)
--- a/packages/cactusmux-entry/src/cactusmux_entry/problems.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/problems.py
@@ -19,13 +19,18 @@
 
 
 class Problem(NamedTuple):
-    """One refusal; ``retry_after_s`` is 0 when a retry cannot help."""
+    """One refusal; ``retry_after_s`` is 0 when a retry cannot help.
+
+    A repeat that gives ``resume_ids`` back in ``X-Resume-Id`` is not held
+    up by what this request left behind.
+    """
 
     status: HTTPStatus
     reason: str
     detail: str
     outcome: Outcome
     retry_after_s: float = 0.0
+    resume_ids: tuple[str, ...] = ()
 
 
 class RequestFailed(failures.CactusmuxError):
@@ -56,7 +61,7 @@
 
 def to_body(problem: Problem, request_id: str) -> dict[str, object]:
     """Returns the JSON object of a problem."""
-    return {
+    body: dict[str, object] = {
         'type': f'urn:cactusmux:problem:{problem.reason}',
         'title': problem.reason.replace('_', ' '),
         'status': int(problem.status),
@@ -65,6 +70,9 @@
         'outcome': str(problem.outcome),
         'request_id': request_id,
     }
+    if problem.resume_ids:
+        body['resume_ids'] = problem.resume_ids
+    return body
 
 
 def encode(problem: Problem, request_id: str) -> bytes:
--- a/packages/cactusmux-entry/src/cactusmux_entry/service_handlers.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/service_handlers.py
@@ -8,6 +8,7 @@
 from . import completions
 from . import drafts
 from . import explain
+from . import plain_handlers
 from . import problems
 from . import responses
 from . import surface
@@ -23,10 +24,12 @@
         self,
         services: drafts.DraftServices,
         find_document: FindDocument,
+        plain: plain_handlers.PlainHandlers,
         explain_log: explain.ExplainLog,
     ) -> None:
         self._services = services
         self._find_document = find_document
+        self._plain = plain
         self._explain_log = explain_log
 
     def handle(self, call: surface.Call) -> responses.Response:
@@ -42,6 +45,8 @@
             return self._complete(call, document)
         if path == ['v1', 'models'] and call.method == 'GET':
             return _list_models(document)
+        if path[:1] == ['plain']:
+            return self._plain.handle(call, document, path[1:])
         raise _unknown_path(call)
 
     def _document(self, service: str) -> documents.ServiceDocument:
--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/state_handlers.py
@@ -0,0 +1,67 @@
+"""Handlers of health, readiness, state and explanations."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from . import explain
+from . import problems
+from . import responses
+from . import surface
+
+RETRY_AFTER_S = 1.0
+
+
+class StateHandlers:
+    """Answers what operators and their probes ask an instance.
+
+    :param not_ready_reason: returns why the instance should get no new
+        callers, or an empty text.
+    :param state: returns what the instance knows, as a JSON object.
+    """
+
+    def __init__(
+        self,
+        explain_log: explain.ExplainLog,
+        not_ready_reason: Callable[[], str],
+        state: Callable[[], dict[str, object]],
+    ) -> None:
+        self._explain_log = explain_log
+        self._not_ready_reason = not_ready_reason
+        self._state = state
+
+    def health(self, call: surface.Call) -> responses.Response:
+        """Answers that the process serves requests at all."""
+        return responses.from_json({'healthy': True})
+
+    def ready(self, call: surface.Call) -> responses.Response:
+        """Answers whether the instance should get new callers."""
+        reason = self._not_ready_reason()
+        if reason:
+            raise problems.RequestFailed(
+                problems.refused(
+                    'not_ready', reason, retry_after_s=RETRY_AFTER_S
+                )
+            )
+        return responses.from_json({'ready': True})
+
+    def state(self, call: surface.Call) -> responses.Response:
+        """Answers what the instance knows."""
+        return responses.from_json(self._state())
+
+    def explain(self, call: surface.Call) -> responses.Response:
+        """Answers what was decided for a recent request."""
+        request_id = '/'.join(call.rest)
+        trace = self._explain_log.find(request_id)
+        if trace is None:
+            raise problems.RequestFailed(
+                problems.refused(
+                    'unknown_request',
+                    f'{request_id!r} is not a recent request of this instance',
+                    HTTPStatus.NOT_FOUND,
+                )
+            )
+        steps = [
+            {'at_s': step.at_s, 'event': step.event, **step.fields}
+            for step in trace.steps
+        ]
+        return responses.from_json({'request_id': request_id, 'steps': steps})
--- a/packages/cactusmux-entry/src/cactusmux_entry/surface.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/surface.py
@@ -1,6 +1,6 @@
 """The HTTP surface: finds the handler of a request and answers it."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -47,7 +47,7 @@
     def __init__(
         self,
         instance_id: str,
-        handler_by_segment: dict[str, Handler],
+        handler_by_segment: Mapping[str, Handler],
         timer: timers.TimerService,
         sink: metrics.Metrics,
         limits: Limits,
--- a/packages/cactusmux-entry/tests/test_drafts.py
+++ b/packages/cactusmux-entry/tests/test_drafts.py
@@ -6,6 +6,7 @@
 from cactusmux_base import timers
 from cactusmux_entry import drafts
 from cactusmux_entry import explain
+from cactusmux_entry import leaving_watch
 from cactusmux_entry import problems
 from cactusmux_entry import stall_watch
 from cactusmux_fakes import direct_targets
@@ -54,6 +55,9 @@
             budget=retries.RetryBudget(self.clock),
             backoff=retries.Backoff(self.clock, rng),
             stalls=stall_watch.StallWatch(self.clock),
+            leaving=leaving_watch.LeavingWatch(
+                self.clock, self.metrics, lambda _: None, frozenset
+            ),
             zone='z1',
             token_gap_s=0.3,
             first_token_s=1.0,
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/ledger.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/ledger.py
@@ -21,12 +21,16 @@
             collections.defaultdict(list)
         )
         self._emitted: Counter[TokenKey] = Counter()
+        self._last_attempt_by_request: dict[str, int] = {}
         self.prefilled_tokens = 0
         self.imported_tokens = 0
 
     def note_layer(self, token: TokenKey, layer: int) -> None:
         """Records that ``layer`` ran for ``token``."""
         self._layers_by_token[token].append(layer)
+        self._last_attempt_by_request[token.request_id] = max(
+            token.attempt, self.attempts(token.request_id)
+        )
 
     def note_emitted(self, token: TokenKey, layers: int) -> None:
         """Records that ``token`` left the last of ``layers`` layers."""
@@ -51,4 +55,8 @@
 
     def run_request_ids(self) -> frozenset[str]:
         """Returns the requests of which at least one layer ran."""
-        return frozenset(token.request_id for token in self._layers_by_token)
+        return frozenset(self._last_attempt_by_request)
+
+    def attempts(self, request_id: str) -> int:
+        """Returns how many attempts of a request ran a layer."""
+        return self._last_attempt_by_request.get(request_id, 0)
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import socket
 
+import gevent
 from geventhttpclient import client as http_client
 from geventhttpclient import response as http_response
 import msgspec
@@ -132,8 +133,10 @@
             host,
             int(port),
             connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=timeout_s,
+            # A timeout of the socket would start a timer for each token.
+            network_timeout=None,
         )
+        self._timeout_s = timeout_s
         self._response: http_response.HTTPSocketPoolResponse | None = None
 
     def send(
@@ -141,7 +144,8 @@
     ) -> result.Result[None, targets.TargetError]:
         """Sends the request and reads the response's head."""
         try:
-            response = self._client.request(method, path, body)
+            with gevent.Timeout(self._timeout_s, TimeoutError):
+                response = self._client.request(method, path, body)
         except NOT_CONNECTED_ERRORS as error:
             return result.Failure(
                 targets.NotSent(self.address, type(error).__name__)
@@ -164,7 +168,9 @@
     ) -> result.Result[targets.TargetReport, targets.TargetError]:
         """Reads the response's body as a report."""
         try:
-            return result.Success(_report_decoder.decode(self._read_body()))
+            with gevent.Timeout(self._timeout_s, TimeoutError):
+                body = self._read_body()
+            return result.Success(_report_decoder.decode(body))
         except NETWORK_ERRORS as error:
             return result.Failure(self.network_failure(error))
         except msgspec.DecodeError as error:
@@ -194,7 +200,8 @@
         self, response: http_response.HTTPSocketPoolResponse
     ) -> targets.TargetError:
         try:
-            body = _refusal_decoder.decode(self._read_body())
+            with gevent.Timeout(self._timeout_s, TimeoutError):
+                body = _refusal_decoder.decode(self._read_body())
         except (msgspec.DecodeError, *NETWORK_ERRORS):
             body = RefusalBody()
         if body.reason == FENCED:
--- a/packages/cactusmux-platform/src/cactusmux_platform/targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/targets.py
@@ -166,8 +166,9 @@
         """Starts a routed request at its first stage.
 
         Fails with :class:`NotSent` or :class:`TargetRefused` when it did
-        not run, else with :class:`StreamBroken`. The stream raises
-        :class:`StreamStalled` when no token comes for ``token_gap_s``.
+        not run, with :class:`StreamStalled` when the target does not answer
+        within ``token_gap_s`` seconds, else with :class:`StreamBroken`.
+        Later silence is the reader's to watch: closing the stream ends it.
         """
 
     @abc.abstractmethod
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/commands.py
@@ -0,0 +1,143 @@
+"""The commands of the ``cactusmux`` program."""
+
+from importlib import metadata
+import pathlib
+from typing import NoReturn, TypeVar
+import urllib.parse
+
+from absl import logging
+from cactusmux_base import failures
+from cactusmux_control import json_text
+from cactusmux_control import validation
+import msgspec
+from returns import result
+
+from . import operator_client
+from . import serving
+from . import settings
+from . import settings_check
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+DEFAULT_INSTANCE = '127.0.0.1:8080'
+
+Checked = TypeVar('Checked')
+
+
+class CommandFailed(failures.CactusmuxError):
+    """A command ends with a message and a status that is not 0."""
+
+    reason = 'command_failed'
+
+    def __init__(self, message: str, exit_status: int = EXIT_FAILED) -> None:
+        super().__init__(message)
+        self.exit_status = exit_status
+
+
+class DocumentCommands:
+    """Shows and changes the document of a service."""
+
+    def show(self, service: str, instance: str = DEFAULT_INSTANCE) -> None:
+        """Prints the document in force, with its revision."""
+        _print_answer(instance, 'GET', f'/documents/{_quote(service)}')
+
+    def apply(
+        self, file: str, instance: str = DEFAULT_INSTANCE, expect: str = ''
+    ) -> None:
+        """Puts a document in force, if nobody changed it meanwhile.
+
+        EXPECT is the revision that the change is based on; without it, the
+        one that is in force at the instance.
+        """
+        text = _read(file)
+        document = _checked(validation.check_document(text), file)
+        path = f'/documents/{_quote(document.service)}'
+        if expect:
+            path += f'?expect={_quote(expect)}'
+        _print_answer(instance, 'PUT', path, text)
+
+    def status(self, instance: str = DEFAULT_INSTANCE) -> None:
+        """Prints which revision each instance has in force."""
+        _print_answer(instance, 'GET', '/documents')
+
+
+class Commands:
+    """A router for model pipelines over mixed accelerators."""
+
+    def __init__(self) -> None:
+        self.document = DocumentCommands()
+
+    def serve(self, file: str) -> None:
+        """Runs an instance by its settings FILE until it is stopped."""
+        loaded = _load_settings(file)
+        logging.use_absl_handler()
+        logging.set_verbosity(logging.INFO)
+        serving.serve(loaded)
+
+    def check(self, file: str) -> None:
+        """Checks a settings or document FILE and prints every fault."""
+        text = _read(file)
+        parsed = json_text.parse(text)
+        if isinstance(parsed, dict) and 'instance_id' in parsed:
+            _checked(settings_check.check_settings(text), file)
+        else:
+            _checked(validation.check_document(text), file)
+        print(f'{file}: ok')
+
+    def status(self, instance: str = DEFAULT_INSTANCE) -> None:
+        """Prints what an instance knows of the fleet and the pool."""
+        _print_answer(instance, 'GET', '/state')
+
+    def explain(
+        self, request_id: str, instance: str = DEFAULT_INSTANCE
+    ) -> None:
+        """Prints what an instance decided for one of its requests."""
+        _print_answer(instance, 'GET', f'/explain/{_quote(request_id)}')
+
+    def version(self) -> None:
+        """Prints the program's version."""
+        print(f'cactusmux {metadata.version("cactusmux")}')
+
+
+def _load_settings(file: str) -> settings.Settings:
+    text = _read(file)
+    return _checked(settings_check.check_settings(text), file)
+
+
+def _read(file: str) -> bytes:
+    try:
+        return pathlib.Path(file).read_bytes()
+    except OSError as error:
+        raise CommandFailed(f'{file}: {error.strerror}', EXIT_USAGE) from error
+
+
+def _checked(
+    checked: result.Result[
+        Checked,
+        settings_check.SettingsInvalid | validation.DocumentInvalid,
+    ],
+    file: str,
+) -> Checked:
+    if isinstance(checked, result.Success):
+        return checked.unwrap()
+    faults = checked.failure().faults
+    lines = [f'{file}: {fault.path}: {fault.message}' for fault in faults]
+    raise CommandFailed('\n'.join(lines), EXIT_USAGE)
+
+
+def _print_answer(
+    instance: str, method: str, path: str, body: bytes = b''
+) -> None:
+    answer = operator_client.call(instance, method, path, body)
+    if isinstance(answer, result.Failure):
+        _fail(answer.failure())
+    encoded = msgspec.json.encode(answer.unwrap())
+    print(msgspec.json.format(encoded, indent=2).decode())
+
+
+def _fail(error: failures.CactusmuxError) -> NoReturn:
+    raise CommandFailed(f'{error.reason}: {error}')
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(str(text), safe='')
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/instance.py
@@ -0,0 +1,355 @@
+"""Puts one instance together from its settings, and runs its parts."""
+
+import random
+from typing import NamedTuple
+
+from cactusmux_base import events
+from cactusmux_base import ids
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import claims
+from cactusmux_control import direct_claims
+from cactusmux_control import in_force
+from cactusmux_control import peer_documents
+from cactusmux_entry import address_handlers
+from cactusmux_entry import addresses
+from cactusmux_entry import document_handlers
+from cactusmux_entry import drafts
+from cactusmux_entry import draining
+from cactusmux_entry import explain
+from cactusmux_entry import leaving_watch
+from cactusmux_entry import plain_calls
+from cactusmux_entry import plain_handlers
+from cactusmux_entry import plain_targets
+from cactusmux_entry import service_handlers
+from cactusmux_entry import stall_watch
+from cactusmux_entry import state_handlers
+from cactusmux_entry import surface
+from cactusmux_peers import duties
+from cactusmux_peers import grpc_transport
+from cactusmux_peers import peer_service
+from cactusmux_peers import polling
+from cactusmux_platform import http_instances
+from cactusmux_platform import http_plain_services
+from cactusmux_platform import http_store
+from cactusmux_platform import http_targets
+from cactusmux_platform import instances
+from cactusmux_platform import plain_services
+from cactusmux_platform import stores
+from cactusmux_platform import targets
+from cactusmux_routing import choosers
+from cactusmux_routing import policies
+from cactusmux_routing import retries
+from cactusmux_routing import target_table
+
+from . import pool_view
+from . import settings as settings_lib
+
+PROCESS_ID_CHARS = 8
+
+
+class Outside(NamedTuple):
+    """Clients of everything that is not ours."""
+
+    store: stores.ConfigStore
+    instance_list: instances.InstanceList
+    targets: targets.TargetClient
+    plain_services: plain_services.PlainServiceClient
+
+
+class Instance:
+    """All parts of one instance, wired; one a process."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        timer: timers.TimerService,
+        sink: metrics.MemoryMetrics,
+        outside: Outside,
+    ) -> None:
+        self.settings = settings
+        self.timer = timer
+        self.metrics = sink
+        # New at each start, so that peers and claims tell restarts apart.
+        self.process_id = (
+            f'{settings.instance_id}-{ids.new_id()[:PROCESS_ID_CHARS]}'
+        )
+        self._rng = random.Random(self.process_id)
+        self._outside = outside
+        self._place = addresses.Place(settings.zone, settings.region)
+        self._explain_log = explain.ExplainLog(timer)
+        self.peers = self._make_peers()
+        self.duty = duties.Duties(self.peers.view)
+        self.documents = self._make_documents()
+        self.news = peer_documents.DocumentExchange(
+            self.documents, self.peers, timer
+        )
+        self.chooser = _make_chooser(settings.policy, timer, self._rng)
+        self.leaving = leaving_watch.LeavingWatch(
+            timer,
+            sink,
+            self.peers.soft_state.mark_target_leaving,
+            self.peers.soft_state.leaving_targets,
+        )
+        self.pool = pool_view.PoolView(
+            timer,
+            sink,
+            outside.instance_list,
+            self._aged_reports,
+            self.leaving,
+            self.chooser,
+        )
+        self.poller = polling.TargetPoller(
+            self.duty,
+            self.peers.soft_state,
+            outside.targets,
+            lambda: self.pool.listed,
+            timer,
+            sink,
+        )
+        self.claims = direct_claims.DirectClaims(
+            outside.store,
+            timer,
+            sink,
+            self.process_id,
+            claims.ClaimSettings(),
+        )
+        self.surface = self._make_surface()
+        self.drain = self._make_drain()
+        self._jobs: list[timers.Subscription] = []
+
+    def start(self) -> None:
+        """Joins the fleet and starts all periodic work."""
+        self.pool.start()
+        self.peers.start()
+        self.documents.start()
+        self.news.start()
+        self.poller.start()
+        self._jobs = [self.claims.start()]
+        events.info(
+            'instance_started',
+            instance=self.settings.instance_id,
+            process=self.process_id,
+            address=self.settings.address,
+            zone=self.settings.zone,
+        )
+
+    def stop(self) -> None:
+        """Ends all work; requests in flight must have ended before."""
+        for job in self._jobs:
+            job.cancel()
+        self.claims.stop()
+        self.poller.stop()
+        self.news.stop()
+        self.documents.stop()
+        self.pool.stop()
+        self.peers.stop()
+        events.info('instance_stopped', instance=self.settings.instance_id)
+
+    def not_ready_reason(self) -> str:
+        """Returns why this instance should get no new callers, if so."""
+        if not self.drain.takes_callers:
+            return 'draining'
+        missing = [
+            service
+            for service in self.settings.services
+            if self.documents.in_force(service) is None
+        ]
+        if missing:
+            return f'no document of {", ".join(missing)}'
+        return ''
+
+    def state(self) -> dict[str, object]:
+        """Returns what this instance knows, for operators."""
+        members = {
+            member.instance_id: {
+                'address': member.address,
+                'zone': member.zone,
+                'state': member.state.name.lower(),
+                'incarnation': member.incarnation,
+            }
+            for member in self.peers.view.live()
+        }
+        targets_known = {
+            address: {
+                'zone': target.zone,
+                'holdings': [list(held) for held in target.holdings],
+                'running': target.running,
+            }
+            for address, target in self.pool.table.target_by_address.items()
+        }
+        return {
+            'instance': self.settings.instance_id,
+            'process': self.process_id,
+            'requests_in_flight': self.surface.in_flight,
+            'member_by_process': members,
+            'target_by_address': targets_known,
+            'leaving_targets': sorted(self.leaving.leaving()),
+            'counter_by_name': dict(self.metrics.counter_by_name),
+            'gauge_by_name': dict(self.metrics.gauge_by_name),
+        }
+
+    def _make_peers(self) -> peer_service.PeerService:
+        settings = self.settings
+        return peer_service.PeerService(
+            peer_service.PeerSettings(
+                settings.address,
+                settings.region,
+                settings.zone,
+                settings.seeds,
+            ),
+            grpc_transport.GrpcTransport(settings.peer_address, self.metrics),
+            self.timer,
+            self.metrics,
+            self._listed_peers,
+            self._rng,
+            self.process_id,
+        )
+
+    def _make_documents(self) -> in_force.DocumentsInForce:
+        sources = peer_documents.PeerDocuments(self.peers)
+        return in_force.DocumentsInForce(
+            self._outside.store,
+            sources,
+            sources,
+            self.timer,
+            self.metrics,
+            self._rng,
+        )
+
+    def _make_surface(self) -> surface.Surface:
+        settings, timer = self.settings, self.timer
+        budget = retries.RetryBudget(timer)
+        backoff = retries.Backoff(timer, self._rng)
+        plain = plain_calls.PlainCalls(
+            self._outside.plain_services,
+            plain_targets.ListedPlainTargets(
+                lambda: self.pool.listed,
+                self.leaving,
+                self._place,
+                timer,
+                self._rng,
+            ),
+            self.claims,
+            budget,
+            backoff,
+            timer,
+            self.metrics,
+        )
+        services = service_handlers.ServiceHandlers(
+            drafts.DraftServices(
+                timer=timer,
+                metrics=self.metrics,
+                targets=self._outside.targets,
+                chooser=self.chooser,
+                budget=budget,
+                backoff=backoff,
+                stalls=stall_watch.StallWatch(timer),
+                leaving=self.leaving,
+                zone=settings.zone,
+                token_gap_s=settings.limits.token_gap_s,
+                first_token_s=settings.limits.first_token_s,
+            ),
+            self.documents.in_force,
+            plain_handlers.PlainHandlers(plain, self._explain_log),
+            self._explain_log,
+        )
+        documents = document_handlers.DocumentHandlers(
+            self._outside.store,
+            timer,
+            self.documents,
+            self._revisions_by_instance,
+        )
+        state = state_handlers.StateHandlers(
+            self._explain_log, self.not_ready_reason, self.state
+        )
+        handler_by_segment = {
+            'services': services.handle,
+            'addresses': self._make_address_handlers().handle,
+            'documents': documents.handle,
+            'healthz': state.health,
+            'readyz': state.ready,
+            'state': state.state,
+            'explain': state.explain,
+        }
+        return surface.Surface(
+            settings.instance_id,
+            handler_by_segment,
+            timer,
+            self.metrics,
+            surface.Limits(
+                settings.limits.max_requests,
+                settings.limits.max_body_bytes,
+                settings.limits.body_timeout_s,
+            ),
+        )
+
+    def _make_address_handlers(self) -> address_handlers.AddressHandlers:
+        known = addresses.Addresses(
+            self.peers.view.live,
+            lambda member: 0.0,
+            self._rng,
+            self.settings.limits.address_lifetime_s,
+        )
+        return address_handlers.AddressHandlers(known, self._place)
+
+    def _make_drain(self) -> draining.Drain:
+        limits = self.settings.limits
+        return draining.Drain(
+            self.timer,
+            self.metrics,
+            draining.DrainSettings(
+                limits.address_lifetime_s,
+                limits.drain_margin_s,
+                limits.drain_limit_s,
+            ),
+            leave=(self.peers.leave,),
+            close=(self.claims.stop,),
+            unfinished=(
+                lambda: self.surface.in_flight,
+                self.claims.pending,
+            ),
+        )
+
+    def _listed_peers(self) -> tuple[str, ...]:
+        return tuple(
+            listed.peer_address
+            for listed in self.pool.listed
+            if listed.peer_address and not listed.leaving
+        )
+
+    def _aged_reports(self) -> list[target_table.AgedReport]:
+        reports = self.peers.soft_state.report_by_address().values()
+        return [
+            target_table.AgedReport(aged.report, aged.age_s)
+            for aged in reports
+        ]
+
+    def _revisions_by_instance(self) -> dict[str, dict[str, int]]:
+        own = self.peers.view.own
+        revisions = {
+            member.instance_id: dict(member.revision_by_service)
+            for member in self.peers.view.live()
+        }
+        revisions[own.instance_id] = self.documents.revision_by_service()
+        return revisions
+
+
+def connect_outside(
+    settings: settings_lib.Settings, sink: metrics.Metrics
+) -> Outside:
+    """Returns clients of the platform and the targets by HTTP."""
+    platform = settings.platform
+    return Outside(
+        http_store.HttpConfigStore(platform.config_store, sink),
+        http_instances.HttpInstanceList(platform.instance_list, sink),
+        http_targets.HttpTargetClient(),
+        http_plain_services.HttpPlainServiceClient(),
+    )
+
+
+def _make_chooser(
+    policy: str, timer: timers.TimerService, rng: random.Random
+) -> choosers.RouteChooser:
+    """Makes the chooser; the settings' check has seen to its name."""
+    return policies.make_chooser(policy, timer, rng).unwrap()
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -0,0 +1,46 @@
+"""Runs an instance's HTTP server until the process is told to stop."""
+
+import signal
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+import gevent
+from gevent import event
+from gevent import pywsgi
+from grpc.experimental import gevent as grpc_gevent
+
+from . import instance as instance_lib
+from . import settings as settings_lib
+
+METRICS_PREFIX = 'cactusmux'
+
+
+def serve(settings: settings_lib.Settings) -> None:
+    """Serves until SIGTERM or SIGINT, then finishes what runs."""
+    grpc_gevent.init_gevent()
+    timer = timers.GeventTimers()
+    sink = make_metrics(settings)
+    outside = instance_lib.connect_outside(settings, sink)
+    instance = instance_lib.Instance(settings, timer, sink, outside)
+    host, _, port = settings.address.rpartition(':')
+    server = pywsgi.WSGIServer(
+        (host, int(port)), instance.surface, log=None, error_log=None
+    )
+    stopping = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopping.set)
+    server.start()
+    instance.start()
+    stopping.wait()
+    instance.drain.run()
+    server.stop(timeout=1)
+    instance.stop()
+
+
+def make_metrics(settings: settings_lib.Settings) -> metrics.MemoryMetrics:
+    """Returns metrics that also go to statsd, if there is one."""
+    if not settings.platform.statsd:
+        return metrics.MemoryMetrics()
+    host, _, port = settings.platform.statsd.rpartition(':')
+    prefix = f'{METRICS_PREFIX}.{settings.instance_id}'
+    return metrics.StatsdMetrics(host, int(port), prefix)
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/settings.py
@@ -0,0 +1,46 @@
+"""Settings of one instance, read from JSON."""
+
+from typing import NamedTuple
+
+
+class Limits(NamedTuple):
+    """Limits of an instance; times in seconds, sizes in bytes."""
+
+    max_requests: int = 2_000
+    max_body_bytes: int = 4_194_304
+    body_timeout_s: float = 10.0
+    first_token_s: float = 2.0
+    token_gap_s: float = 0.4
+    drain_margin_s: float = 10.0
+    drain_limit_s: float = 600.0
+    address_lifetime_s: float = 30.0
+
+
+class Platform(NamedTuple):
+    """Addresses of the platform's services, ``IP:PORT``."""
+
+    config_store: str
+    instance_list: str
+    weight_store: str
+    statsd: str = ''
+
+
+class Settings(NamedTuple):
+    """What one instance is told when it starts.
+
+    ``address`` is where callers reach it, ``peer_address`` where other
+    instances do. ``seeds`` are peer addresses to ask first. ``policy``
+    names how routes are chosen.
+    """
+
+    instance_id: str
+    address: str
+    peer_address: str
+    region: str
+    zone: str
+    services: tuple[str, ...]
+    platform: Platform
+    seeds: tuple[str, ...] = ()
+    policy: str = 'least_loaded'
+    claims: str = 'direct'
+    limits: Limits = Limits()
