Let a busy event loop gather events before it polls

Cause: two thirds of the CPU a token were wake-ups and system calls of the event loop (sampled by SIGPROF); each token of each stream woke it alone. Our own checks cost 3.9 us a token. Change: with 4 or more requests in flight the loop pauses 1 ms before each poll, so that one wake-up serves several streams. Ruled out: socket timeouts (142 to 148 us without them, no change), gRPC in the process (none), the size of events (none). Conclusion: kept at 1 ms, which 40 ms between tokens can bear.

--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -10,6 +10,7 @@
 from grpc.experimental import gevent as grpc_gevent
 
 from . import instance as instance_lib
+from . import io_batching
 from . import settings as settings_lib
 
 METRICS_PREFIX = 'cactusmux'
@@ -26,11 +27,13 @@
     server = pywsgi.WSGIServer(
         (host, int(port)), instance.surface, log=None, error_log=None
     )
+    batching = io_batching.IoBatching(lambda: instance.surface.in_flight)
     stopping = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
     server.start()
     instance.start()
+    batching.start()
     stopping.wait()
     instance.drain.run()
     server.stop(timeout=1)
