--- a/packages/cactusmux-control/src/cactusmux_control/claim_bids.py
+++ b/packages/cactusmux-control/src/cactusmux_control/claim_bids.py
@@ -9,7 +9,7 @@
 
 from . import claims
 
-RANGES = 32
+RANGES = 64
 
 
 class Bid(NamedTuple):
--- a/packages/cactusmux-control/src/cactusmux_control/claim_owner.py
+++ b/packages/cactusmux-control/src/cactusmux_control/claim_owner.py
@@ -18,7 +18,7 @@
 from . import claim_retention
 from . import claims
 
-BATCH_INTERVAL_S = 0.1
+BATCH_INTERVAL_S = 0.2
 FORGET_PERIOD_S = 60.0
 
 _Written = result.Result[int, claim_log.LogError]
