Carry bids for claims between instances

Cause: batched claims had no way to the owner but a double in one process. Change: the owner of a range is chosen by rendezvous hashing over members; bids and replies go by forwarded calls, and the answer of a call that is lost is asked for again with the same bid.

--- /dev/null
+++ b/packages/cactusmux-control/src/cactusmux_control/peer_claims.py
@@ -0,0 +1,78 @@
+"""Carries bids for claims between instances, to the owner of their range."""
+
+from typing import NamedTuple
+
+from cactusmux_peers import duties
+from cactusmux_peers import peer_service
+from cactusmux_peers import transport
+import msgspec
+from returns import result
+
+from . import claim_bids
+from . import claim_owner
+
+FORWARD_NAME = 'claims'
+FORWARD_TIMEOUT_S = 2.0
+
+
+class BidsCall(NamedTuple):
+    """The body of one call: bids of one range."""
+
+    range_number: int
+    bids: tuple[claim_bids.Bid, ...]
+
+
+class PeerClaimForwarder(claim_bids.ClaimForwarder):
+    """Finds owners by rendezvous hashing over the members that stay.
+
+    Instances whose views differ for a while may take two for the owner;
+    the log of the range decides which of them writes.
+    """
+
+    def __init__(
+        self, owner: claim_owner.ClaimOwner, peers: peer_service.PeerService
+    ) -> None:
+        self._owner = owner
+        self._peers = peers
+        self._duties = duties.Duties(peers.view)
+        peers.handle_forwards(FORWARD_NAME, self._handle)
+
+    def forward(
+        self, range_number: int, bids: tuple[claim_bids.Bid, ...]
+    ) -> result.Result[tuple[claim_bids.Reply, ...], transport.PeerError]:
+        member = self._duties.owner_of(f'claims/{range_number}')
+        own = self._peers.view.own
+        if member is None or member.instance_id == own.instance_id:
+            return result.Success(self._owner.submit(range_number, bids))
+        self._owner.forget(range_number)
+        body = msgspec.json.encode(BidsCall(range_number, bids))
+        called = self._peers.forward(
+            member.peer_address, FORWARD_NAME, body, FORWARD_TIMEOUT_S
+        )
+        return called.bind(
+            lambda data: _to_replies(member.peer_address, data, len(bids))
+        )
+
+    def _handle(self, body: bytes) -> bytes:
+        """Takes bids from another instance, owner or not."""
+        try:
+            call = msgspec.json.decode(body, type=BidsCall)
+        except msgspec.DecodeError as error:
+            raise transport.CallRefused(str(error)) from error
+        replies = self._owner.submit(call.range_number, call.bids)
+        return msgspec.json.encode(replies)
+
+
+def _to_replies(
+    peer_address: str, data: bytes, count: int
+) -> result.Result[tuple[claim_bids.Reply, ...], transport.PeerError]:
+    try:
+        replies = msgspec.json.decode(data, type=tuple[claim_bids.Reply, ...])
+    except msgspec.DecodeError as error:
+        return result.Failure(
+            transport.MessageMalformed(peer_address, str(error))
+        )
+    if len(replies) != count:
+        detail = f'{len(replies)} replies to {count} bids'
+        return result.Failure(transport.MessageMalformed(peer_address, detail))
+    return result.Success(replies)
