Let watchers check what their watch passed over

Change: a watcher whose watch ends without a change reads all documents, at most every 5 s.

Ruled out: a faster slow poll, whose cost grows with the zones alike but leaves the time to chance.

--- a/packages/cactusmux-control/src/cactusmux_control/document_watch.py
+++ b/packages/cactusmux-control/src/cactusmux_control/document_watch.py
@@ -1,6 +1,7 @@
 """Watches and polls the documents in the configuration store."""
 
 from collections.abc import Callable
+import math
 import random
 
 from cactusmux_base import events
@@ -14,6 +15,7 @@
 WATCH_WAIT_S = 6.0
 ROLE_CHECK_S = 1.0
 MIN_WATCH_INTERVAL_S = 0.1
+CHECK_PERIOD_S = 5.0
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 2.0
 
@@ -49,6 +51,7 @@
         self._rng = rng
         self._offer_entry = offer_entry
         self._next_revision: int | None = None
+        self._polled_at = -math.inf
 
     def run(self) -> None:
         """Watches whenever it is this instance's turn, until killed."""
@@ -73,6 +76,7 @@
             self._metric.count('documents.polls_failed')
             return False
         self.heard = True
+        self._polled_at = self._timer.now()
         shown = {_service(entry.key) for entry in entries}
         for service in self.seen_by_service.keys() - shown:
             self._note_deleted(service)
@@ -109,8 +113,15 @@
             # The store was restored, or answered from an old copy.
             self._metric.count('documents.store_went_back')
             return self.poll_once()
+        if not watched.changes:
+            self._check()
         return True
 
+    def _check(self) -> None:
+        """Polls at times, in case the watch passes over changes."""
+        if self._timer.now() - self._polled_at >= CHECK_PERIOD_S:
+            self.poll_once()
+
     def _recover(self, failure: stores.StoreError) -> bool:
         if not isinstance(failure, stores.WatchCompacted):
             return False
--- a/packages/cactusmux-control/tests/test_in_force.py
+++ b/packages/cactusmux-control/tests/test_in_force.py
@@ -138,6 +138,21 @@
     assert _version(one) == 'v1'
 
 
+def test_watcher_checks_what_its_watch_skipped(fleet: Fleet) -> None:
+    one = fleet.start('1')
+    one.stop()
+    one.watch_once()
+    fleet.apply('v1')
+    fleet.fail(watch_skips=1.0)
+    polls = fleet.count('polls')
+    for _ in range(10):
+        one.watch_once()
+    assert fleet.count('polls') == polls
+    fleet.clock.advance(document_watch.CHECK_PERIOD_S)
+    one.watch_once()
+    assert _version(one) == 'v1'
+
+
 def test_watch_goes_on_after_an_outage_without_a_gap(fleet: Fleet) -> None:
     one = fleet.start('1')
     one.watch_once()
