Let worth decide within a horizon between organisations

Turns by organisation and kind at each instance left requests of much worth waiting behind others; members of different leaves were compared in one virtual time; answers that ran longer than expected missed their deadlines after they had cost tokens.

--- a/packages/cactusmux-routing/src/cactusmux_routing/admission.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/admission.py
@@ -27,6 +27,12 @@
 # Who asks for so much more than its part is refused for its share.
 EXCESS = 1.1
 MIN_RATE_TPS = 1e-3
+# Answers may be longer than expected, and run a little slower when busy.
+RUN_MARGIN = 1.9
+# Kinds are served by their worth for a token to this power: 1 is in
+# proportion, and more is nearer to the best first.
+WORTH_EXPONENT = 2.0
+MIN_WORTH = 1e-6
 
 Answer = result.Result[tickets.Ticket, refusals.Refused]
 
@@ -166,7 +172,7 @@
     def _slack_s(self, request: tickets.RequestClass) -> float:
         """Returns how long it can wait and still meet its deadline."""
         left_s = request.deadline.left_s(self._timer.now())
-        return left_s - request.cost / self._stream_tps
+        return left_s - RUN_MARGIN * request.cost / self._stream_tps
 
     def _retry_after_s(
         self, leaf: demand.Leaf, request: tickets.RequestClass
@@ -282,7 +288,8 @@
 
 
 def _weight(request: tickets.RequestClass) -> float:
-    return max(request.worth, 1e-6) / max(request.cost, 1.0)
+    worth_per_token = max(request.worth, MIN_WORTH) / max(request.cost, 1.0)
+    return worth_per_token**WORTH_EXPONENT
 
 
 def _weights(
--- a/packages/cactusmux-routing/src/cactusmux_routing/fair_queue.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/fair_queue.py
@@ -15,6 +15,9 @@
 
 # A part that has nearly faded away is still served at this rate.
 MIN_PART_TPS = 1.0
+# So far, in seconds of its own part, an organisation may get ahead of
+# another one of its service for the sake of requests that are worth more.
+HORIZON_S = 45.0
 MAX_IDLE = 1024
 
 
@@ -84,8 +87,9 @@
         self._kinds_by_leaf: dict[demand.Leaf, dict[str, _Kind]] = {}
         self._alive: set[int] = set()
         self._services = _Level()
-        self._leaves = _Level()
-        self._kinds = _Level()
+        # Members are only ever compared within their service or leaf.
+        self._level_by_service: dict[str, _Level] = {}
+        self._level_by_leaf: dict[demand.Leaf, _Level] = {}
 
     def __len__(self) -> int:
         return len(self._alive)
@@ -96,11 +100,11 @@
         if kinds is None:
             if not self._serves(entry.leaf.service):
                 self._services.activate(entry.leaf.service)
-            self._leaves.activate(entry.leaf)
+            self._leaves(entry.leaf.service).activate(entry.leaf)
             kinds = self._kinds_by_leaf[entry.leaf] = {}
         kind = kinds.get(entry.kind)
         if kind is None:
-            self._kinds.activate((entry.leaf, entry.kind))
+            self._kinds(entry.leaf).activate(entry.kind)
             kind = kinds[entry.kind] = _Kind(entry.weight)
         heapq.heappush(kind.entries, entry)
         kind.weight = entry.weight
@@ -111,17 +115,31 @@
         self, weight_by_leaf: Mapping[demand.Leaf, float]
     ) -> Iterator[Entry]:
         """Yields the next entry of each leaf, the first in turn first."""
-        leaves = sorted(
-            self._kinds_by_leaf,
-            key=lambda leaf: (
-                self._services.time(leaf.service),
-                leaf.service,
-                self._leaves.time(leaf),
-                -weight_by_leaf.get(leaf, 0.0),
-            ),
-        )
-        for leaf in leaves:
-            yield self._head(leaf)
+        times = {
+            x: self._leaves(x.service).time(x) for x in self._kinds_by_leaf
+        }
+        first_by_service: dict[str, float] = {}
+        for leaf, time in times.items():
+            first = first_by_service.get(leaf.service, time)
+            first_by_service[leaf.service] = min(first, time)
+        heads = []
+        for leaf, time in times.items():
+            entry = self._head(leaf)
+            ahead = time > first_by_service[leaf.service] + HORIZON_S
+            heads.append(
+                (
+                    self._services.time(leaf.service),
+                    leaf.service,
+                    ahead,
+                    time if ahead else -entry.weight,
+                    time,
+                    -weight_by_leaf.get(leaf, 0.0),
+                    entry,
+                )
+            )
+        heads.sort()
+        for *_, entry in heads:
+            yield entry
 
     def take(
         self, entry: Entry, weight_by_leaf: Mapping[demand.Leaf, float]
@@ -147,8 +165,8 @@
         self._services.charge(
             leaf.service, cost, max(of_service, MIN_PART_TPS)
         )
-        self._leaves.charge(leaf, cost, part_tps)
-        self._kinds.charge((leaf, entry.kind), cost, entry.weight)
+        self._leaves(leaf.service).charge(leaf, cost, part_tps)
+        self._kinds(leaf).charge(entry.kind, cost, entry.weight)
 
     def remove(self, entry: Entry) -> None:
         """Removes an entry, served or given up on."""
@@ -201,16 +219,25 @@
             if entry.number in self._alive
         ]
 
+    def _leaves(self, service: str) -> _Level:
+        return self._level_by_service.setdefault(service, _Level())
+
+    def _kinds(self, leaf: demand.Leaf) -> _Level:
+        if len(self._level_by_leaf) > MAX_IDLE:
+            self._level_by_leaf = {
+                known: level
+                for known, level in self._level_by_leaf.items()
+                if known in self._kinds_by_leaf
+            }
+        return self._level_by_leaf.setdefault(leaf, _Level())
+
     def _serves(self, service: str) -> bool:
         return any(leaf.service == service for leaf in self._kinds_by_leaf)
 
     def _head(self, leaf: demand.Leaf) -> Entry:
         kinds = self._kinds_by_leaf[leaf]
+        level = self._kinds(leaf)
         name = min(
-            kinds,
-            key=lambda kind: (
-                self._kinds.time((leaf, kind)),
-                -kinds[kind].weight,
-            ),
+            kinds, key=lambda kind: (level.time(kind), -kinds[kind].weight)
         )
         return kinds[name].head(self._alive.__contains__)
