Let ejected targets come back within seconds of their repair

Cause: in a made-up storm (half of the targets fail for 10 s at 90% load) goodput did not come back within 40 s. A probe whose request was given up on kept its target ejected for ever, probes were judged at the end of their stream, and admission counted ejected targets as capacity. Probes now time out after 5 s, the first token closes the breaker, an ejection lasts 5 s at the longest instead of 30.

--- a/packages/cactusmux-routing/src/cactusmux_routing/breakers.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/breakers.py
@@ -16,9 +16,11 @@
 MIN_SAMPLES = 8
 SMOOTHING = 0.1
 BASE_EJECTION_S = 0.5
-MAX_EJECTION_S = 30.0
+MAX_EJECTION_S = 5.0
 JITTER = 0.5
 MAX_EJECTED_FRACTION = 0.5
+# A probe that tells nothing for so long makes room for another one.
+PROBE_TIMEOUT_S = 5.0
 
 # Tells whether routes remain when these targets are lost.
 CanLose = Callable[[frozenset[str]], bool]
@@ -31,7 +33,7 @@
         'failure_ratio',
         'ejections',
         'open_until',
-        'probing',
+        'probing_until',
     )
 
     def __init__(self) -> None:
@@ -40,7 +42,7 @@
         self.failure_ratio = 0.0
         self.ejections = 0
         self.open_until: float | None = None
-        self.probing = False
+        self.probing_until: float | None = None
 
     def note(self, failed: bool) -> None:
         self.samples += 1
@@ -87,20 +89,25 @@
     def note_started(self, address: str) -> None:
         """Notes a request to a target; past its time it is the probe."""
         breaker = self._breaker_by_address.get(address)
-        if breaker and breaker.open_until is not None and not breaker.probing:
-            breaker.probing = True
+        if breaker is None or breaker.open_until is None:
+            return
+        if breaker.probing_until is None:
+            breaker.probing_until = self._timer.now() + PROBE_TIMEOUT_S
             self._metric.count('breaker.probe')
             self._renew()
 
     def note_success(self, address: str) -> None:
-        """Notes that a target served a request; this closes its breaker."""
+        """Notes that a target works; this closes its breaker.
+
+        The first token of a stream is enough to tell.
+        """
         breaker = self._breaker_by_address.get(address)
         if breaker is None:
             return
         if breaker.open_until is None:
             breaker.note(failed=False)
             return
-        if not breaker.probing:
+        if breaker.probing_until is None:
             # The answer to a request from before the ejection.
             return
         del self._breaker_by_address[address]
@@ -119,7 +126,7 @@
         breaker = self._breaker_by_address.setdefault(address, _Breaker())
         breaker.note(failed=True)
         if breaker.open_until is not None:
-            if breaker.probing:
+            if breaker.probing_until is not None:
                 self._eject(address, breaker)
         elif certain or breaker.is_bad:
             self._eject(address, breaker)
@@ -127,8 +134,8 @@
     def note_abandoned(self, address: str) -> None:
         """Notes that a request ended without telling anything."""
         breaker = self._breaker_by_address.get(address)
-        if breaker and breaker.probing:
-            breaker.probing = False
+        if breaker and breaker.probing_until is not None:
+            breaker.probing_until = None
             self._renew()
 
     def forget(self, address: str) -> None:
@@ -149,7 +156,7 @@
         )
         ejection_s = longest_s * self._rng.uniform(1.0 - JITTER, 1.0)
         breaker.ejections += 1
-        breaker.probing = False
+        breaker.probing_until = None
         breaker.open_until = self._timer.now() + ejection_s
         self._open.add(address)
         self._metric.count('breaker.ejected')
@@ -164,10 +171,10 @@
         self._check_at = float('inf')
         for address in self._open:
             breaker = self._breaker_by_address[address]
-            open_until = breaker.open_until or 0.0
-            if breaker.probing:
-                ejected.add(address)
-            elif open_until > now:
+            until = breaker.probing_until or breaker.open_until or 0.0
+            if until > now:
                 ejected.add(address)
-                self._check_at = min(self._check_at, open_until)
+                self._check_at = min(self._check_at, until)
+            else:
+                breaker.probing_until = None
         self._ejected = frozenset(ejected)
--- a/packages/cactusmux-routing/tests/test_breakers.py
+++ b/packages/cactusmux-routing/tests/test_breakers.py
@@ -89,6 +89,20 @@
     assert not fleet.breakers.ejected()
 
 
+def test_probe_that_tells_nothing_does_not_eject_for_ever() -> None:
+    fleet = Fleet()
+    fleet.breakers.note_failure('a0', certain=True)
+    fleet.clock.advance(breakers.BASE_EJECTION_S)
+    fleet.breakers.note_started('a0')
+    fleet.clock.advance(breakers.PROBE_TIMEOUT_S - 0.01)
+    assert fleet.breakers.ejected() == {'a0'}
+    fleet.clock.advance(0.02)
+    assert not fleet.breakers.ejected()
+    fleet.breakers.note_started('a0')
+    fleet.breakers.note_success('a0')
+    assert not fleet.breakers.ejected()
+
+
 def test_late_failure_of_an_old_request_does_not_lengthen() -> None:
     fleet = Fleet()
     for _ in range(20):
