--- a/packages/cactusmux-control/tests/test_batched_claims.py
+++ b/packages/cactusmux-control/tests/test_batched_claims.py
@@ -208,6 +208,26 @@
     assert owners.submit(0, late) == [Verdict.IN_PROGRESS]
 
 
+def test_log_opens_although_entries_in_its_middle_are_gone(owners) -> None:
+    owners.submit(0, owners.bid('first'))
+    owners.clock.advance(SETTINGS.slot_s / 2)
+    owners.submit(1, owners.bid('kept'))
+    for _ in range(2):
+        owners.submit(0, owners.bid('second'))
+    owners.clock.advance(SETTINGS.slot_s)
+    for _ in range(2):
+        owners.submit(1, owners.bid('last'))
+    owners.clock.advance(RETENTION_S - SETTINGS.slot_s * 1.4)
+    keys = [e.key for e in owners.store.get_prefix('claim-log/').unwrap()]
+    assert [int(key[-1]) for key in keys] == [2, 4]
+    owners.owners[0] = claim_owner.ClaimOwner(
+        owners.ways[0], owners.clock, owners.metric, SETTINGS
+    )
+    known = [owners.bid(key) for key in ('kept', 'last')]
+    assert owners.submit(0, *known) == [Verdict.OUTCOME_UNKNOWN] * 2
+    assert owners.submit(0, owners.bid('second')) == [Verdict.WON]
+
+
 def test_memory_forgets_with_the_store(owners) -> None:
     for number in range(5):
         owners.submit(0, owners.bid(f'k-{number}'))
