Let each target learn of a new holder before plans move on

Change: targets that may still get a former order keep to it until they accepted an order of the new holder.

--- a/packages/cactusmux-control/src/cactusmux_control/entitlements.py
+++ b/packages/cactusmux-control/src/cactusmux_control/entitlements.py
@@ -148,7 +148,8 @@
         used_mb = copies_by_model[demand.name] * demand.copy_mb
         return used_mb / budget_by_model[demand.name], demand.name
 
-    waiting = list(demands)
+    # An empty pool gives no budget to compare with.
+    waiting = [one for one in demands if budget_by_model[one.name] > 0]
     while waiting:
         demand = min(waiting, key=wealth)
         usable = lenders | {demand.service}
--- a/packages/cactusmux-control/src/cactusmux_control/order_tasks.py
+++ b/packages/cactusmux-control/src/cactusmux_control/order_tasks.py
@@ -28,15 +28,22 @@
     in_force: Sequence[documents.ServiceDocument],
     known_by_address: Mapping[str, pool.KnownTarget],
     plan: placement_types.Plan,
+    pinned: frozenset[str],
 ) -> list[Task]:
-    """Returns targets to order: urgent first, then those that only drop."""
+    """Returns targets to order: urgent first, then those that only drop.
+
+    A pinned target that checks fencing gets an order in any case, so that
+    it learns of the new authority.
+    """
     layer_mb_by_model = pool.layer_mb_by_model(in_force)
     tasks = []
     for address, holdings in plan.holdings_by_address.items():
         known = known_by_address[address]
         assert known.report is not None
         reported = known.report.holdings
-        if set(holdings) == set(reported):
+        unfenced = pool.ignores_fencing(known, in_force)
+        must_learn = address in pinned and not unfenced
+        if set(holdings) == set(reported) and not must_learn:
             continue
         load_mb = sum(
             (one.last - one.first) * layer_mb_by_model.get(one.model, 0)
@@ -49,7 +56,7 @@
                 holdings=holdings,
                 load_mb=load_mb,
                 urgent=address in plan.urgent,
-                unfenced=pool.ignores_fencing(known, in_force),
+                unfenced=unfenced,
                 loading=known.report.loading,
             )
         )
--- a/packages/cactusmux-control/src/cactusmux_control/orders.py
+++ b/packages/cactusmux-control/src/cactusmux_control/orders.py
@@ -150,7 +150,9 @@
             if pool.usable(known)
         }
         plan = self._plan(in_force, list(known_by_address.values()))
-        tasks = order_tasks.list_tasks(in_force, known_by_address, plan)
+        tasks = order_tasks.list_tasks(
+            in_force, known_by_address, plan, self._pinned
+        )
         self._history.forget_others(tasks)
         recorded = self._record(plan, tasks)
         if isinstance(recorded, result.Failure):
@@ -167,7 +169,11 @@
         known: Sequence[pool.KnownTarget],
     ) -> placement_types.Plan:
         if self._timer.now() >= self._pinned_until:
-            self._pinned = frozenset()
+            self._pinned &= {
+                one.instance.address
+                for one in known
+                if not pool.ignores_fencing(one, in_force)
+            }
         reported_by_address = {
             one.instance.address: one.report.holdings
             for one in known
@@ -191,9 +197,7 @@
     def _record(
         self, plan: placement_types.Plan, tasks: Sequence[order_tasks.Task]
     ) -> result.Result[plan_record.PlanRecord, failures.CactusmuxError]:
-        open_addresses = self._pinned | {
-            task.address for task in tasks if task.unfenced
-        }
+        open_addresses = self._pinned | {task.address for task in tasks}
         # A pinned target that is out of reach now may come back.
         former = self._plans.record.holdings_by_address
         holdings_by_address = plan.holdings_by_address | {
@@ -250,6 +254,9 @@
         self._history.note(task, accepted)
         match answer:
             case result.Success(_):
+                if not task.unfenced:
+                    # It refuses whatever a former holder may still send.
+                    self._pinned -= {task.address}
                 self._metric.count('orders.sent')
                 events.info(
                     'order_sent',
--- a/packages/cactusmux-control/src/cactusmux_control/plan_record.py
+++ b/packages/cactusmux-control/src/cactusmux_control/plan_record.py
@@ -23,8 +23,8 @@
 class PlanRecord(msgspec.Struct, frozen=True):
     """What was last recorded.
 
-    ``open_addresses`` are the targets that ignore fencing numbers and may
-    still get an order of this record, however late.
+    ``open_addresses`` are the targets that may still get an order of this
+    record, however late.
     """
 
     fencing: int
--- a/packages/cactusmux-control/tests/test_orders.py
+++ b/packages/cactusmux-control/tests/test_orders.py
@@ -277,6 +277,39 @@
         assert late in recorded(bed).open_addresses
 
 
+def test_target_that_checks_fencing_learns_of_a_new_holder_at_once() -> None:
+    """It may hold already what the new holder wants, and hear nothing."""
+    bed = Bed()
+    bed.settle(bed.first)
+    before = bed.held()
+    bed.change('v2')
+
+    def pause() -> None:
+        bed.change('v1')
+        bed.lapse()
+        bed.settle(bed.second, rounds=30)
+
+    bed.first.client.before_send = pause
+    bed.first.dispatcher.run_round()
+    late, order = bed.first.client.sent[-1]
+    assert order.holdings != before[late]
+    engine = bed.fabric.engine_by_address[late]
+    assert order not in engine.orders_taken
+    assert versions(bed) == {'v1'}
+    assert not recorded(bed).open_addresses
+
+
+def test_targets_loaded_before_the_holder_changed_are_not_kept_back() -> None:
+    bed = Bed()
+    bed.first.run()
+    assert recorded(bed).open_addresses
+    bed.lapse()
+    bed.change('v2')
+    bed.settle(bed.second, rounds=30)
+    assert versions(bed) == {'v2'}
+    assert not recorded(bed).open_addresses
+
+
 def test_pinned_target_follows_the_plan_when_its_pin_has_ended() -> None:
     bed = Bed(checks_fencing=False)
     bed.settle(bed.first)
--- a/packages/cactusmux-control/tests/test_placement.py
+++ b/packages/cactusmux-control/tests/test_placement.py
@@ -233,6 +233,12 @@
     assert missing
 
 
+def test_empty_pool_names_all_models_as_missing() -> None:
+    plan = plan_all(BOTH, ())
+    assert plan.holdings_by_address == {}
+    assert [one.reason for one in plan.shortfalls] == ['copies_missing'] * 2
+
+
 def test_changes_of_a_round_are_bounded() -> None:
     pool = make_pool(60)
     limits = placement_types.Limits(max_changes=12)
