--- a/packages/cactusmux-routing/src/cactusmux_routing/baseline_choosers.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/baseline_choosers.py
@@ -17,7 +17,6 @@
         self,
         request: choosers.RouteRequest,
         candidates: tuple[route_index.Holder, ...],
-        before: route_index.Holder | None,
     ) -> route_index.Holder:
         return self._rng.choice(candidates)
 
@@ -34,7 +33,6 @@
         self,
         request: choosers.RouteRequest,
         candidates: tuple[route_index.Holder, ...],
-        before: route_index.Holder | None,
     ) -> route_index.Holder:
         stage = (request.model, candidates[0].first)
         turn = self._turn_by_stage.get(stage, self._start)
@@ -52,7 +50,6 @@
         self,
         request: choosers.RouteRequest,
         candidates: tuple[route_index.Holder, ...],
-        before: route_index.Holder | None,
     ) -> route_index.Holder:
         loads = [_reported_load(holder) for holder in candidates]
         least = min(loads)
@@ -74,7 +71,6 @@
         self,
         request: choosers.RouteRequest,
         candidates: tuple[route_index.Holder, ...],
-        before: route_index.Holder | None,
     ) -> route_index.Holder:
         return min(candidates, key=wait_s)
 
@@ -86,7 +82,6 @@
         self,
         request: choosers.RouteRequest,
         candidates: tuple[route_index.Holder, ...],
-        before: route_index.Holder | None,
     ) -> route_index.Holder:
         weights = [holder.load.capacity_tps for holder in candidates]
         drawn = self._rng.choices(candidates, weights, k=DRAWS)
--- a/packages/cactusmux-routing/src/cactusmux_routing/choosers.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/choosers.py
@@ -100,7 +100,6 @@
         self,
         request: RouteRequest,
         candidates: tuple[route_index.Holder, ...],
-        before: route_index.Holder | None,
     ) -> route_index.Holder:
         """Picks the next stage from one or more candidates."""
 
@@ -193,10 +192,9 @@
     ) -> routes.Route:
         stages = []
         boundary = 0
-        holder = None
         while boundary < index.layers:
             candidates = index.holders_by_first[boundary]
-            holder = self._pick(request, candidates, holder)
+            holder = self._pick(request, candidates)
             address = holder.load.target.address
             stages.append(targets.Stage(address, boundary, holder.last))
             boundary = holder.last
--- a/packages/cactusmux-routing/src/cactusmux_routing/flow_chooser.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/flow_chooser.py
@@ -60,7 +60,7 @@
         boundary = 0
         zone = request.zone
         while boundary < index.layers:
-            holder = self._draw(request, plan.draw(boundary, zone), zone)
+            holder = self._draw(request, plan.draw(boundary, zone))
             if holder is None:
                 return None
             target = holder.load.target
@@ -75,7 +75,6 @@
         self,
         request: choosers.RouteRequest,
         draw: stage_plans.Draw,
-        zone: str,
     ) -> route_index.Holder | None:
         drawn = self._rng.choices(
             draw.holders,
--- a/packages/cactusmux-routing/src/cactusmux_routing/flow_weights.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/flow_weights.py
@@ -9,10 +9,9 @@
 """
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from . import flow_bound
 from . import links
 
 INCREMENTS = 128
@@ -101,20 +100,6 @@
     return shares
 
 
-def stage_capacities(
-    pools: Iterable[flow_bound.Pool], model: str
-) -> dict[Stage, float]:
-    """Returns what pools give one model; shared ones are split evenly."""
-    capacity_by_stage: dict[Stage, float] = collections.defaultdict(float)
-    for pool in pools:
-        for arc in pool.arcs:
-            if arc.model == model:
-                stage = Stage(arc.first, arc.last, pool.zone)
-                part = pool.capacity_tps / len(pool.arcs)
-                capacity_by_stage[stage] += part
-    return dict(capacity_by_stage)
-
-
 class _Graph:
     def __init__(
         self,
--- a/packages/cactusmux-routing/tests/test_breakers.py
+++ b/packages/cactusmux-routing/tests/test_breakers.py
@@ -124,6 +124,26 @@
     assert counts == {0, 1, 2, 3, 4}
 
 
+def test_when_all_fail_half_stay_and_a_route_with_them() -> None:
+    fleet = Fleet()
+    for target in KNOWN:
+        fleet.breakers.note_failure(target.address, certain=True)
+    ejected = fleet.breakers.ejected()
+    assert 0 < len(ejected) <= len(KNOWN) / 2
+    request = test_choosers.REQUEST._replace(avoid=ejected)
+    fleet.chooser.choose(request).unwrap()
+    name = 'breaker.ejection_withheld'
+    assert fleet.metric.counter_by_name[name] == len(KNOWN) - len(ejected)
+
+
+def test_last_holder_of_a_layer_is_never_ejected() -> None:
+    fleet = Fleet()
+    for name in ('b1', 'b2', 'b3'):
+        fleet.chooser.remove(name)
+    fleet.breakers.note_failure('b0', certain=True)
+    assert not fleet.breakers.ejected()
+
+
 @settings(derandomize=True, deadline=None, max_examples=60)
 @given(
     st.lists(
--- a/packages/cactusmux-routing/tests/test_fair_share.py
+++ b/packages/cactusmux-routing/tests/test_fair_share.py
@@ -165,6 +165,19 @@
     assert shares.entitled_by_service['arte'] <= CAPACITY_TPS / 2 / 10 + 1
 
 
+def test_part_stays_equal_until_news_is_younger_than_own_asking() -> None:
+    clock = timers.ManualTimers()
+    instance = Instance(clock, 9)
+    instance.hear(9, {})
+    instance.ask(STEPPE, 1000)
+    entitled = instance.share.shares().entitled_by_service['steppe']
+    assert entitled == pytest.approx(CAPACITY_TPS / 2 / 10)
+    clock.advance(fair_share.SETTLE_S)
+    instance.hear(9, {})
+    entitled = instance.share.shares().entitled_by_service['steppe']
+    assert entitled == pytest.approx(CAPACITY_TPS / 2)
+
+
 def test_part_of_an_instance_that_left_goes_to_the_others() -> None:
     clock = timers.ManualTimers()
     instance = Instance(clock, 1)
