Plan only on news; say when a version has no room

And a version that finds no room beside the old one waited without a word. Change: a plan is kept while its input is the same; speeds are rounded so that noise in reports is no news; a typed shortfall names the version. Checked by breaking: plan always, plan once, speeds not rounded, no shortfall: each fails a test.

--- a/bench/authority_world.py
+++ b/bench/authority_world.py
@@ -113,7 +113,13 @@
 class World:
     """Instances, store and targets of one sequence."""
 
-    def __init__(self, seed: int, checks_fencing: bool) -> None:
+    def __init__(
+        self,
+        seed: int,
+        checks_fencing: bool,
+        longest_pause_s: float = LONGEST_PAUSE_S,
+    ) -> None:
+        self._longest_pause_s = longest_pause_s
         self.rng = random.Random(seed)
         self.clock = timers.ManualTimers()
         self.store = memory_store.MemoryStore(self.clock)
@@ -223,7 +229,7 @@
     def _pause_in_hand(self) -> None:
         if self._depth < 2:
             instance = self.rng.choice(self._instances)
-            longest_s = LONGEST_PAUSE_S / 4**self._depth
+            longest_s = self._longest_pause_s / 4**self._depth
             instance.client.pause_s = self.rng.uniform(5.0, longest_s)
             self._change_document()
 
@@ -252,10 +258,14 @@
             self._instances[number] = _Instance(self, number)
 
 
-def run_sequences(seeds: range, checks_fencing: bool) -> Counts:
+def run_sequences(
+    seeds: range,
+    checks_fencing: bool,
+    longest_pause_s: float = LONGEST_PAUSE_S,
+) -> Counts:
     """Runs one sequence a seed and adds their counts up."""
     total = Counts()
     for seed in seeds:
-        counts = World(seed, checks_fencing).run(EVENTS)
+        counts = World(seed, checks_fencing, longest_pause_s).run(EVENTS)
         total = Counts(*map(sum, zip(total, counts, strict=True)))
     return total
--- a/bench/bench_authority.py
+++ b/bench/bench_authority.py
@@ -1,6 +1,7 @@
 """Measures stale orders, placement and the calls that the lease costs."""
 
 from collections.abc import Callable, Mapping
+import math
 import random
 import time
 
@@ -10,11 +11,18 @@
 from cactusmux_control import documents
 from cactusmux_control import lease_types
 from cactusmux_control import leases
+from cactusmux_control import orders
 from cactusmux_control import placement
 from cactusmux_control import placement_types
 from cactusmux_control import plan_record
+from cactusmux_control import pool
+from cactusmux_fakes import direct_targets
+from cactusmux_fakes import engines
 from cactusmux_fakes import faulty_store
+from cactusmux_fakes import fixed_weights
 from cactusmux_fakes import memory_store
+from cactusmux_platform import instances
+from cactusmux_platform import targets
 import fire
 import numpy
 
@@ -36,6 +44,7 @@
 MODELS_PER_SERVICE = 4
 REPEATS = 3
 SEED = 7
+PAUSE_PAST_PIN_S = 4 * orders.PIN_S
 FAILED_SERVERS = 32
 ALL_AT_ONCE = placement_types.Limits(max_changes=2 * SERVERS)
 
@@ -149,6 +158,63 @@
     return float(numpy.max(numpy.diff(at))) * 1000.0
 
 
+def measure_round() -> list[figures.Figure]:
+    """Times a round of orders at the target's size, when all is as planned."""
+    in_force = make_documents()
+    pool_targets = make_pool(SERVERS)
+    held = placement.plan(
+        placement_types.Situation(in_force, pool_targets, {}, {}), ALL_AT_ONCE
+    ).holdings_by_address
+    known = [
+        pool.KnownTarget(
+            instances.ListedInstance(
+                target.address,
+                instances.Role.ENGINE,
+                target.region,
+                target.zone,
+                accelerator=target.accelerator,
+                memory_mb=target.memory_mb,
+            ),
+            targets.TargetReport(
+                target.address, held[target.address], 1000.0, 0, 0
+            ),
+            0.0,
+        )
+        for target in pool_targets
+    ]
+    clock = timers.ManualTimers()
+    metric = metrics.MemoryMetrics()
+    dispatcher = orders.OrderDispatcher(
+        memory_store.MemoryStore(clock),
+        clock,
+        metric,
+        direct_targets.DirectTargetClient(engines.Fabric(clock)),
+        fixed_weights.FixedWeightStore(1000.0),
+        orders.Sources(
+            lambda _: lease_types.Authority(1, math.inf, 0.0),
+            lambda: in_force,
+            lambda: known,
+        ),
+    )
+    for _ in range(REPEATS):
+        dispatcher.run_round()
+    planned = metric.counter_by_name['placement.planned']
+    started = time.process_time()
+    for _ in range(REPEATS):
+        dispatcher.run_round()
+    round_s = (time.process_time() - started) / REPEATS
+    assert metric.counter_by_name['placement.planned'] == planned
+    return [
+        _figure('order_round_ms_at_6400', round_s * 1000.0, 'ms'),
+        _figure(
+            'order_rounds_cpu_fraction_at_6400',
+            round_s / orders.PERIOD_S,
+            'of a core',
+            '<= 0.015',
+        ),
+    ]
+
+
 def measure_lease_calls() -> list[figures.Figure]:
     """Counts the store's calls of all instances, one of them the holder."""
     clock = timers.ManualTimers()
@@ -202,13 +268,26 @@
             ),
             _figure(f'orders_sent_{kind}', counts.orders, 'orders'),
         ]
+    past = authority_world.run_sequences(
+        range(sequences // 3), False, PAUSE_PAST_PIN_S
+    )
+    found += [
+        _figure(
+            'stale_orders_effective_unfenced_past_pin',
+            past.effective,
+            'orders',
+        ),
+        _figure(
+            'stale_orders_taken_unfenced_past_pin', past.stale_taken, 'orders'
+        ),
+    ]
     return found
 
 
 def _figure(
     name: str, value: float, unit: str, target: str = ''
 ) -> figures.Figure:
-    return figures.Figure(name, round(value, 3), unit, target, COMMAND)
+    return figures.Figure(name, round(value, 4), unit, target, COMMAND)
 
 
 def main(sequences: int = 150) -> None:
@@ -218,6 +297,7 @@
     """
     logging.set_verbosity(logging.FATAL)
     found = measure_placement()
+    found += measure_round()
     found += measure_lease_calls()
     found += measure_stale_orders(sequences)
     for figure in found:
--- a/packages/cactusmux-control/src/cactusmux_control/orders.py
+++ b/packages/cactusmux-control/src/cactusmux_control/orders.py
@@ -61,6 +61,13 @@
     known_targets: Callable[[], Sequence[pool.KnownTarget]]
 
 
+class _Planned(NamedTuple):
+    """The last plan and what it was made from."""
+
+    situation: placement_types.Situation
+    plan: placement_types.Plan
+
+
 class OrderDispatcher:
     """Plans, records the plan and sends orders, one round after another."""
 
@@ -83,6 +90,7 @@
         self._delivery_s = delivery_s
         self._limits = limits
         self._plans = plan_record.PlanStore(store)
+        self._planned: _Planned | None = None
         self._fencing = 0
         self._pinned_until = 0.0
         self._pinned: frozenset[str] = frozenset()
@@ -174,25 +182,25 @@
                 for one in known
                 if not pool.ignores_fencing(one, in_force)
             }
-        reported_by_address = {
-            one.instance.address: one.report.holdings
-            for one in known
-            if one.report is not None
-        }
-        layer_mb_by_model = pool.layer_mb_by_model(in_force)
         situation = placement_types.Situation(
             in_force,
-            pool.build_pool(known, layer_mb_by_model),
+            pool.build_pool(known, pool.layer_mb_by_model(in_force)),
             self._plans.record.holdings_by_address,
-            reported_by_address,
+            pool.reported_holdings(known),
             self._pinned,
         )
+        if self._planned is None or self._planned.situation != situation:
+            self._planned = self._plan_anew(situation)
+        return self._planned.plan
+
+    def _plan_anew(self, situation: placement_types.Situation) -> _Planned:
         started_at = self._timer.now()
         plan = placement.plan(
             situation, self._limits, lambda: self._timer.sleep(0.0)
         )
         self._metric.timing('placement.plan', self._timer.now() - started_at)
-        return plan
+        self._metric.count('placement.planned')
+        return _Planned(situation, plan)
 
     def _record(
         self, plan: placement_types.Plan, tasks: Sequence[order_tasks.Task]
--- a/packages/cactusmux-control/src/cactusmux_control/placement.py
+++ b/packages/cactusmux-control/src/cactusmux_control/placement.py
@@ -169,11 +169,18 @@
         return len(self._table.changed) >= self._limits.max_changes
 
     def _note_shortfall(self, model: copies.ModelCopies) -> None:
-        minimum = model.demand.model.min_copies
-        if len(model.current) < minimum and not model.old:
+        demand = model.demand
+        minimum = demand.model.min_copies
+        if model.old and not model.current:
+            self._shortfalls.append(
+                placement_types.VersionWithoutRoom(
+                    demand.name, demand.model.version
+                )
+            )
+        elif not model.old and len(model.current) < minimum:
             self._shortfalls.append(
                 placement_types.CopiesMissing(
-                    model.demand.name, len(model.current), minimum
+                    demand.name, len(model.current), minimum
                 )
             )
 
--- a/packages/cactusmux-control/src/cactusmux_control/placement_types.py
+++ b/packages/cactusmux-control/src/cactusmux_control/placement_types.py
@@ -111,6 +111,20 @@
         self.minimum = minimum
 
 
+class VersionWithoutRoom(failures.CactusmuxError):
+    """A version can't be loaded beside the one that serves."""
+
+    reason = 'version_without_room'
+
+    def __init__(self, model: str, version: str) -> None:
+        super().__init__(
+            f'model {model!r}: no room for version {version!r} beside the '
+            f'one that serves'
+        )
+        self.model = model
+        self.version = version
+
+
 class NameTaken(failures.CactusmuxError):
     """Two services ask for different models by one name."""
 
--- a/packages/cactusmux-control/src/cactusmux_control/pool.py
+++ b/packages/cactusmux-control/src/cactusmux_control/pool.py
@@ -1,6 +1,7 @@
 """The targets that placement may use, from the list and the reports."""
 
 from collections.abc import Iterable, Mapping, Sequence
+import math
 import statistics
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 from . import placement_types
 
 DEAD_AFTER_S = 10.0
+STEPS_PER_DOUBLING = 4
 
 
 class KnownTarget(NamedTuple):
@@ -42,7 +44,7 @@
             ratio = speed_by_address[address] / known.instance.memory_mb
             ratios_by_kind.setdefault(kind, []).append(ratio)
     ratio_by_kind = {
-        kind: statistics.median(ratios)
+        kind: _round_ratio(statistics.median(ratios))
         for kind, ratios in ratios_by_kind.items()
     }
     usual = statistics.median(ratio_by_kind.values()) if ratio_by_kind else 1.0
@@ -61,6 +63,24 @@
     )
 
 
+def _round_ratio(ratio: float) -> float:
+    """Rounds a ratio, so that noise in the reports changes no plan."""
+    return 2.0 ** (
+        round(math.log2(ratio) * STEPS_PER_DOUBLING) / STEPS_PER_DOUBLING
+    )
+
+
+def reported_holdings(
+    known_targets: Iterable[KnownTarget],
+) -> dict[str, placement_types.Holdings]:
+    """Returns by address what targets say they hold."""
+    return {
+        known.instance.address: known.report.holdings
+        for known in known_targets
+        if known.report is not None
+    }
+
+
 def layer_mb_by_model(
     service_documents: Sequence[documents.ServiceDocument],
 ) -> dict[str, int]:
--- a/packages/cactusmux-control/tests/test_orders.py
+++ b/packages/cactusmux-control/tests/test_orders.py
@@ -175,6 +175,50 @@
     assert bed.first.store.writes == writes + 5
 
 
+def test_rounds_without_news_do_not_plan_anew() -> None:
+    bed = Bed()
+    bed.settle(bed.first)
+    planned = bed.first.metric.counter_by_name['placement.planned']
+    bed.settle(bed.first, rounds=5)
+    assert bed.first.metric.counter_by_name['placement.planned'] == planned
+    bed.change('v2')
+    bed.first.run()
+    assert bed.first.metric.counter_by_name['placement.planned'] > planned
+
+
+def test_speeds_follow_reports_by_kind_without_their_noise() -> None:
+    def known(number: int, kind: str, tps: float) -> pool.KnownTarget:
+        address = f'10.0.0.{number}:80'
+        held = (targets.Holding('conditions', 'v1', 0, 6),)
+        return pool.KnownTarget(
+            instances.ListedInstance(
+                address,
+                instances.Role.ENGINE,
+                'r1',
+                'z1',
+                accelerator=kind,
+                memory_mb=4000,
+            ),
+            targets.TargetReport(address, held, tps, 0, 0),
+            0.0,
+        )
+
+    def speeds(noise: float) -> list[float]:
+        found = pool.build_pool(
+            [
+                known(0, 'slow', 100.0 * noise),
+                known(1, 'fast', 400.0 * noise),
+                known(2, 'fast', 420.0),
+            ],
+            {'conditions': 500},
+        )
+        return [one.speed for one in found]
+
+    slow, fast, other = speeds(1.0)
+    assert fast == other == 4 * slow
+    assert speeds(1.03) == speeds(1.0)
+
+
 def test_without_the_lease_nothing_is_planned_or_sent() -> None:
     bed = Bed()
     bed.first.run()
--- a/packages/cactusmux-control/tests/test_placement.py
+++ b/packages/cactusmux-control/tests/test_placement.py
@@ -297,6 +297,17 @@
     assert not find_copies(held, pool, 'conditions', MODEL)
 
 
+def test_version_without_room_leaves_the_old_one_and_says_so() -> None:
+    pool = make_pool(2, zones=1, memory_mb=2500)
+    before = plan_all((make_document('art', conditions=MODEL),), pool)
+    newer = make_document('art', conditions=MODEL._replace(version='v2'))
+    plan = plan_all((newer,), pool, before.holdings_by_address)
+    assert plan.holdings_by_address == before.holdings_by_address
+    assert plan.shortfalls == (
+        placement_types.VersionWithoutRoom('conditions', 'v2'),
+    )
+
+
 def test_only_loaded_copy_stays_when_the_other_is_pinned() -> None:
     pool = make_pool(24)
     before = plan_all(BOTH, pool).holdings_by_address
