Admit drafts by fair share, eject failing targets, resume without loss

Cause: instances ran whatever came, and each request met a failed target anew. Change: admission, fair share and breakers are wired, fed with documents, the region's targets and demand told by peers; a draft prefers ejected targets to those that failed it; a stream that has delivered tokens takes no retry budget and ends only with its deadline; an engine that accepts a request says so at once, so that a frozen one is noticed within the token gap; a target that is asked in vain is ejected at once. Ruled out: the closing of a socket under its reader, which wakes it at once. Conclusion: both causes have a test that failed before.

--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -98,8 +98,8 @@
         records = [task.value for task in tasks]
         gaps += [r.longest_gap_s for r in records if _was_hit(fleet, r)]
         unfinished += sum(not r.answer.completed for r in records)
-        # Lets reports of the mended engine come in again.
-        gevent.sleep(3.0)
+        # A second fault is not to meet a pool that misses an engine.
+        fleet.wait_for_targets()
     return [
         _figure('stream_recovery_p50_s', statistics.median(gaps), 's', ''),
         _figure(
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -48,7 +48,7 @@
             if not put.completed:
                 raise FleetFailed(f'document of {service}: {put.problem}')
         self._wait_for_path('/readyz')
-        self._wait_for_targets()
+        self.wait_for_targets()
 
     def stop(self) -> None:
         """Ends all instances and stand-ins."""
@@ -61,6 +61,16 @@
         """Returns the addresses of the instances that run."""
         return [p.plan.address for p in self.processes if p.is_running()]
 
+    def wait_for_targets(self) -> None:
+        """Waits until each instance knows the engines of its region."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for plan in self.plans:
+            wanted = self.pool.count_engines(plan.place.region)
+            while _known_targets(plan.address) < wanted:
+                if time.monotonic() > deadline:
+                    raise FleetFailed(f'{plan.address} misses targets')
+                time.sleep(POLL_S)
+
     def _start(
         self, plan: processes.InstancePlan
     ) -> processes.InstanceProcess:
@@ -77,16 +87,6 @@
                     raise FleetFailed(f'{address} does not answer {path}')
                 time.sleep(POLL_S)
 
-    def _wait_for_targets(self) -> None:
-        """Waits until each instance knows the engines of its region."""
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        for plan in self.plans:
-            wanted = self.pool.count_engines(plan.place.region)
-            while _known_targets(plan.address) < wanted:
-                if time.monotonic() > deadline:
-                    raise FleetFailed(f'{plan.address} misses targets')
-                time.sleep(POLL_S)
-
 
 def _known_targets(address: str) -> int:
     answer = callers.send(address, 'GET', '/state')
--- a/packages/cactusmux-control/tests/test_orders.py
+++ b/packages/cactusmux-control/tests/test_orders.py
@@ -42,9 +42,9 @@
         return self._client.report(address)
 
     def open_stream(
-        self, request: targets.RoutedRequest, token_gap_s: float
+        self, request: targets.RoutedRequest, accept_s: float
     ) -> Any:
-        return self._client.open_stream(request, token_gap_s)
+        return self._client.open_stream(request, accept_s)
 
     def send_order(self, address: str, order: targets.Order) -> Any:
         before_send, self.before_send = self.before_send, lambda: None
--- a/packages/cactusmux-entry/src/cactusmux_entry/drafts.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/drafts.py
@@ -8,6 +8,7 @@
 from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_platform import targets
+from cactusmux_routing import breakers
 from cactusmux_routing import choosers
 from cactusmux_routing import retries
 from cactusmux_routing import routes
@@ -62,6 +63,7 @@
     backoff: retries.Backoff
     stalls: stall_watch.StallWatch
     leaving: leaving_watch.LeavingWatch
+    breakers: breakers.Breakers
     zone: str
     token_gap_s: float
     first_token_s: float
@@ -121,11 +123,22 @@
             delivered=len(self._checker.texts),
         )
         services.chooser.note_started(route)
+        for stage in route.stages:
+            services.breakers.note_started(stage.address)
         try:
             stream = self._open(route)
             yield from self._read(stream, route)
         finally:
             services.chooser.note_finished(route)
+            self._note_end(route)
+
+    def _note_end(self, route: routes.Route) -> None:
+        """Tells the breakers how an attempt ended for each target."""
+        note = self._services.breakers.note_abandoned
+        if self._checker.finished:
+            note = self._services.breakers.note_success
+        for stage in route.stages:
+            note(stage.address)
 
     def _open(self, route: routes.Route) -> targets.TokenStream:
         request = self._request
@@ -143,7 +156,7 @@
             self._deadline.left_s(self._services.timer.now()),
         )
         opened = self._services.targets.open_stream(
-            routed, self._services.first_token_s
+            routed, self._services.token_gap_s
         )
         if isinstance(opened, result.Failure):
             raise opened.failure()
@@ -173,41 +186,51 @@
             raise targets.StreamBroken(first_address, 'ended_early')
 
     def _choose_route(self) -> routes.Route:
-        request = self._request
-        route_request = choosers.RouteRequest(
-            request.model,
-            request.version,
-            request.adapter,
-            request.layers,
-            self._avoided,
-            self._services.zone,
-            request.prefix_hash,
-        )
-        chosen = self._services.chooser.choose(route_request)
-        if isinstance(chosen, result.Failure):
-            return self._choose_again(route_request, chosen.failure())
-        return self._checked(chosen.unwrap())
-
-    def _choose_again(
-        self, route_request: choosers.RouteRequest, error: choosers.NoRoute
-    ) -> routes.Route:
-        """Falls back to avoided targets; without any, waits or gives up.
+        """Chooses a route; without any, waits for one or gives up.
 
         A draft whose first tokens were delivered waits for a repair until
         its deadline; one that has not run is refused at once.
         """
-        self._trace.add('no_route', reason=error.reason, detail=str(error))
-        everywhere = route_request._replace(avoid=choosers.NOTHING_AVOIDED)
         retry = 0
         while True:
-            chosen = self._services.chooser.choose(everywhere)
+            chosen = self._choose_by_avoidance()
             if isinstance(chosen, result.Success):
                 return self._checked(chosen.unwrap())
+            error = chosen.failure()
+            self._trace.add('no_route', reason=error.reason, detail=str(error))
             if not self._checker.texts:
                 self._give_up(error.reason, str(error))
             self._sleep_before_retry(retry)
             retry += 1
 
+    def _choose_by_avoidance(
+        self,
+    ) -> result.Result[routes.Route, choosers.NoRoute]:
+        """Avoids as much as can be avoided.
+
+        Targets that failed this request are worse than those that breakers
+        ejected for other requests, perhaps a while ago.
+        """
+        request = self._request
+        ejected = self._services.breakers.ejected()
+        route_request = choosers.RouteRequest(
+            request.model,
+            request.version,
+            request.adapter,
+            request.layers,
+            self._avoided | ejected,
+            self._services.zone,
+            request.prefix_hash,
+        )
+        chosen = self._services.chooser.choose(route_request)
+        for avoid in (self._avoided, choosers.NOTHING_AVOIDED):
+            if isinstance(chosen, result.Success):
+                break
+            chosen = self._services.chooser.choose(
+                route_request._replace(avoid=avoid)
+            )
+        return chosen
+
     def _checked(self, route: routes.Route) -> routes.Route:
         checked = routes.check_route(route, self._request.layers)
         if isinstance(checked, result.Failure):
@@ -224,9 +247,12 @@
         if error.detail == plain_targets.LEAVING_REASON:
             services.leaving.note(error.address, leaving_watch.Source.REFUSAL)
         failed = frozenset((error.address,))
+        is_certain = isinstance(error, targets.NotSent)
         if isinstance(error, targets.StreamStalled):
-            failed = suspects.find_silent(services.targets, route)
+            failed, is_certain = suspects.find_silent(services.targets, route)
         self._avoided |= failed
+        for address in failed:
+            services.breakers.note_failure(address, is_certain)
         services.metrics.count(f'entry.retries.{error.reason}')
         self._trace.add(
             'attempt_failed',
@@ -247,13 +273,17 @@
     def _wait_before_retry(self, error: targets.TargetError) -> None:
         """Lets the next attempt start, or ends the request.
 
-        The first resumption of a stream that has delivered tokens costs no
-        budget and no wait: its caller is in the middle of an answer.
+        A stream that has delivered tokens takes none of the retry budget:
+        it holds one place of its admission whatever its attempts, and its
+        caller is in the middle of an answer. Its first resumption does not
+        wait, and only its deadline ends its attempts.
         """
+        if self._checker.texts:
+            if self._attempt > 1:
+                self._sleep_before_retry(self._attempt - 2)
+            return
         if self._attempt >= MAX_ATTEMPTS:
             self._give_up('attempts_exhausted', str(error))
-        if self._checker.texts and self._attempt == 1:
-            return
         request = self._request
         taken = self._services.budget.take(
             request.service, request.organisation
--- a/packages/cactusmux-entry/src/cactusmux_entry/service_handlers.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/service_handlers.py
@@ -1,9 +1,13 @@
 """Handlers of a service's own paths: completions and models."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 
 from cactusmux_control import documents
+from cactusmux_routing import admission
+from cactusmux_routing import retries
+from cactusmux_routing import tickets
+from returns import result
 
 from . import completions
 from . import drafts
@@ -25,11 +29,13 @@
         services: drafts.DraftServices,
         find_document: FindDocument,
         plain: plain_handlers.PlainHandlers,
+        controller: admission.AdmissionController,
         explain_log: explain.ExplainLog,
     ) -> None:
         self._services = services
         self._find_document = find_document
         self._plain = plain
+        self._admission = controller
         self._explain_log = explain_log
 
     def handle(self, call: surface.Call) -> responses.Response:
@@ -70,9 +76,61 @@
             body, document, call.request_id, timer
         )
         trace = self._explain_log.start(call.request_id)
-        draft = drafts.Draft(self._services, completion.draft, trace)
+        ticket = self._admit(completion, trace)
+        prioritised = completion.draft._replace(priority=ticket.priority)
+        draft = drafts.Draft(self._services, prioritised, trace)
+        texts = self._release_after(ticket, draft.texts())
         created = int(timer.wall())
-        return completions.to_response(completion, draft.texts(), created)
+        return completions.to_response(completion, texts, created)
+
+    def _admit(
+        self, completion: completions.Completion, trace: explain.Trace
+    ) -> tickets.Ticket:
+        """Waits for leave to start.
+
+        :raises problems.RequestFailed: when it is refused; it has not run.
+        """
+        draft = completion.draft
+        admitted = self._admission.admit(
+            tickets.RequestClass(
+                draft.service,
+                draft.organisation,
+                draft.kind,
+                draft.model,
+                completion.worth,
+                float(draft.max_tokens),
+                retries.Deadline(draft.deadline_at),
+            )
+        )
+        if isinstance(admitted, result.Failure):
+            refusal = admitted.failure()
+            trace.add('not_admitted', reason=refusal.reason)
+            raise problems.RequestFailed(
+                problems.refused(
+                    refusal.reason,
+                    str(refusal),
+                    HTTPStatus.TOO_MANY_REQUESTS,
+                    refusal.retry_after_s,
+                )
+            )
+        ticket = admitted.unwrap()
+        trace.add(
+            'admitted', priority=ticket.priority, waited_s=ticket.waited_s
+        )
+        return ticket
+
+    def _release_after(
+        self, ticket: tickets.Ticket, texts: Iterator[str]
+    ) -> Iterator[str]:
+        """Yields texts and gives the ticket back when they have ended."""
+        tokens = 0
+        try:
+            for text in texts:
+                tokens += 1
+                yield text
+        finally:
+            self._admission.release(ticket, float(tokens))
+            texts.close()  # type: ignore[attr-defined]
 
 
 def _list_models(
--- a/packages/cactusmux-entry/src/cactusmux_entry/suspects.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/suspects.py
@@ -1,5 +1,7 @@
 """Finds which stages of a silent route do not answer."""
 
+from typing import NamedTuple
+
 from cactusmux_platform import targets
 from cactusmux_routing import routes
 import gevent
@@ -8,9 +10,14 @@
 PROBE_TIMEOUT_S = 0.25
 
 
-def find_silent(
-    client: targets.TargetClient, route: routes.Route
-) -> frozenset[str]:
+class Suspects(NamedTuple):
+    """Targets to avoid; ``are_silent`` when they were asked in vain."""
+
+    addresses: frozenset[str]
+    are_silent: bool
+
+
+def find_silent(client: targets.TargetClient, route: routes.Route) -> Suspects:
     """Asks all stages of a route at once; returns those without answer.
 
     When all of them answer, the fault lies between them: the whole route is
@@ -21,7 +28,9 @@
     gevent.joinall(list(probes.values()), timeout=PROBE_TIMEOUT_S)
     silent = frozenset(a for a, probe in probes.items() if not probe.value)
     gevent.killall(list(probes.values()), block=False)
-    return silent or frozenset(addresses)
+    if silent:
+        return Suspects(silent, True)
+    return Suspects(frozenset(addresses), False)
 
 
 def _answers(client: targets.TargetClient, address: str) -> bool:
--- a/packages/cactusmux-entry/tests/test_drafts.py
+++ b/packages/cactusmux-entry/tests/test_drafts.py
@@ -13,6 +13,7 @@
 from cactusmux_fakes import engines
 from cactusmux_fakes import layers
 from cactusmux_platform import targets
+from cactusmux_routing import breakers
 from cactusmux_routing import policies
 from cactusmux_routing import retries
 from cactusmux_routing import target_table
@@ -58,6 +59,9 @@
             leaving=leaving_watch.LeavingWatch(
                 self.clock, self.metrics, lambda _: None, frozenset
             ),
+            breakers=breakers.Breakers(
+                self.clock, rng, self.metrics, lambda lost: True
+            ),
             zone='z1',
             token_gap_s=0.3,
             first_token_s=1.0,
@@ -212,6 +216,37 @@
     assert 'r1' not in rig.fabric.ledger.run_request_ids()
 
 
+def test_ejected_target_serves_before_one_that_failed_this_draft() -> None:
+    rig = Rig()
+    texts = []
+    for text in rig.draft().texts():
+        texts.append(text)
+        if len(texts) == 5:
+            failing = rig.used_stage(0)
+            failing.dead = True
+            other = next(
+                engine
+                for engine in rig.engines
+                if engine.address != failing.address
+                and engine.report().holdings == failing.report().holdings
+            )
+            rig.services.breakers.note_failure(other.address, certain=True)
+    assert texts == expected()
+    assert len(rig.client.opened) == 2
+
+
+def test_stream_outlasts_seconds_without_any_route() -> None:
+    rig = Rig(copies=1)
+    texts = []
+    for text in rig.draft().texts():
+        texts.append(text)
+        if len(texts) == 5:
+            engine = rig.used_stage(1)
+            engine.dead = True
+            rig.clock.after(8.0, engine.revive)
+    assert texts == expected()
+
+
 def test_failure_after_a_token_ran_is_unknown() -> None:
     rig = Rig(copies=1)
     texts = []
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/direct_targets.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/direct_targets.py
@@ -34,7 +34,7 @@
         return result.Success(engine.report())
 
     def open_stream(
-        self, request: targets.RoutedRequest, token_gap_s: float
+        self, request: targets.RoutedRequest, accept_s: float
     ) -> result.Result[targets.TokenStream, targets.TargetError]:
         address = request.stages[0].address
         engine = self._fabric.engine_by_address.get(address)
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/engine_server.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/engine_server.py
@@ -12,6 +12,8 @@
 from . import engines
 
 StartResponse = Any
+# Sends the response's head at once.
+EMPTY_LINE = b'\n'
 JSON_HEADERS = [('Content-Type', 'application/json')]
 
 
@@ -72,6 +74,7 @@
 def _lines(tokens: Iterator[targets.Token]) -> Iterator[bytes]:
     """Yields a line a token; a failed stage ends them with its address."""
     try:
+        yield EMPTY_LINE
         for token in tokens:
             yield msgspec.json.encode(token) + b'\n'
     except engines.StageError as error:
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/engines.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/engines.py
@@ -121,6 +121,10 @@
         """Puts holdings in place at once, as if loaded before the start."""
         self._holdings = tuple(holdings)
 
+    def revive(self) -> None:
+        """Lets a dead engine work again, with what it held."""
+        self.dead = False
+
     def freeze(self) -> None:
         """Stops the engine without closing its connections."""
         self.thawed.clear()
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
@@ -15,6 +15,8 @@
 CALL_TIMEOUT_S = 2.0
 MAX_BODY_BYTES = 1_048_576
 HTTP_OK = 200
+# An engine sends it at once, to say that it has accepted the request.
+EMPTY_LINE = b'\n'
 FENCED = 'fenced'
 
 NETWORK_ERRORS = (
@@ -56,6 +58,8 @@
         decode = _token_decoder.decode
         while True:
             line = self._read_line()
+            if line == EMPTY_LINE:
+                continue
             try:
                 token = decode(line)
             except msgspec.DecodeError:
@@ -104,11 +108,11 @@
         return self._call(address, 'POST', '/v1/orders', body)
 
     def open_stream(
-        self, request: targets.RoutedRequest, token_gap_s: float
+        self, request: targets.RoutedRequest, accept_s: float
     ) -> result.Result[targets.TokenStream, targets.TargetError]:
         address = request.stages[0].address
         body = msgspec.json.encode(request)
-        exchange = _Exchange(address, token_gap_s)
+        exchange = _Exchange(address, accept_s)
         sent = exchange.send('POST', '/v1/streams', body)
         return sent.map(lambda _: HttpTokenStream(exchange))
 
--- a/packages/cactusmux-platform/src/cactusmux_platform/targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/targets.py
@@ -161,13 +161,13 @@
 
     @abc.abstractmethod
     def open_stream(
-        self, request: RoutedRequest, token_gap_s: float
+        self, request: RoutedRequest, accept_s: float
     ) -> result.Result[TokenStream, TargetError]:
         """Starts a routed request at its first stage.
 
         Fails with :class:`NotSent` or :class:`TargetRefused` when it did
         not run, with :class:`StreamStalled` when the target does not answer
-        within ``token_gap_s`` seconds, else with :class:`StreamBroken`.
+        within ``accept_s`` seconds, else with :class:`StreamBroken`.
         Later silence is the reader's to watch: closing the stream ends it.
         """
 
--- a/packages/cactusmux-routing/src/cactusmux_routing/admission.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/admission.py
@@ -24,6 +24,7 @@
 MAX_WAITING = 1024
 PUMP_S = 0.1
 NO_SHARE_RETRY_S = 60.0
+NO_CAPACITY_RETRY_S = 4.0
 # Who asks for so much more than its part is refused for its share.
 EXCESS = 1.1
 MIN_RATE_TPS = 1e-3
@@ -67,6 +68,7 @@
         max_waiting: int = MAX_WAITING,
     ) -> None:
         self._timer = timer
+        self._rng = rng
         self._share = share
         self._meter = meter
         self._metric = metric
@@ -137,6 +139,9 @@
         organisation = request.organisation
         if self._draining:
             return refusals.Draining(organisation, 0.0)
+        if self._shares_with(leaf).capacity_tps <= 0:
+            after_s = self._rng.uniform(0.5, 1.0) * NO_CAPACITY_RETRY_S
+            return refusals.NoCapacity(organisation, after_s)
         portion = self._shares_with(leaf).portion_by_leaf[leaf]
         if portion.potential <= 0:
             return refusals.NoShare(organisation, NO_SHARE_RETRY_S)
--- /dev/null
+++ b/packages/cactusmux-routing/src/cactusmux_routing/model_capacity.py
@@ -0,0 +1,29 @@
+"""How many tokens a second the known targets can do of each model."""
+
+from collections.abc import Iterable
+
+from . import target_table
+
+
+def model_capacity_tps(
+    known: Iterable[target_table.Target],
+    model: str,
+    version: str,
+    layers: int,
+) -> float:
+    """Returns the capacity of the layer that the fewest can compute.
+
+    A target with several holdings gives each an equal part. Links are not
+    looked at, so that this is an upper bound.
+    """
+    capacity_by_layer = [0.0] * layers
+    for target in known:
+        if not target.holdings:
+            continue
+        part_tps = target.capacity_tps / len(target.holdings)
+        for holding in target.holdings:
+            if holding.model != model or holding.version != version:
+                continue
+            for layer in range(holding.first, min(holding.last, layers)):
+                capacity_by_layer[layer] += part_tps
+    return min(capacity_by_layer, default=0.0)
--- a/packages/cactusmux-routing/src/cactusmux_routing/refusals.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/refusals.py
@@ -51,6 +51,12 @@
     reason = 'no_share'
 
 
+class NoCapacity(Refused):
+    """No target is known that could run anything."""
+
+    reason = 'no_capacity'
+
+
 class Draining(Refused):
     """This instance is stopping; another one may serve it at once."""
 
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/admission_feed.py
@@ -0,0 +1,119 @@
+"""Feeds admission with documents, the pool's capacity and demand."""
+
+import collections
+from collections.abc import Mapping
+
+from cactusmux_base import timers
+from cactusmux_control import documents
+from cactusmux_control import in_force
+from cactusmux_peers import payloads
+from cactusmux_peers import peer_service
+from cactusmux_routing import admission
+from cactusmux_routing import demand
+from cactusmux_routing import fair_share
+from cactusmux_routing import model_capacity
+
+from . import pool_view
+
+PERIOD_S = 0.5
+
+
+class AdmissionFeed:
+    """Tells peers the demand here, and admission the demand elsewhere.
+
+    The pool is what this instance's region has, since routes stay in it.
+    """
+
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        meter: demand.DemandMeter,
+        share: fair_share.FairShare,
+        controller: admission.AdmissionController,
+        peers: peer_service.PeerService,
+        held: in_force.DocumentsInForce,
+        pool: pool_view.PoolView,
+    ) -> None:
+        self._timer = timer
+        self._meter = meter
+        self._share = share
+        self._controller = controller
+        self._peers = peers
+        self._held = held
+        self._pool = pool
+
+    def tick(self) -> None:
+        """Exchanges demand with peers."""
+        own = self._meter.tps_by_leaf()
+        self._peers.soft_state.publish_demand(
+            {payloads.DemandKey(*leaf): tps for leaf, tps in own.items()}
+        )
+        self._feed_members()
+        self._feed_demand(own)
+
+    def _feed_members(self) -> None:
+        others_by_zone: collections.Counter[str] = collections.Counter()
+        view = self._peers.view
+        for member in view.live():
+            if member.instance_id == view.own.instance_id:
+                continue
+            if member.region == view.own.region:
+                others_by_zone[member.zone] += 1
+        self._share.set_members(others_by_zone)
+
+    def _feed_demand(self, own: Mapping[demand.Leaf, float]) -> None:
+        view = self._peers.view
+        now = self._timer.now()
+        near = collections.Counter(
+            member.zone
+            for member in view.live()
+            if member.region == view.own.region
+            and member.instance_id != view.own.instance_id
+        )
+        heard = []
+        for zone, tps_by_key in self._peers.soft_state.demand().items():
+            if not near[zone]:
+                continue
+            tps_by_leaf = {
+                demand.Leaf(*key): tps for key, tps in tps_by_key.items()
+            }
+            if zone == view.own.zone:
+                tps_by_leaf = _without(tps_by_leaf, own)
+            heard.append(demand.ZoneDemand(zone, near[zone], tps_by_leaf, now))
+        self._share.hear(heard)
+
+    def feed_capacity(self) -> None:
+        """Takes in documents and targets; to be called when they change."""
+        known = self._pool.table.target_by_address.values()
+        total_tps = 0.0
+        policy_by_service = {}
+        for service, held in self._held.all_in_force().items():
+            policy_by_service[service] = _policy(held.document)
+            for name, model in held.document.model_by_name.items():
+                capacity_tps = model_capacity.model_capacity_tps(
+                    known, name, model.version, model.layers
+                )
+                total_tps += capacity_tps
+                self._controller.set_model_capacity(name, capacity_tps)
+        self._share.set_pool(total_tps, policy_by_service)
+
+
+def _policy(
+    document: documents.ServiceDocument,
+) -> fair_share.ServicePolicy:
+    return fair_share.ServicePolicy(
+        document.pool,
+        {
+            name: organisation.weight
+            for name, organisation in document.organisation_by_name.items()
+        },
+    )
+
+
+def _without(
+    total: Mapping[demand.Leaf, float], own: Mapping[demand.Leaf, float]
+) -> dict[demand.Leaf, float]:
+    """Takes this instance's own demand out of its zone's sum."""
+    return {
+        leaf: max(tps - own.get(leaf, 0.0), 0.0) for leaf, tps in total.items()
+    }
--- a/packages/cactusmux/src/cactusmux/instance.py
+++ b/packages/cactusmux/src/cactusmux/instance.py
@@ -37,11 +37,16 @@
 from cactusmux_platform import plain_services
 from cactusmux_platform import stores
 from cactusmux_platform import targets
+from cactusmux_routing import admission
+from cactusmux_routing import breakers
 from cactusmux_routing import choosers
+from cactusmux_routing import demand
+from cactusmux_routing import fair_share
 from cactusmux_routing import policies
 from cactusmux_routing import retries
 from cactusmux_routing import target_table
 
+from . import admission_feed
 from . import pool_view
 from . import settings as settings_lib
 
@@ -114,6 +119,20 @@
             self.process_id,
             claims.ClaimSettings(),
         )
+        meter = demand.DemandMeter(timer)
+        share = fair_share.FairShare(timer, meter)
+        self.admission = admission.AdmissionController(
+            timer, self._rng, share, meter, sink
+        )
+        self._admission_feed = admission_feed.AdmissionFeed(
+            timer,
+            meter,
+            share,
+            self.admission,
+            self.peers,
+            self.documents,
+            self.pool,
+        )
         self.surface = self._make_surface()
         self.drain = self._make_drain()
         self._jobs: list[timers.Subscription] = []
@@ -125,7 +144,13 @@
         self.documents.start()
         self.news.start()
         self.poller.start()
-        self._jobs = [self.claims.start()]
+        feed = self._admission_feed
+        self.documents.subscribe(lambda *_: feed.feed_capacity())
+        self.pool.subscribe(feed.feed_capacity)
+        self._jobs = [
+            self.claims.start(),
+            self.timer.every(admission_feed.PERIOD_S, feed.tick),
+        ]
         events.info(
             'instance_started',
             instance=self.settings.instance_id,
@@ -157,6 +182,8 @@
         ]
         if missing:
             return f'no document of {", ".join(missing)}'
+        if not self.pool.table.target_by_address:
+            return 'no target is known'
         return ''
 
     def state(self) -> dict[str, object]:
@@ -246,12 +273,16 @@
                 backoff=backoff,
                 stalls=stall_watch.StallWatch(timer),
                 leaving=self.leaving,
+                breakers=breakers.Breakers(
+                    timer, self._rng, self.metrics, self._can_lose
+                ),
                 zone=settings.zone,
                 token_gap_s=settings.limits.token_gap_s,
                 first_token_s=settings.limits.first_token_s,
             ),
             self.documents.in_force,
             plain_handlers.PlainHandlers(plain, self._explain_log),
+            self.admission,
             self._explain_log,
         )
         documents = document_handlers.DocumentHandlers(
@@ -284,6 +315,11 @@
             ),
         )
 
+    def _can_lose(self, lost: frozenset[str]) -> bool:
+        return self.chooser.has_routes_without(
+            lost, breakers.MAX_EJECTED_FRACTION
+        )
+
     def _make_address_handlers(self) -> address_handlers.AddressHandlers:
         known = addresses.Addresses(
             self.peers.view.live,
--- a/packages/cactusmux/src/cactusmux/pool_view.py
+++ b/packages/cactusmux/src/cactusmux/pool_view.py
@@ -42,6 +42,7 @@
         self._leaving = leaving
         self._chooser = chooser
         self._subscriptions: list[timers.Subscription] = []
+        self._callbacks: list[Callable[[], None]] = []
 
     def start(self) -> None:
         """Reads the list and starts to refresh it and the table."""
@@ -52,6 +53,10 @@
             self._timer.every(TABLE_PERIOD_S, self.refresh_table),
         ]
 
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Calls ``callback`` after each refresh of the table."""
+        self._callbacks.append(callback)
+
     def stop(self) -> None:
         """Ends the refreshing."""
         for subscription in self._subscriptions:
@@ -80,3 +85,5 @@
         )
         self._metrics.gauge('pool.targets', len(self.table.target_by_address))
         self._chooser.update(self.table)
+        for callback in self._callbacks:
+            callback()
