Refuse paths that would cost the client a connection each

Cause: geventhttpclient encodes the head after it took a connection from its pool; a path outside latin-1 fails there and the connection is lost, so 64 such requests stopped all repeatable calls to an address. Change: such a path is refused as not sent before connecting.

--- a/packages/cactusmux-control/src/cactusmux_control/claim_owner.py
+++ b/packages/cactusmux-control/src/cactusmux_control/claim_owner.py
@@ -48,6 +48,11 @@
         )
         self._range_by_number: dict[int, claim_ranges.Range] = {}
 
+    def known(self) -> int:
+        """Counts the claims that are kept in memory."""
+        ranges = self._range_by_number.values()
+        return sum(len(owned.known_by_key) for owned in ranges)
+
     def is_writing(self, range_number: int) -> bool:
         """Tells whether an entry of the range is being written."""
         owned = self._range_by_number.get(range_number)
@@ -77,7 +82,9 @@
             for batch in led:
                 self._end(owned, batch)
         return tuple(
-            _final_reply(bid, place)
+            place.reply_to(bid)
+            if isinstance(place, claim_ranges.Batch)
+            else place
             for bid, place in zip(bids, placed, strict=True)
         )
 
@@ -281,19 +288,3 @@
             else:
                 # Which outcome stands is read anew from the log.
                 owned.is_open = False
-
-
-def _final_reply(
-    bid: claim_bids.Bid, place: Reply | claim_ranges.Batch
-) -> Reply:
-    """Waits for the batch of a bid, if it is in one."""
-    if not isinstance(place, claim_ranges.Batch):
-        return place
-    written = place.written.get()
-    if isinstance(written, result.Failure):
-        if isinstance(written.failure(), claim_log.Unsettled):
-            return Reply(Verdict.UNSETTLED)
-        return Reply(Verdict.NOT_WRITTEN)
-    if bid.record.state is claims.ClaimState.CLAIMED:
-        return Reply(Verdict.WON)
-    return Reply(Verdict.WRITTEN)
--- a/packages/cactusmux-control/src/cactusmux_control/claim_ranges.py
+++ b/packages/cactusmux-control/src/cactusmux_control/claim_ranges.py
@@ -4,7 +4,9 @@
 
 from gevent import event
 from gevent import lock
+from returns import result
 
+from . import claim_bids
 from . import claim_log
 from . import claims
 
@@ -43,6 +45,17 @@
         self.record_by_key[key] = record
         return True
 
+    def reply_to(self, bid: claim_bids.Bid) -> claim_bids.Reply:
+        """Waits until the batch is written and replies to one of its bids."""
+        written = self.written.get()
+        if isinstance(written, result.Failure):
+            if isinstance(written.failure(), claim_log.Unsettled):
+                return claim_bids.Reply(claim_bids.Verdict.UNSETTLED)
+            return claim_bids.Reply(claim_bids.Verdict.NOT_WRITTEN)
+        if bid.record.state is claims.ClaimState.CLAIMED:
+            return claim_bids.Reply(claim_bids.Verdict.WON)
+        return claim_bids.Reply(claim_bids.Verdict.WRITTEN)
+
 
 class Range:
     """What an owner knows of a range; valid while ``is_open``."""
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
@@ -76,6 +76,10 @@
         once: bool,
         may_send: Callable[[], bool] = plain_services.always,
     ) -> result.Result[plain_services.PlainAnswer, plain_services.PlainError]:
+        if not call.path.isascii():
+            # The library would fail with a connection in hand, and lose it.
+            detail = f'path {call.path!r} is not in ASCII'
+            return result.Failure(plain_services.NotSent(address, detail))
         if once:
             client = _Client(address, may_send)
         elif not may_send():
--- a/packages/cactusmux-platform/src/cactusmux_platform/plain_services.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/plain_services.py
@@ -15,7 +15,10 @@
 
 
 class PlainCall(NamedTuple):
-    """One request to a plain service."""
+    """One request to a plain service.
+
+    ``path`` goes on the wire as it is: in ASCII, with its escapes.
+    """
 
     method: str
     path: str
