Hold a lease and a plan a region

Cause: one holder for all regions would need the reports of 1,600 targets, 38 KB/s by the design's arithmetic, of the 29 KB/s that a daemon may spend, and a region cut off from it would get no orders for an hour. Change: lease, plan and record have a region's name, and each region uses a part of the weight store's rate. Constructor: region, weight_part. Checked by breaking: one record for all regions; whole rate for each.

--- a/bench/authority_world.py
+++ b/bench/authority_world.py
@@ -35,7 +35,7 @@
     faulty_store.Faults(slow_s=1.5, lost_answers=0.3),
 )
 LONGEST_PAUSE_S = orders.PIN_S / 2
-LEASE_KEY = f'{leases.LEASE_PREFIX}{leases.ORDER_LEASE}'
+LEASE_KEY = f'{leases.LEASE_PREFIX}{leases.order_lease("r1")}'
 
 
 class Counts(NamedTuple):
@@ -93,7 +93,7 @@
             self.store,
             world.clock,
             metric,
-            leases.ORDER_LEASE,
+            leases.order_lease('r1'),
             f'10.9.0.{number}:80',
         )
         self.dispatcher = orders.OrderDispatcher(
@@ -107,6 +107,7 @@
                 lambda: world.documents,
                 world.known_targets,
             ),
+            'r1',
         )
 
 
@@ -160,7 +161,7 @@
 
     def planned(self, address: str) -> Any:
         """Returns what the plan in force has the target hold."""
-        entry = self.store.get(plan_record.PLAN_KEY).unwrap()
+        entry = self.store.get(plan_record.plan_key('r1')).unwrap()
         record = plan_record.decode(entry.value) if entry else None
         if record is None:
             return None
--- a/bench/bench_authority.py
+++ b/bench/bench_authority.py
@@ -195,6 +195,7 @@
             lambda: in_force,
             lambda: known,
         ),
+        'all',
     )
     for _ in range(REPEATS):
         dispatcher.run_round()
@@ -216,7 +217,7 @@
 
 
 def measure_lease_calls() -> list[figures.Figure]:
-    """Counts the store's calls of all instances, one of them the holder."""
+    """Counts the store's calls of all instances, one holder a region."""
     clock = timers.ManualTimers()
     memory = memory_store.MemoryStore(clock)
     ways = []
@@ -227,7 +228,7 @@
             way,
             clock,
             metrics.MemoryMetrics(),
-            leases.ORDER_LEASE,
+            leases.order_lease(f'region-{number % REGIONS}'),
             f'10.9.{number // 250}.{number % 250}:80',
             may_acquire=lambda n=number: n < CANDIDATES,
         )
--- a/packages/cactusmux-control/src/cactusmux_control/leases.py
+++ b/packages/cactusmux-control/src/cactusmux_control/leases.py
@@ -36,6 +36,11 @@
     authority: lease_types.Authority
 
 
+def order_lease(region: str) -> str:
+    """Returns the name of the lease for orders in a region."""
+    return f'{ORDER_LEASE}/{region}'
+
+
 AuthorityCallback = Callable[[lease_types.Authority | None], None]
 
 
--- a/packages/cactusmux-control/src/cactusmux_control/load_budget.py
+++ b/packages/cactusmux-control/src/cactusmux_control/load_budget.py
@@ -14,12 +14,18 @@
     It is counted anew each round from orders and reports, so a new holder
     starts with the true figure. One load may always be under way, even one
     that is larger than the window.
+
+    :param part: of the weight store's rate, from 0 to 1.
     """
 
     def __init__(
-        self, weight_store: weights.WeightStore, metric: metrics.Metrics
+        self,
+        weight_store: weights.WeightStore,
+        metric: metrics.Metrics,
+        part: float = 1.0,
     ) -> None:
         self._weight_store = weight_store
+        self._part = part
         self._metric = metric
         self._rate_mb_per_s = 0.0
         self._loading_mb = 0.0
@@ -29,7 +35,7 @@
         self._loading_mb = loading_mb
         match self._weight_store.rate_mb_per_s():
             case result.Success(rate):
-                self._rate_mb_per_s = rate
+                self._rate_mb_per_s = rate * self._part
             case result.Failure(failure):
                 self._metric.count(f'orders.budget.{failure.reason}')
         self._metric.gauge('orders.loading_mb', loading_mb)
--- a/packages/cactusmux-control/src/cactusmux_control/order_tasks.py
+++ b/packages/cactusmux-control/src/cactusmux_control/order_tasks.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from cactusmux_base import failures
 from cactusmux_base import timers
 
 from . import documents
@@ -13,6 +14,18 @@
 LONGEST_RETRY_S = 60.0
 
 
+class NoAuthority(failures.CactusmuxError):
+    """This instance does not hold the order lease."""
+
+    reason = 'no_authority'
+
+
+class DocumentsUnknown(failures.CactusmuxError):
+    """The documents in force are not known yet."""
+
+    reason = 'documents_unknown'
+
+
 class Task(NamedTuple):
     """A target to bring to ``holdings``, which takes a load of some MB."""
 
--- a/packages/cactusmux-control/src/cactusmux_control/orders.py
+++ b/packages/cactusmux-control/src/cactusmux_control/orders.py
@@ -27,18 +27,6 @@
 PIN_S = 600.0
 
 
-class NoAuthority(failures.CactusmuxError):
-    """This instance does not hold the order lease."""
-
-    reason = 'no_authority'
-
-
-class DocumentsUnknown(failures.CactusmuxError):
-    """The documents in force are not known yet."""
-
-    reason = 'documents_unknown'
-
-
 class Round(NamedTuple):
     """What a round did; ``waiting`` targets still have to be ordered."""
 
@@ -69,7 +57,12 @@
 
 
 class OrderDispatcher:
-    """Plans, records the plan and sends orders, one round after another."""
+    """Plans, records the plan and sends orders, one round after another.
+
+    :param region: the one whose targets ``sources`` tells of; the lease
+        behind ``sources.authority`` must be that region's.
+    :param weight_part: of the weight store's rate that the region may use.
+    """
 
     def __init__(
         self,
@@ -79,17 +72,21 @@
         client: targets.TargetClient,
         weight_store: weights.WeightStore,
         sources: Sources,
+        region: str,
+        weight_part: float = 1.0,
         delivery_s: float = lease_types.DEFAULT_SETTINGS.delivery_s,
         limits: placement_types.Limits = placement.DEFAULT_LIMITS,
     ) -> None:
         self._timer = timer
         self._metric = metric
         self._client = client
-        self._budget = load_budget.LoadBudget(weight_store, metric)
+        self._budget = load_budget.LoadBudget(
+            weight_store, metric, weight_part
+        )
         self._sources = sources
         self._delivery_s = delivery_s
         self._limits = limits
-        self._plans = plan_record.PlanStore(store)
+        self._plans = plan_record.PlanStore(store, region)
         self._planned: _Planned | None = None
         self._fencing = 0
         self._pinned_until = 0.0
@@ -113,10 +110,10 @@
         authority = self._sources.authority(0.0)
         if authority is None:
             self._fencing = 0
-            return result.Failure(NoAuthority())
+            return result.Failure(order_tasks.NoAuthority())
         in_force = self._sources.documents_in_force()
         if in_force is None:
-            return result.Failure(DocumentsUnknown())
+            return result.Failure(order_tasks.DocumentsUnknown())
         if authority.fencing != self._fencing:
             taken = self._take_over(authority)
             if isinstance(taken, result.Failure):
--- a/packages/cactusmux-control/src/cactusmux_control/plan_record.py
+++ b/packages/cactusmux-control/src/cactusmux_control/plan_record.py
@@ -16,7 +16,7 @@
 
 from . import placement_types
 
-PLAN_KEY = 'placement/plan'
+PLAN_PREFIX = 'placement/plan/'
 MAX_VALUE_BYTES = 1_000_000
 
 
@@ -61,8 +61,9 @@
 class PlanStore:
     """Reads and writes the record; knows the revision that it replaces."""
 
-    def __init__(self, store: stores.ConfigStore) -> None:
+    def __init__(self, store: stores.ConfigStore, region: str) -> None:
         self._store = store
+        self._key = plan_key(region)
         self._revision = stores.ABSENT
         self.record = _EMPTY
 
@@ -73,7 +74,7 @@
 
         From then on a former holder's writes fail.
         """
-        found = self._store.get(PLAN_KEY)
+        found = self._store.get(self._key)
         if isinstance(found, result.Failure):
             return result.Failure(found.failure())
         return self._replace(found.unwrap(), fencing)
@@ -83,11 +84,11 @@
     ) -> result.Result[PlanRecord, failures.CactusmuxError]:
         former = _EMPTY if entry is None else decode(entry.value)
         if former is None:
-            return result.Failure(RecordDamaged(PLAN_KEY))
+            return result.Failure(RecordDamaged(self._key))
         self._revision = entry.revision if entry else stores.ABSENT
         if former.fencing > fencing:
             return result.Failure(
-                stores.Conflict(PLAN_KEY, self._revision, entry)
+                stores.Conflict(self._key, self._revision, entry)
             )
         return self.save(msgspec.structs.replace(former, fencing=fencing))
 
@@ -102,7 +103,9 @@
         value = encode(marked)
         if len(value) > MAX_VALUE_BYTES:
             return result.Failure(RecordTooLarge(len(value)))
-        written = self._store.compare_and_swap(PLAN_KEY, value, self._revision)
+        written = self._store.compare_and_swap(
+            self._key, value, self._revision
+        )
         match written:
             case result.Success(entry):
                 self._revision = entry.revision
@@ -116,7 +119,7 @@
         self, marked: PlanRecord
     ) -> result.Result[PlanRecord, failures.CactusmuxError]:
         """Reads back whether a write with a lost answer took effect."""
-        found = self._store.get(PLAN_KEY)
+        found = self._store.get(self._key)
         if isinstance(found, result.Failure):
             return result.Failure(found.failure())
         return self._compare(found.unwrap(), marked)
@@ -131,9 +134,14 @@
             return result.Success(marked)
         if revision != self._revision:
             return result.Failure(
-                stores.Conflict(PLAN_KEY, self._revision, entry)
+                stores.Conflict(self._key, self._revision, entry)
             )
-        return result.Failure(stores.OutcomeUnknown(PLAN_KEY))
+        return result.Failure(stores.OutcomeUnknown(self._key))
+
+
+def plan_key(region: str) -> str:
+    """Returns the store key of a region's plan."""
+    return f'{PLAN_PREFIX}{region}'
 
 
 def encode(record: PlanRecord) -> bytes:
--- a/packages/cactusmux-control/tests/holder_process.py
+++ b/packages/cactusmux-control/tests/holder_process.py
@@ -59,7 +59,12 @@
     )
     configuration = http_store.HttpConfigStore(store, metric)
     lease = leases.LeaseHolder(
-        configuration, timer, metric, leases.ORDER_LEASE, version, SETTINGS
+        configuration,
+        timer,
+        metric,
+        leases.order_lease('r1'),
+        version,
+        SETTINGS,
     )
     dispatcher = orders.OrderDispatcher(
         configuration,
@@ -76,7 +81,8 @@
                 )
             ],
         ),
-        SETTINGS.delivery_s,
+        'r1',
+        delivery_s=SETTINGS.delivery_s,
     )
     lease.start()
     while True:
--- a/packages/cactusmux-control/tests/test_orders.py
+++ b/packages/cactusmux-control/tests/test_orders.py
@@ -8,6 +8,7 @@
 from cactusmux_control import documents
 from cactusmux_control import leases
 from cactusmux_control import load_budget
+from cactusmux_control import order_tasks
 from cactusmux_control import orders
 from cactusmux_control import plan_record
 from cactusmux_control import pool
@@ -56,7 +57,7 @@
 class Instance:
     """One of our instances, with its lease and its dispatcher."""
 
-    def __init__(self, bed: 'Bed', number: int) -> None:
+    def __init__(self, bed: 'Bed', number: int, region: str = 'r1') -> None:
         self.store = scripted_store.ScriptedStore(bed.store, bed.clock)
         self.metric = metrics.MemoryMetrics()
         self.client = PausedClient(
@@ -66,7 +67,7 @@
             self.store,
             bed.clock,
             self.metric,
-            leases.ORDER_LEASE,
+            leases.order_lease(region),
             f'10.9.0.{number}:80',
         )
         self.dispatcher = orders.OrderDispatcher(
@@ -78,8 +79,9 @@
             orders.Sources(
                 self.lease.authority,
                 lambda: bed.documents,
-                bed.known_targets,
+                lambda: bed.known_targets(region),
             ),
+            region,
         )
 
     def run(self) -> result.Result[orders.Round, Any]:
@@ -93,6 +95,7 @@
     def __init__(self, checks_fencing: bool = True, count: int = 8) -> None:
         self.clock = timers.ManualTimers()
         self.store = memory_store.MemoryStore(self.clock)
+        self.addresses_by_region: dict[str, set[str]] = {}
         self.weights = fixed_weights.FixedWeightStore(RATE_MB_PER_S)
         self.fabric = engines.Fabric(self.clock)
         config = engines.EngineConfig(checks_fencing=checks_fencing)
@@ -104,13 +107,13 @@
         self.first = Instance(self, 1)
         self.second = Instance(self, 2)
 
-    def known_targets(self) -> list[pool.KnownTarget]:
+    def known_targets(self, region: str) -> list[pool.KnownTarget]:
         return [
             pool.KnownTarget(
                 instances.ListedInstance(
                     address,
                     instances.Role.ENGINE,
-                    'r1',
+                    region,
                     f'z{number % 2}',
                     accelerator='kind',
                     memory_mb=3000,
@@ -121,6 +124,7 @@
             for number, (address, engine) in enumerate(
                 sorted(self.fabric.engine_by_address.items())
             )
+            if address in self.addresses_by_region.get(region, (address,))
         ]
 
     def settle(self, instance: Instance, rounds: int = 20) -> None:
@@ -154,7 +158,7 @@
 
 
 def recorded(bed: Bed) -> plan_record.PlanRecord:
-    entry = bed.store.get(plan_record.PLAN_KEY).unwrap()
+    entry = bed.store.get(plan_record.plan_key('r1')).unwrap()
     assert entry is not None
     record = plan_record.decode(entry.value)
     assert record is not None
@@ -223,17 +227,34 @@
     bed = Bed()
     bed.first.run()
     outcome = bed.second.run()
-    assert isinstance(outcome.failure(), orders.NoAuthority)
+    assert isinstance(outcome.failure(), order_tasks.NoAuthority)
     assert bed.second.client.sent == []
 
 
+def test_regions_have_a_holder_and_a_plan_each() -> None:
+    bed = Bed()
+    near = {f'10.0.0.{number}:80' for number in range(4)}
+    far = set(bed.fabric.engine_by_address) - near
+    bed.addresses_by_region = {'r1': near, 'r2': far}
+    other = Instance(bed, 3, 'r2')
+    for _ in range(20):
+        bed.first.run().unwrap()
+        other.run().unwrap()
+        bed.clock.advance(orders.PERIOD_S)
+    assert {address for address, _ in bed.first.client.sent} <= near
+    assert {address for address, _ in other.client.sent} <= far
+    held = bed.held()
+    assert any(held[address] for address in near)
+    assert any(held[address] for address in far)
+
+
 def test_unknown_documents_hold_all_orders_back() -> None:
     bed = Bed()
     bed.settle(bed.first)
     before = bed.held()
     bed.documents = None
     outcome = bed.first.run()
-    assert isinstance(outcome.failure(), orders.DocumentsUnknown)
+    assert isinstance(outcome.failure(), order_tasks.DocumentsUnknown)
     assert bed.held() == before
 
 
@@ -316,7 +337,9 @@
     late = bed.first.client.sent[-1][0]
     bed.clock.advance(1.0)
     assert bed.held() == pause.held  # type: ignore[attr-defined]
-    assert bed.first.dispatcher.run_round().failure() == orders.NoAuthority()
+    assert (
+        bed.first.dispatcher.run_round().failure() == order_tasks.NoAuthority()
+    )
     if not checks_fencing:
         assert late in recorded(bed).open_addresses
 
@@ -453,6 +476,14 @@
     assert budget.take(5000.0, urgent=False)
 
 
+def test_regions_divide_the_weight_stores_rate() -> None:
+    store = fixed_weights.FixedWeightStore(100.0)
+    budget = load_budget.LoadBudget(store, metrics.MemoryMetrics(), 0.25)
+    budget.begin_round(200.0)
+    assert not budget.take(100.0, urgent=False)
+    assert budget.take(50.0, urgent=False)
+
+
 def test_down_weight_store_starts_no_load_and_later_goes_on() -> None:
     bed = Bed()
     bed.weights.down = True
