--- a/bench/queue_model.py
+++ b/bench/queue_model.py
@@ -68,6 +68,7 @@
         self._target_by_address = {t.address: t for t in fleet.targets}
         for target in fleet.targets:
             self._resource(target.address, target.capacity_tps)
+        self._failed: frozenset[str] = frozenset()
         self._reports: list[tuple[float, numpy.ndarray]] = []
         self._tell(numpy.zeros(len(fleet.targets), dtype=int), 0.0)
         self._streams = [self._start() for _ in range(streams)]
@@ -86,6 +87,22 @@
                 self._report()
         return tokens / measured_s
 
+    def fail(self, addresses: frozenset[str]) -> None:
+        """Targets fail: their streams are routed anew, all at once.
+
+        Every instance has seen the failure by its own broken streams.
+        """
+        for chooser in self._choosers:
+            for address in addresses:
+                chooser.remove(address)
+        self._failed |= addresses
+        for number, stream in enumerate(self._streams):
+            if any(s.address in addresses for s in stream.route.stages):
+                stream.chooser.note_finished(stream.route)
+                moved = self._start()
+                moved.left = stream.left
+                self._streams[number] = moved
+
     def _step(self) -> float:
         rates = self._rates()
         self._clock.advance(STEP_S)
@@ -162,6 +179,7 @@
                     running=int(counts[number]), taken_at=taken_at
                 )
                 for number, target in enumerate(self._fleet.targets)
+                if target.address not in self._failed
             }
         )
         for chooser in self._choosers:
