Name the revision of a stored value that is no document

Cause: an operator could not mend such a value, since showing it failed without the revision that an edit has to give.

Change: showing it fails with DocumentUnreadable, which names the revision and what is wrong.

--- a/packages/cactusmux-control/src/cactusmux_control/document_store.py
+++ b/packages/cactusmux-control/src/cactusmux_control/document_store.py
@@ -79,6 +79,20 @@
         self.service = service
 
 
+class DocumentUnreadable(failures.CactusmuxError):
+    """The stored value is no document; an edit at its revision mends it."""
+
+    reason = 'document_unreadable'
+
+    def __init__(self, service: str, revision: int, detail: str) -> None:
+        super().__init__(
+            f'document {service!r} at revision {revision}: {detail}'
+        )
+        self.service = service
+        self.revision = revision
+        self.detail = detail
+
+
 ApplyFailure = (
     validation.DocumentInvalid
     | EditConflict
@@ -86,7 +100,7 @@
     | envelopes.EpochInvalid
     | stores.StoreError
 )
-ShowFailure = DocumentAbsent | envelopes.EnvelopeInvalid | stores.StoreError
+ShowFailure = DocumentAbsent | DocumentUnreadable | stores.StoreError
 
 _Verdict = result.Result[Applied, ApplyFailure]
 
@@ -103,7 +117,8 @@
         return result.Failure(DocumentAbsent(service))
     decoded = envelopes.decode(entry.value)
     if isinstance(decoded, result.Failure):
-        return result.Failure(decoded.failure())
+        why = str(decoded.failure())
+        return result.Failure(DocumentUnreadable(service, entry.revision, why))
     envelope = decoded.unwrap()
     return result.Success(
         Shown(
@@ -190,6 +205,7 @@
         self._timer = timer
         self._service = service
         self._envelope = envelope
+        self._write_id = envelope.write_id
         self._expected = expected
         self._key = documents.document_key(service)
 
@@ -221,9 +237,7 @@
             if verdict is not None:
                 return verdict
         return result.Failure(
-            OutcomeUnsettled(
-                self._service, self._expected, self._envelope.write_id
-            )
+            OutcomeUnsettled(self._service, self._expected, self._write_id)
         )
 
     def _read_back(self) -> _Verdict | None:
@@ -245,10 +259,10 @@
         if isinstance(decoded, result.Failure):
             return None
         envelope = decoded.unwrap()
-        if envelope.write_id == self._envelope.write_id:
+        if envelope.write_id == self._write_id:
             return result.Success(self._applied(entry.revision))
         for write in envelope.earlier:
-            if write.write_id == self._envelope.write_id:
+            if write.write_id == self._write_id:
                 applied = self._applied(write.revision)
                 return result.Success(applied._replace(replaced=True))
         return None
@@ -276,7 +290,7 @@
             self._service,
             revision,
             envelopes.revision_in_force(self._envelope, revision),
-            self._envelope.write_id,
+            self._write_id,
         )
 
     def _conflict(self, found: int) -> _Verdict:
--- a/packages/cactusmux-control/tests/test_document_store.py
+++ b/packages/cactusmux-control/tests/test_document_store.py
@@ -221,9 +221,10 @@
 
 def test_value_that_is_no_document_can_be_replaced(desk: Desk) -> None:
     entry = desk.memory.compare_and_swap(KEY, b'{}', stores.ABSENT).unwrap()
-    shown = document_store.show_document(desk.store, SERVICE)
-    assert isinstance(shown.failure(), envelopes.EnvelopeInvalid)
-    assert desk.apply('v1', entry.revision).unwrap()
+    failure = document_store.show_document(desk.store, SERVICE).failure()
+    assert isinstance(failure, document_store.DocumentUnreadable)
+    assert failure.revision == entry.revision
+    assert desk.apply('v1', failure.revision).unwrap()
 
 
 def test_absent_document_is_not_shown(desk: Desk) -> None:
