--- a/packages/cactusmux-entry/src/cactusmux_entry/plain_targets.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/plain_targets.py
@@ -61,14 +61,15 @@
             return
         if isinstance(failure, plain_services.AnswerTooLarge):
             return
-        until = self._timer.now() + AVOIDED_S
-        self._avoided_until_by_address[address] = until
+        now = self._timer.now()
+        self._avoided_until_by_address = {
+            known: until
+            for known, until in self._avoided_until_by_address.items()
+            if until > now
+        }
+        self._avoided_until_by_address[address] = now + AVOIDED_S
 
     def _rank(self, listed: instances.ListedInstance) -> tuple[bool, int]:
-        avoided_until = self._avoided_until_by_address.get(listed.address)
-        is_avoided = False
-        if avoided_until is not None:
-            is_avoided = self._timer.now() < avoided_until
-            if not is_avoided:
-                del self._avoided_until_by_address[listed.address]
+        until = self._avoided_until_by_address.get(listed.address, 0.0)
+        is_avoided = self._timer.now() < until
         return is_avoided, self._place.distance(listed.zone, listed.region)
--- a/packages/cactusmux-platform/tests/test_http_plain_services.py
+++ b/packages/cactusmux-platform/tests/test_http_plain_services.py
@@ -116,6 +116,19 @@
     client.call(server.address, ORDER, TIMEOUT_S, once).unwrap()
 
 
+def test_connections_are_kept_to_a_bounded_number_of_addresses(
+    server, client
+) -> None:
+    client.call(server.address, ORDER, TIMEOUT_S, False).unwrap()
+    for number in range(http_plain_services.MAX_KEPT_ADDRESSES):
+        # Nothing listens at port 1.
+        address = f'127.0.{1 + number // 200}.{1 + number % 200}:1'
+        client.call(address, ORDER, TIMEOUT_S, False)
+    # The first address was forgotten, with its connection.
+    client.call(server.address, ORDER, TIMEOUT_S, False).unwrap()
+    assert server.connections == 2
+
+
 def test_answer_too_large_counts_as_unknown(server, client) -> None:
     call = ORDER._replace(body=b'x' * 101)
     failure = client.call(server.address, call, TIMEOUT_S, True).failure()
