Go on with orders after a round that crashed

Cause: the lease is renewed by its own timer, so a holder whose round raised (an empty pool did, before) kept the lease and sent no order ever after. Change: the periodic run counts and logs it and runs the next round. Checked by breaking: without the catch the new test fails.

--- a/packages/cactusmux-control/src/cactusmux_control/orders.py
+++ b/packages/cactusmux-control/src/cactusmux_control/orders.py
@@ -126,6 +126,11 @@
         self._running = True
         try:
             self._note(self.run_round())
+        except Exception as error:
+            # The lease is renewed elsewhere: without a next round nobody
+            # would send orders while this instance lives.
+            self._metric.count('orders.round_crashed')
+            events.error('order_round_crashed', error=repr(error))
         finally:
             self._running = False
 
--- a/packages/cactusmux-control/tests/test_orders.py
+++ b/packages/cactusmux-control/tests/test_orders.py
@@ -248,6 +248,22 @@
     assert any(held[address] for address in far)
 
 
+def test_round_that_crashes_does_not_end_the_rounds() -> None:
+    bed = Bed()
+    bed.first.lease.start()
+    bed.first.dispatcher.start()
+    good = bed.documents
+    bed.documents = ('broken',)  # type: ignore[assignment]
+    bed.clock.advance(3 * orders.PERIOD_S)
+    counter = bed.first.metric.counter_by_name
+    assert counter['orders.round_crashed'] >= 2
+    bed.documents = good
+    bed.clock.advance(10 * orders.PERIOD_S)
+    assert bed.held() == recorded(bed).holdings_by_address
+    bed.first.dispatcher.stop()
+    bed.first.lease.stop()
+
+
 def test_unknown_documents_hold_all_orders_back() -> None:
     bed = Bed()
     bed.settle(bed.first)
