--- a/packages/cactusmux-routing/src/cactusmux_routing/admission.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/admission.py
@@ -30,10 +30,6 @@
 MIN_RATE_TPS = 1e-3
 # Answers may be longer than expected, and run a little slower when busy.
 RUN_MARGIN = 1.9
-# Kinds are served by their worth for a token to this power: 1 is in
-# proportion, and more is nearer to the best first.
-WORTH_EXPONENT = 2.5
-MIN_WORTH = 1e-6
 
 Answer = result.Result[tickets.Ticket, refusals.Refused]
 
@@ -171,7 +167,9 @@
         """Predicts the rate at which the kind's queue is served."""
         portions = self._share.shares().portion_by_leaf
         portion = portions.get(leaf, fair_share.NOTHING)
-        part = self._queue.part_of_kind(leaf, request.kind, _weight(request))
+        part = self._queue.part_of_kind(
+            leaf, request.kind, tickets.turn_weight(request)
+        )
         return max(portion.potential * part, MIN_RATE_TPS)
 
     def _slack_s(self, request: tickets.RequestClass) -> float:
@@ -213,7 +211,7 @@
             number,
             leaf,
             request.kind,
-            _weight(request),
+            tickets.turn_weight(request),
             request.cost,
         )
         timeout = self._timer.after(
@@ -292,11 +290,6 @@
         waiter.answer(result.Success(ticket))
 
 
-def _weight(request: tickets.RequestClass) -> float:
-    worth_per_token = max(request.worth, MIN_WORTH) / max(request.cost, 1.0)
-    return worth_per_token**WORTH_EXPONENT
-
-
 def _weights(
     portion_by_leaf: Mapping[demand.Leaf, max_min.Portion],
 ) -> dict[demand.Leaf, float]:
--- a/packages/cactusmux-routing/src/cactusmux_routing/tickets.py
+++ b/packages/cactusmux-routing/src/cactusmux_routing/tickets.py
@@ -7,6 +7,10 @@
 
 PRIORITY_ENTITLED = 1
 PRIORITY_BORROWED = 0
+# Kinds are served by their worth for a token to this power: 1 is in
+# proportion, and more is nearer to the best first.
+WORTH_EXPONENT = 2.5
+MIN_WORTH = 1e-6
 
 
 class RequestClass(NamedTuple):
@@ -25,6 +29,12 @@
     deadline: retries.Deadline
 
 
+def turn_weight(request: RequestClass) -> float:
+    """Returns the weight of a request's kind within its organisation."""
+    worth_per_token = max(request.worth, MIN_WORTH) / max(request.cost, 1.0)
+    return worth_per_token**WORTH_EXPONENT
+
+
 class Ticket(NamedTuple):
     """Leave to start; to be released when the request has ended.
 
