Place models from the documents, one region at a time

Change: each region has its own order lease and plan record; three members of a region compete for the lease; a dispatcher orders the region's targets. Claims are won each by a write or in batches, as the settings say. The demonstration's engines start empty and no engine holds a whole model. Ruled out: one lease for all regions, since its holder has the reports of its own region only, and regions lose each other for an hour. Conclusion: operators only edit documents; min_copies counts per region.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -15,6 +15,7 @@
     'steppe-thread': EXAMPLES / 'steppe-thread.json',
     'consigna-arte': EXAMPLES / 'consigna-arte.json',
 }
+MODELS = ('drafter', 'conditions')
 READY_TIMEOUT_S = 60.0
 POLL_S = 0.1
 LIMITS = {'limits': {'address_lifetime_s': 2.0, 'drain_margin_s': 1.0}}
@@ -28,7 +29,7 @@
     """Stand-ins in this process, and instances in their own."""
 
     def __init__(self, instance_count: int, folder: pathlib.Path) -> None:
-        self.pool = pool.StandInPool(timers.GeventTimers())
+        self.pool = pool.StandInPool(timers.GeventTimers(), are_loaded=False)
         self.plans = processes.plan_instances(instance_count)
         self.processes: list[processes.InstanceProcess] = []
         self._folder = folder
@@ -62,11 +63,11 @@
         return [p.plan.address for p in self.processes if p.is_running()]
 
     def wait_for_targets(self) -> None:
-        """Waits until each instance knows the engines of its region."""
+        """Waits until each instance knows its region's engines and models."""
         deadline = time.monotonic() + READY_TIMEOUT_S
         for plan in self.plans:
             wanted = self.pool.count_engines(plan.place.region)
-            while _known_targets(plan.address) < wanted:
+            while not _knows_pool(plan.address, wanted):
                 if time.monotonic() > deadline:
                     raise FleetFailed(f'{plan.address} misses targets')
                 time.sleep(POLL_S)
@@ -88,8 +89,14 @@
                 time.sleep(POLL_S)
 
 
-def _known_targets(address: str) -> int:
+def _knows_pool(address: str, engines: int) -> bool:
+    """Tells whether an instance knows all engines and can route models."""
     answer = callers.send(address, 'GET', '/state')
     if not answer.completed:
-        return 0
-    return len(json.loads(answer.text)['target_by_address'])
+        return False
+    state = json.loads(answer.text)
+    gauge_by_name = state['gauge_by_name']
+    return len(state['target_by_address']) >= engines and all(
+        gauge_by_name.get(f'pool.capacity_tps.{model}', 0) > 0
+        for model in MODELS
+    )
--- a/packages/cactusmux-entry/src/cactusmux_entry/plain_handlers.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/plain_handlers.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+from cactusmux_control import claims
 from cactusmux_control import documents
 from cactusmux_platform import plain_services
 from returns import result
@@ -117,8 +118,11 @@
 
 def _to_problem(failure: plain_results.PlainCallError) -> problems.Problem:
     if not isinstance(failure, plain_results.PlainNotRun):
+        status = HTTPStatus.BAD_GATEWAY
+        if failure.reason == claims.ClaimInProgress.reason:
+            status = HTTPStatus.CONFLICT
         return problems.Problem(
-            HTTPStatus.BAD_GATEWAY,
+            status,
             failure.reason,
             failure.detail,
             problems.Outcome.UNKNOWN,
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/pool.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pool.py
@@ -11,7 +11,7 @@
 from . import plain_server
 from . import platform_server
 
-ENGINE_MEMORY_MB = 16_000
+ENGINE_MEMORY_MB = 3_200
 
 
 class Place(NamedTuple):
@@ -64,12 +64,15 @@
         timer: timers.TimerService,
         layouts: tuple[ModelLayout, ...] = LAYOUTS,
         config: engines.EngineConfig | None = None,
+        are_loaded: bool = True,
     ) -> None:
+        """Prepares servers; engines that are not loaded hold nothing."""
         self.platform = platform_server.PlatformServer(timer=timer)
         self.fabric = engines.Fabric(timer)
         self._timer = timer
         self.engine_by_address: dict[str, engine_server.EngineServer] = {}
         self.plain_by_service: dict[str, list[plain_server.PlainServer]] = {}
+        self._are_loaded = are_loaded
         self._config = config or engines.EngineConfig()
         self._listed: list[instances.ListedInstance] = []
         for layout in layouts:
@@ -136,7 +139,8 @@
     ) -> None:
         config = self._config._replace(checks_fencing=accelerator == 'gpu')
         server = engine_server.EngineServer(self.fabric, config)
-        server.engine.hold(holding)
+        if self._are_loaded:
+            server.engine.hold(holding)
         self.engine_by_address[server.address] = server
         self._listed.append(
             instances.ListedInstance(
--- a/packages/cactusmux/src/cactusmux/admission_feed.py
+++ b/packages/cactusmux/src/cactusmux/admission_feed.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Mapping
 
+from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_control import documents
 from cactusmux_control import in_force
@@ -27,6 +28,7 @@
     def __init__(
         self,
         timer: timers.TimerService,
+        sink: metrics.Metrics,
         meter: demand.DemandMeter,
         share: fair_share.FairShare,
         controller: admission.AdmissionController,
@@ -35,6 +37,7 @@
         pool: pool_view.PoolView,
     ) -> None:
         self._timer = timer
+        self._metrics = sink
         self._meter = meter
         self._share = share
         self._controller = controller
@@ -95,6 +98,7 @@
                 )
                 total_tps += capacity_tps
                 self._controller.set_model_capacity(name, capacity_tps)
+                self._metrics.gauge(f'pool.capacity_tps.{name}', capacity_tps)
         self._share.set_pool(total_tps, policy_by_service)
 
 
--- a/packages/cactusmux/src/cactusmux/instance.py
+++ b/packages/cactusmux/src/cactusmux/instance.py
@@ -7,9 +7,12 @@
 from cactusmux_base import ids
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_control import batched_claims
+from cactusmux_control import claim_owner
 from cactusmux_control import claims
 from cactusmux_control import direct_claims
 from cactusmux_control import in_force
+from cactusmux_control import peer_claims
 from cactusmux_control import peer_documents
 from cactusmux_entry import address_handlers
 from cactusmux_entry import addresses
@@ -33,10 +36,12 @@
 from cactusmux_platform import http_plain_services
 from cactusmux_platform import http_store
 from cactusmux_platform import http_targets
+from cactusmux_platform import http_weights
 from cactusmux_platform import instances
 from cactusmux_platform import plain_services
 from cactusmux_platform import stores
 from cactusmux_platform import targets
+from cactusmux_platform import weights
 from cactusmux_routing import admission
 from cactusmux_routing import breakers
 from cactusmux_routing import choosers
@@ -47,6 +52,7 @@
 from cactusmux_routing import target_table
 
 from . import admission_feed
+from . import order_parts
 from . import pool_view
 from . import settings as settings_lib
 
@@ -58,6 +64,7 @@
 
     store: stores.ConfigStore
     instance_list: instances.InstanceList
+    weight_store: weights.WeightStore
     targets: targets.TargetClient
     plain_services: plain_services.PlainServiceClient
 
@@ -112,13 +119,7 @@
             timer,
             sink,
         )
-        self.claims = direct_claims.DirectClaims(
-            outside.store,
-            timer,
-            sink,
-            self.process_id,
-            claims.ClaimSettings(),
-        )
+        self.claims = self._make_claims()
         meter = demand.DemandMeter(timer)
         share = fair_share.FairShare(timer, meter)
         self.admission = admission.AdmissionController(
@@ -126,6 +127,7 @@
         )
         self._admission_feed = admission_feed.AdmissionFeed(
             timer,
+            sink,
             meter,
             share,
             self.admission,
@@ -133,6 +135,18 @@
             self.documents,
             self.pool,
         )
+        self.orders = order_parts.OrderParts(
+            order_parts.Outside(
+                outside.store, outside.targets, outside.weight_store
+            ),
+            timer,
+            sink,
+            self.peers,
+            self.documents,
+            settings.services,
+            lambda: self.pool.listed,
+            settings.platform.weight_part,
+        )
         self.surface = self._make_surface()
         self.drain = self._make_drain()
         self._jobs: list[timers.Subscription] = []
@@ -144,6 +158,7 @@
         self.documents.start()
         self.news.start()
         self.poller.start()
+        self.orders.start()
         feed = self._admission_feed
         self.documents.subscribe(lambda *_: feed.feed_capacity())
         self.pool.subscribe(feed.feed_capacity)
@@ -164,6 +179,7 @@
         for job in self._jobs:
             job.cancel()
         self.claims.stop()
+        self.orders.stop()
         self.poller.stop()
         self.news.stop()
         self.documents.stop()
@@ -244,6 +260,21 @@
             self._rng,
         )
 
+    def _make_claims(
+        self,
+    ) -> direct_claims.DirectClaims | batched_claims.BatchedClaims:
+        store, timer, sink = self._outside.store, self.timer, self.metrics
+        durations = claims.ClaimSettings()
+        if self.settings.claims == settings_lib.BATCHED_CLAIMS:
+            owner = claim_owner.ClaimOwner(store, timer, sink, durations)
+            forwarder = peer_claims.PeerClaimForwarder(owner, self.peers)
+            return batched_claims.BatchedClaims(
+                forwarder, timer, sink, self.process_id, durations
+            )
+        return direct_claims.DirectClaims(
+            store, timer, sink, self.process_id, durations
+        )
+
     def _make_surface(self) -> surface.Surface:
         settings, timer = self.settings, self.timer
         budget = retries.RetryBudget(timer)
@@ -339,7 +370,7 @@
                 limits.drain_margin_s,
                 limits.drain_limit_s,
             ),
-            leave=(self.peers.leave,),
+            leave=(self.orders.stop, self.peers.leave),
             close=(self.claims.stop,),
             unfinished=(
                 lambda: self.surface.in_flight,
@@ -379,6 +410,7 @@
     return Outside(
         http_store.HttpConfigStore(platform.config_store, sink),
         http_instances.HttpInstanceList(platform.instance_list, sink),
+        http_weights.HttpWeightStore(platform.weight_store, sink),
         http_targets.HttpTargetClient(),
         http_plain_services.HttpPlainServiceClient(),
     )
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/order_parts.py
@@ -0,0 +1,122 @@
+"""The parts that place models on the targets of a region."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import documents
+from cactusmux_control import in_force
+from cactusmux_control import leases
+from cactusmux_control import orders
+from cactusmux_control import pool
+from cactusmux_peers import peer_service
+from cactusmux_peers import rendezvous
+from cactusmux_platform import instances
+from cactusmux_platform import stores
+from cactusmux_platform import targets
+from cactusmux_platform import weights
+
+CANDIDATES_PER_REGION = 3
+
+
+class Outside(NamedTuple):
+    """What orders need from outside."""
+
+    store: stores.ConfigStore
+    targets: targets.TargetClient
+    weight_store: weights.WeightStore
+
+
+class OrderParts:
+    """The order lease of a region, and the dispatcher that it permits.
+
+    Each region is planned by itself: its reports are told within it only,
+    and its routes stay in it. A few instances compete for the lease, so
+    that the others make no calls to the store for it.
+
+    :param services: whose documents must be known before anything moves.
+    :param listed: returns the platform's list as last read.
+    :param weight_part: of the weight store's rate, for this region's loads.
+    """
+
+    def __init__(
+        self,
+        outside: Outside,
+        timer: timers.TimerService,
+        sink: metrics.Metrics,
+        peers: peer_service.PeerService,
+        held: in_force.DocumentsInForce,
+        services: tuple[str, ...],
+        listed: Callable[[], tuple[instances.ListedInstance, ...]],
+        weight_part: float,
+    ) -> None:
+        own = peers.view.own
+        self._peers = peers
+        self._held = held
+        self._services = services
+        self._listed = listed
+        self.lease = leases.LeaseHolder(
+            outside.store,
+            timer,
+            sink,
+            leases.order_lease(own.region),
+            own.address,
+            may_acquire=self._is_candidate,
+        )
+        self._dispatcher = orders.OrderDispatcher(
+            outside.store,
+            timer,
+            sink,
+            outside.targets,
+            outside.weight_store,
+            orders.Sources(
+                self.lease.authority,
+                self._documents,
+                self._known_targets,
+            ),
+            own.region,
+            weight_part=weight_part,
+        )
+
+    def start(self) -> None:
+        """Competes for the lease and sends orders while it is held."""
+        self.lease.start()
+        self._dispatcher.start()
+
+    def stop(self) -> None:
+        """Sends no further order and releases the lease."""
+        self._dispatcher.stop()
+        self.lease.stop()
+
+    def _is_candidate(self) -> bool:
+        own = self._peers.view.own
+        staying = [
+            member
+            for member in self._peers.view.live()
+            if member.region == own.region and member.is_staying
+        ]
+        name = leases.order_lease(own.region)
+        chosen = rendezvous.choose(name, staying, CANDIDATES_PER_REGION)
+        return any(m.instance_id == own.instance_id for m in chosen)
+
+    def _documents(self) -> tuple[documents.ServiceDocument, ...] | None:
+        in_force_by_service = self._held.all_in_force()
+        if any(name not in in_force_by_service for name in self._services):
+            return None
+        return tuple(held.document for held in in_force_by_service.values())
+
+    def _known_targets(self) -> tuple[pool.KnownTarget, ...]:
+        own = self._peers.view.own
+        aged_by_address = self._peers.soft_state.report_by_address()
+        known = []
+        for listed in self._listed():
+            if listed.role is not instances.Role.ENGINE:
+                continue
+            if listed.region != own.region:
+                continue
+            aged = aged_by_address.get(listed.address)
+            report = aged.report if aged else None
+            age_s = aged.age_s if aged else 0.0
+            known.append(pool.KnownTarget(listed, report, age_s))
+        return tuple(known)
--- a/packages/cactusmux/src/cactusmux/settings.py
+++ b/packages/cactusmux/src/cactusmux/settings.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+DIRECT_CLAIMS = 'direct'
+BATCHED_CLAIMS = 'batched'
+
 
 class Limits(NamedTuple):
     """Limits of an instance; times in seconds, sizes in bytes."""
@@ -17,12 +20,17 @@
 
 
 class Platform(NamedTuple):
-    """Addresses of the platform's services, ``IP:PORT``."""
+    """Addresses of the platform's services, ``IP:PORT``.
+
+    ``weight_part`` is the part of the weight store's rate that the loads of
+    this region may use, from 0 to 1.
+    """
 
     config_store: str
     instance_list: str
     weight_store: str
     statsd: str = ''
+    weight_part: float = 0.5
 
 
 class Settings(NamedTuple):
@@ -30,7 +38,8 @@
 
     ``address`` is where callers reach it, ``peer_address`` where other
     instances do. ``seeds`` are peer addresses to ask first. ``policy``
-    names how routes are chosen.
+    names how routes are chosen, ``claims`` how requests that may not be
+    repeated are claimed: each by a write, or many by one.
     """
 
     instance_id: str
@@ -42,5 +51,5 @@
     platform: Platform
     seeds: tuple[str, ...] = ()
     policy: str = 'least_loaded'
-    claims: str = 'direct'
+    claims: str = DIRECT_CLAIMS
     limits: Limits = Limits()
--- a/packages/cactusmux/src/cactusmux/settings_check.py
+++ b/packages/cactusmux/src/cactusmux/settings_check.py
@@ -15,7 +15,7 @@
 from . import settings
 
 MAX_PORT = 65_535
-CLAIM_MODES = ('direct', 'batched')
+CLAIM_MODES = (settings.DIRECT_CLAIMS, settings.BATCHED_CLAIMS)
 
 
 def _check_address(text: str) -> str:
@@ -69,6 +69,7 @@
     instance_list: _Address
     weight_store: _Address
     statsd: NotRequired[_Address]
+    weight_part: NotRequired[Annotated[float, pydantic.Field(gt=0, le=1)]]
 
 
 @pydantic.with_config(validation.STRICT)
