Answer what plain services answer, and say what is not known

Cause: reading the handlers found that a service's unregistered status raised after the order had run, that a kept answer without its body and a refusal that knows nothing of earlier attempts did not say so, that path segments lost their quoting, that a restored store's epoch could not be raised, and that a cut stop ended with status 0. The demonstration took capacity for a route and met missing layers. Change: each of these is answered; the state names models with a route for each adapter, for which the demonstration waits. Conclusion: refusals say what is known, and no more.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -95,8 +95,6 @@
     if not answer.completed:
         return False
     state = json.loads(answer.text)
-    gauge_by_name = state['gauge_by_name']
-    return len(state['target_by_address']) >= engines and all(
-        gauge_by_name.get(f'pool.capacity_tps.{model}', 0) > 0
-        for model in MODELS
-    )
+    return len(state['target_by_address']) >= engines and sorted(
+        state['models_with_route']
+    ) == sorted(MODELS)
--- a/demo/story.py
+++ b/demo/story.py
@@ -178,6 +178,8 @@
         plan = DRAFTS[2]._replace(max_tokens=SLOW_TOKENS)
         answer = self._draft(plan, stop_it, caller)
         print(f'  {SLOW_TOKENS} tokens, whole: {answer.completed}')
+        # It has no effect on an instance that is stopping already.
+        process.terminate()
         status = process.wait()
         print(f'  it ended with status {status}')
         if status != 0:
--- a/packages/cactusmux-entry/src/cactusmux_entry/document_handlers.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/document_handlers.py
@@ -8,6 +8,7 @@
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_control import document_store
+from cactusmux_control import envelopes
 from cactusmux_control import in_force
 from cactusmux_control import validation
 from cactusmux_platform import stores
@@ -94,7 +95,7 @@
             )
         expected = self._expected_revision(call, service)
         applied = document_store.apply_document(
-            self._store, self._timer, call.body, expected
+            self._store, self._timer, call.body, expected, _epoch(call)
         )
         if isinstance(applied, result.Failure):
             raise _failed(applied.failure())
@@ -109,15 +110,9 @@
 
     def _expected_revision(self, call: surface.Call, service: str) -> int:
         """Returns the given revision, or the one in the store now."""
-        given = urllib.parse.parse_qs(call.query).get('expect', [''])[0]
-        if given:
-            if not given.isdecimal():
-                raise problems.RequestFailed(
-                    problems.bad_request(
-                        'bad_revision', f'expect {given!r} is not a number'
-                    )
-                )
-            return int(given)
+        given = _number(call, 'expect')
+        if given is not None:
+            return given
         shown = document_store.show_document(self._store, service)
         if isinstance(shown, result.Success):
             return shown.unwrap().revision
@@ -127,6 +122,24 @@
         raise _failed(failure)
 
 
+def _epoch(call: surface.Call) -> int | None:
+    """Returns the epoch to raise to, after the store was restored."""
+    return _number(call, 'epoch')
+
+
+def _number(call: surface.Call, name: str) -> int | None:
+    given = urllib.parse.parse_qs(call.query).get(name, [''])[0]
+    if not given:
+        return None
+    if not given.isdecimal():
+        raise problems.RequestFailed(
+            problems.bad_request(
+                f'bad_{name}', f'{name} {given!r} is not a number'
+            )
+        )
+    return int(given)
+
+
 def _failed(failure: Any) -> problems.RequestFailed:
     """Returns the problem of a typed failure of the document store."""
     detail = str(failure)
@@ -138,7 +151,12 @@
         return problems.RequestFailed(
             problems.refused(failure.reason, detail, HTTPStatus.NOT_FOUND)
         )
-    if isinstance(failure, document_store.EditConflict):
+    if isinstance(
+        failure,
+        document_store.EditConflict
+        | document_store.DocumentUnreadable
+        | envelopes.EpochInvalid,
+    ):
         return problems.RequestFailed(
             problems.refused(failure.reason, detail, HTTPStatus.CONFLICT)
         )
--- a/packages/cactusmux-entry/src/cactusmux_entry/plain_handlers.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/plain_handlers.py
@@ -1,6 +1,7 @@
 """Handler of requests to a service's plain services."""
 
 from http import HTTPStatus
+import urllib.parse
 
 from cactusmux_control import claims
 from cactusmux_control import documents
@@ -85,7 +86,7 @@
         repeatable=kind.repeatable,
         call=plain_services.PlainCall(
             call.method,
-            '/' + '/'.join(path),
+            '/' + '/'.join(urllib.parse.quote(part) for part in path),
             call.body,
             call.header_by_name.get('content-type', ''),
             call.request_id,
@@ -112,8 +113,9 @@
     ]
     if complete.repeated:
         headers.append(('Idempotent-Replayed', 'true'))
-    status = HTTPStatus(answer.status)
-    return responses.Response(status, headers, [answer.body])
+    if not complete.body_kept:
+        headers.append(('X-Body-Kept', 'false'))
+    return responses.Response(answer.status, headers, [answer.body])
 
 
 def _to_problem(failure: plain_results.PlainCallError) -> problems.Problem:
@@ -134,4 +136,6 @@
     refused = problems.refused(
         failure.reason, failure.detail, status, failure.retry_after_s
     )
-    return refused._replace(resume_ids=failure.resume_ids)
+    return refused._replace(
+        resume_ids=failure.resume_ids, earlier_known=failure.earlier_known
+    )
--- a/packages/cactusmux-entry/src/cactusmux_entry/problems.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/problems.py
@@ -22,7 +22,8 @@
     """One refusal; ``retry_after_s`` is 0 when a retry cannot help.
 
     A repeat that gives ``resume_ids`` back in ``X-Resume-Id`` is not held
-    up by what this request left behind.
+    up by what this request left behind. Without ``earlier_known`` nothing is
+    known of earlier requests with the same idempotency key.
     """
 
     status: HTTPStatus
@@ -31,6 +32,7 @@
     outcome: Outcome
     retry_after_s: float = 0.0
     resume_ids: tuple[str, ...] = ()
+    earlier_known: bool = True
 
 
 class RequestFailed(failures.CactusmuxError):
@@ -72,6 +74,8 @@
     }
     if problem.resume_ids:
         body['resume_ids'] = problem.resume_ids
+    if not problem.earlier_known:
+        body['earlier_attempts'] = 'unknown'
     return body
 
 
--- a/packages/cactusmux-entry/src/cactusmux_entry/responses.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/responses.py
@@ -12,9 +12,12 @@
 
 
 class Response(NamedTuple):
-    """A status, headers and the parts of a body."""
+    """A status, headers and the parts of a body.
 
-    status: HTTPStatus
+    The status may be one that is not registered, as a service answered it.
+    """
+
+    status: int
     headers: Headers
     body: Iterable[bytes]
 
--- a/packages/cactusmux-entry/src/cactusmux_entry/surface.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/surface.py
@@ -42,7 +42,10 @@
 
 
 class Surface:
-    """A WSGI application over handlers by their first path segment."""
+    """A WSGI application over handlers by their first path segment.
+
+    :param serves: tells whether new requests are served.
+    """
 
     def __init__(
         self,
@@ -51,6 +54,7 @@
         timer: timers.TimerService,
         sink: metrics.Metrics,
         limits: Limits,
+        serves: Callable[[], bool] = lambda: True,
     ) -> None:
         self.in_flight = 0
         self._instance_id = instance_id
@@ -58,6 +62,7 @@
         self._timer = timer
         self._metrics = sink
         self._limits = limits
+        self._serves = serves
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -66,10 +71,7 @@
         request_id = f'{self._instance_id}.{ids.new_id()}'
         self.in_flight += 1
         response = self._answer(environ, request_id)
-        status = response.status
-        start_response(
-            f'{int(status)} {status.phrase}', list(response.headers)
-        )
+        start_response(_status_line(response.status), list(response.headers))
         return self._write(response, request_id, started_at)
 
     def _answer(
@@ -105,6 +107,14 @@
                     HTTPStatus.NOT_FOUND,
                 )
             )
+        if not self._serves():
+            raise problems.RequestFailed(
+                problems.refused(
+                    'stopping',
+                    f'instance {self._instance_id} is stopping',
+                    retry_after_s=RETRY_AFTER_BUSY_S,
+                )
+            )
         if self.in_flight > self._limits.max_requests:
             raise problems.RequestFailed(
                 problems.refused(
@@ -157,3 +167,10 @@
                 events.info('caller_gone', request_id=request_id)
             elapsed_s = self._timer.now() - started_at
             self._metrics.timing('entry.request_s', elapsed_s)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f'{int(status)} {HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unregistered'
--- a/packages/cactusmux/src/cactusmux/commands.py
+++ b/packages/cactusmux/src/cactusmux/commands.py
@@ -42,18 +42,23 @@
         _print_answer(instance, 'GET', f'/documents/{_quote(service)}')
 
     def apply(
-        self, file: str, instance: str = DEFAULT_INSTANCE, expect: str = ''
+        self,
+        file: str,
+        instance: str = DEFAULT_INSTANCE,
+        expect: str = '',
+        epoch: str = '',
     ) -> None:
         """Puts a document in force, if nobody changed it meanwhile.
 
         EXPECT is the revision that the change is based on; without it, the
-        one that is in force at the instance.
+        one that is in the store now. EPOCH is raised by one after the
+        store was restored from an older copy.
         """
         text = _read(file)
         document = _checked(validation.check_document(text), file)
-        path = f'/documents/{_quote(document.service)}'
-        if expect:
-            path += f'?expect={_quote(expect)}'
+        query = {'expect': str(expect), 'epoch': str(epoch)}
+        given = urllib.parse.urlencode({k: v for k, v in query.items() if v})
+        path = f'/documents/{_quote(document.service)}?{given}'
         _print_answer(instance, 'PUT', path, text)
 
     def status(self, instance: str = DEFAULT_INSTANCE) -> None:
@@ -72,7 +77,9 @@
         loaded = _load_settings(file)
         logging.use_absl_handler()
         logging.set_verbosity(logging.INFO)
-        serving.serve(loaded)
+        cut = serving.serve(loaded)
+        if cut:
+            raise CommandFailed(f'{cut} requests were cut off')
 
     def check(self, file: str) -> None:
         """Checks a settings or document FILE and prints every fault."""
--- a/packages/cactusmux/src/cactusmux/instance.py
+++ b/packages/cactusmux/src/cactusmux/instance.py
@@ -11,6 +11,7 @@
 from cactusmux_control import claim_owner
 from cactusmux_control import claims
 from cactusmux_control import direct_claims
+from cactusmux_control import documents
 from cactusmux_control import in_force
 from cactusmux_control import peer_claims
 from cactusmux_control import peer_documents
@@ -50,6 +51,7 @@
 from cactusmux_routing import policies
 from cactusmux_routing import retries
 from cactusmux_routing import target_table
+from returns import pipeline
 
 from . import admission_feed
 from . import order_parts
@@ -227,6 +229,7 @@
             'requests_in_flight': self.surface.in_flight,
             'member_by_process': members,
             'target_by_address': targets_known,
+            'models_with_route': self._models_with_route(),
             'leaving_targets': sorted(self.leaving.leaving()),
             'counter_by_name': dict(self.metrics.counter_by_name),
             'gauge_by_name': dict(self.metrics.gauge_by_name),
@@ -344,8 +347,29 @@
                 settings.limits.max_body_bytes,
                 settings.limits.body_timeout_s,
             ),
+            serves=lambda: self.drain.serves,
         )
 
+    def _models_with_route(self) -> list[str]:
+        """Returns the models that have a route with each adapter."""
+        return [
+            name
+            for held in self.documents.all_in_force().values()
+            for name, model in held.document.model_by_name.items()
+            if all(
+                self._has_route(name, model, adapter)
+                for adapter in ('', *model.adapters)
+            )
+        ]
+
+    def _has_route(
+        self, name: str, model: documents.Model, adapter: str
+    ) -> bool:
+        request = choosers.RouteRequest(
+            name, model.version, adapter, model.layers
+        )
+        return pipeline.is_successful(self.chooser.choose(request))
+
     def _can_lose(self, lost: frozenset[str]) -> bool:
         return self.chooser.has_routes_without(
             lost, breakers.MAX_EJECTED_FRACTION
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -4,10 +4,10 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_peers import grpc_transport
 import gevent
 from gevent import event
 from gevent import pywsgi
-from grpc.experimental import gevent as grpc_gevent
 
 from . import instance as instance_lib
 from . import io_batching
@@ -16,9 +16,12 @@
 METRICS_PREFIX = 'cactusmux'
 
 
-def serve(settings: settings_lib.Settings) -> None:
-    """Serves until SIGTERM or SIGINT, then finishes what runs."""
-    grpc_gevent.init_gevent()
+def serve(settings: settings_lib.Settings) -> int:
+    """Serves until SIGTERM or SIGINT, then finishes what runs.
+
+    Returns how many requests were cut off at the limit of the drain.
+    """
+    grpc_transport.use_gevent()
     timer = timers.GeventTimers()
     sink = make_metrics(settings)
     outside = instance_lib.connect_outside(settings, sink)
@@ -35,9 +38,10 @@
     instance.start()
     batching.start()
     stopping.wait()
-    instance.drain.run()
+    drained = instance.drain.run()
     server.stop(timeout=1)
     instance.stop()
+    return drained.cut
 
 
 def make_metrics(settings: settings_lib.Settings) -> metrics.MemoryMetrics:
