--- a/Makefile
+++ b/Makefile
@@ -56,4 +56,21 @@
 	$(PYTHON) -m bench.slopes_peers
 
 protos: $(STAMP)
-	$(MAKE) -C packages/cactusmux-peers protos PYTHON=$(abspath $(PYTHON))
+	$(PYTHON) -m grpc_tools.protoc \
+	    -I packages/cactusmux-peers/protos \
+	    --python_out=packages/cactusmux-peers/src \
+	    --pyi_out=packages/cactusmux-peers/src \
+	    packages/cactusmux-peers/protos/cactusmux_peers/peers.proto
+
+binary: $(STAMP)
+	rm -rf build/binary && mkdir -p build/binary dist
+	$(VENV)/bin/uv export --quiet --no-dev --no-emit-workspace \
+	    --package cactusmux --no-header --no-annotate \
+	    --output-file build/binary.lock
+	$(VENV)/bin/uv pip install --quiet --python $(PYTHON) \
+	    --target build/binary --require-hashes -r build/binary.lock
+	$(VENV)/bin/uv pip install --quiet --python $(PYTHON) \
+	    --target build/binary --no-deps \
+	    $(filter-out %-fakes,$(PACKAGES))
+	$(VENV)/bin/shiv --site-packages build/binary --compressed \
+	    --console-script cactusmux --output-file dist/cactusmux
