--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -9,7 +9,9 @@
 import tempfile  # noqa: E402
 import time  # noqa: E402
 
+from cactusmux_base import timers  # noqa: E402
 from cactusmux_fakes import engine_server  # noqa: E402
+from cactusmux_fakes import engines  # noqa: E402
 from cactusmux_fakes import layers  # noqa: E402
 from cactusmux_platform import http_targets  # noqa: E402
 from cactusmux_platform import targets  # noqa: E402
@@ -32,6 +34,7 @@
 HALFWAY_S = 0.6
 DIRECT_REQUESTS = 40
 MODEL_LAYERS = 8
+STAGE_RANGES = ((0, 3), (3, 6), (6, 8))
 
 
 def main() -> None:
@@ -53,7 +56,7 @@
 
 def measure_load(fleet: fleet_lib.Fleet) -> list[figures.Figure]:
     """CPU a token, and what the instances add to the first token."""
-    direct_s = _direct_first_token_s(fleet)
+    direct_s = _direct_first_token_s()
     cpu_before = _cpu_s(fleet)
     tasks = streams.run_streams(
         fleet.addresses(), LOAD_STREAMS, LOAD_TOKENS, SPREAD_S
@@ -114,12 +117,16 @@
 
 
 def measure_mass_failure(fleet: fleet_lib.Fleet) -> list[figures.Figure]:
-    """Kills a quarter of the stages of a model at once."""
+    """Kills a target that holds a first stage in each region, at once."""
     tasks = streams.run_streams(
         fleet.addresses(), RECOVERY_STREAMS, RECOVERY_TOKENS, 0.1
     )
     gevent.sleep(HALFWAY_S)
-    for server in list(fleet.pool.engine_by_address.values())[:3]:
+    first_by_region = {
+        fleet.pool.region(server.address): server
+        for server in _holders_of_first_layers(fleet)
+    }
+    for server in first_by_region.values():
         server.engine.dead = True
     gevent.joinall(tasks)
     records = [task.value for task in tasks]
@@ -151,24 +158,28 @@
     return total
 
 
-def _direct_first_token_s(fleet: fleet_lib.Fleet) -> float:
+def _direct_first_token_s() -> float:
     """The median first token without an instance between."""
+    timer = timers.GeventTimers()
+    configs = [engines.EngineConfig() for _ in STAGE_RANGES]
+    _, servers = engine_server.start_engines(timer, configs)
+    stages = []
+    for server, (first, last) in zip(servers, STAGE_RANGES, strict=True):
+        server.engine.hold(targets.Holding('drafter', 'v1', first, last))
+        stages.append(targets.Stage(server.address, first, last))
     client = http_targets.HttpTargetClient()
-    stages = tuple(
-        targets.Stage(address, held.first, held.last)
-        for address, server in list(fleet.pool.engine_by_address.items())[:3]
-        for held in server.engine.report().holdings
-    )
     times = []
     for number in range(DIRECT_REQUESTS):
         request = targets.RoutedRequest(
-            f'direct-{number}', 1, 'drafter', 'v1', '', 'p', 1, stages
+            f'direct-{number}', 1, 'drafter', 'v1', '', 'p', 1, tuple(stages)
         )
         sent_at = time.monotonic()
         stream = client.open_stream(request, 5.0).unwrap()
         next(iter(stream))
         times.append(time.monotonic() - sent_at)
         stream.close()
+    for server in servers:
+        server.stop()
     return statistics.median(times)
 
 
@@ -188,6 +199,18 @@
     return count
 
 
+def _holders_of_first_layers(
+    fleet: fleet_lib.Fleet,
+) -> list[engine_server.EngineServer]:
+    """The engines that hold layer 0 of the drafter, in a fixed order."""
+    return [
+        server
+        for server in fleet.pool.engine_by_address.values()
+        for held in server.engine.report().holdings
+        if held.model == 'drafter' and held.first == 0
+    ]
+
+
 def _busiest(fleet: fleet_lib.Fleet) -> engine_server.EngineServer:
     servers = fleet.pool.engine_by_address.values()
     return max(servers, key=lambda server: server.engine.running)
--- a/packages/cactusmux-entry/tests/test_drafts.py
+++ b/packages/cactusmux-entry/tests/test_drafts.py
@@ -4,6 +4,7 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_entry import answers
 from cactusmux_entry import drafts
 from cactusmux_entry import explain
 from cactusmux_entry import leaving_watch
@@ -13,11 +14,15 @@
 from cactusmux_fakes import engines
 from cactusmux_fakes import layers
 from cactusmux_platform import targets
+from cactusmux_routing import baseline_choosers
 from cactusmux_routing import breakers
+from cactusmux_routing import choosers
 from cactusmux_routing import policies
 from cactusmux_routing import retries
+from cactusmux_routing import routes
 from cactusmux_routing import target_table
 import pytest
+from returns import result
 
 MODEL_LAYERS = 8
 RANGES = ((0, 3), (3, 6), (6, 8))
@@ -276,3 +281,52 @@
         rig.clock.advance(1.0)
     assert texts == expected()
     assert rig.metrics.counter_by_name['entry.attempts'] == 1
+
+
+def test_more_tokens_than_asked_for_are_not_delivered() -> None:
+    checker = answers.AnswerChecker('r1', 1, metrics.MemoryMetrics())
+    checker.start_attempt(1)
+    assert checker.accept(targets.Token('r1', 1, 0, 'one '), 'a:1')
+    with pytest.raises(targets.StreamBroken):
+        checker.accept(targets.Token('r1', 1, 1, 'two '), 'a:1')
+
+
+class BreakingClient(direct_targets.DirectTargetClient):
+    """Breaks the connection after each request was sent."""
+
+    def open_stream(
+        self, request: targets.RoutedRequest, accept_s: float
+    ) -> result.Result[targets.TokenStream, targets.TargetError]:
+        address = request.stages[0].address
+        return result.Failure(targets.StreamBroken(address, 'cut'))
+
+
+def test_connection_that_breaks_after_sending_is_not_called_not_run() -> None:
+    rig = Rig()
+    rig.services = rig.services._replace(targets=BreakingClient(rig.fabric))
+    with pytest.raises(problems.RequestFailed) as failed:
+        list(rig.draft().texts())
+    assert failed.value.problem.outcome is problems.Outcome.UNKNOWN
+
+
+class GappingChooser(baseline_choosers.LeastLoadedChooser):
+    """Leaves the middle stage out of each route."""
+
+    def choose(
+        self, request: choosers.RouteRequest
+    ) -> result.Result[routes.Route, choosers.NoRoute]:
+        chosen = super().choose(request).unwrap()
+        first, _, last = chosen.stages
+        return result.Success(chosen._replace(stages=(first, last)))
+
+
+def test_route_that_misses_layers_is_never_sent() -> None:
+    rig = Rig()
+    chooser = GappingChooser(rig.clock, random.Random(1))
+    rig.chooser = chooser
+    rig.update_table()
+    rig.services = rig.services._replace(chooser=chooser)
+    with pytest.raises(problems.RequestFailed) as refused:
+        list(rig.draft().texts())
+    assert refused.value.problem.reason == 'route_invalid'
+    assert rig.client.opened == []
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/pool.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pool.py
@@ -97,6 +97,10 @@
         self._listed.append(listed)
         self.publish()
 
+    def region(self, address: str) -> str:
+        """Returns the region of a listed address."""
+        return next(x.region for x in self._listed if x.address == address)
+
     def count_engines(self, region: str) -> int:
         """Returns how many engines a region has."""
         return sum(
--- a/tests/session_rig.py
+++ b/tests/session_rig.py
@@ -38,6 +38,7 @@
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 RANGES = ((0, 3), (3, 6), (6, 8))
 CAPACITY_TPS = 1000.0
+MAX_REQUESTS = 4
 REQUEST_ID = re.compile(r'i1\.[0-9a-f]{32}')
 CLAIM_ID = re.compile(r'\b[0-9a-f]{32}\b')
 
@@ -92,6 +93,7 @@
         self.document = self._load_document()
         self._rng = random.Random(11)
         self._add_engines()
+        self.controller = self._admission()
         explain_log = explain.ExplainLog(self.clock)
         budget = retries.RetryBudget(self.clock)
         backoff = retries.Backoff(self.clock, self._rng)
@@ -114,7 +116,7 @@
             self._draft_services(budget, backoff),
             lambda service: self._find(service),
             plain_handlers.PlainHandlers(plain, explain_log),
-            self._admission(),
+            self.controller,
             explain_log,
         )
         self.surface = surface.Surface(
@@ -122,7 +124,7 @@
             {'services': handlers.handle},
             self.clock,
             self.metrics,
-            surface.Limits(max_body_bytes=4096),
+            surface.Limits(MAX_REQUESTS, max_body_bytes=4096),
             serves=lambda: self.serves,
         )
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -134,6 +134,34 @@
         assert tuple(texts[:-1]) == expected
 
 
+def test_ended_drafts_leave_room_for_others() -> None:
+    rig = session_rig.SessionRig()
+    for _ in range(40):
+        rig.call('POST', DRAFTS, draft_body())
+        assert rig.controller.running == 0
+
+
+def test_draft_that_is_not_admitted_is_not_run() -> None:
+    rig = session_rig.SessionRig()
+    rig.controller.drain()
+    transcript = rig.call('POST', DRAFTS, draft_body())
+    assert '"outcome":"not_run"' in transcript
+    assert rig.client.opened == []
+
+
+def test_request_over_the_limit_is_refused_and_not_run() -> None:
+    rig = session_rig.SessionRig()
+    lines: list[str] = []
+    held = [
+        rig.open('POST', DRAFTS, draft_body(), None, lines)
+        for _ in range(session_rig.MAX_REQUESTS)
+    ]
+    transcript = rig.call('POST', DRAFTS, draft_body())
+    assert '"reason":"too_many_requests"' in transcript
+    for body in held:
+        assert b''.join(body).endswith(b'[DONE]\n\n')
+
+
 BAD_INPUTS = [
     ('POST', DRAFTS, b'{'),
     ('POST', DRAFTS, b'{"model": 7}'),
