Split the wiring of an instance by what it wires

Change: state for operators, outside clients and claims in modules of their own; no behaviour changes.

--- a/packages/cactusmux/src/cactusmux/instance.py
+++ b/packages/cactusmux/src/cactusmux/instance.py
@@ -1,19 +1,12 @@
 """Puts one instance together from its settings, and runs its parts."""
 
 import random
-from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import ids
 from cactusmux_base import metrics
 from cactusmux_base import timers
-from cactusmux_control import batched_claims
-from cactusmux_control import claim_owner
-from cactusmux_control import claims
-from cactusmux_control import direct_claims
-from cactusmux_control import documents
 from cactusmux_control import in_force
-from cactusmux_control import peer_claims
 from cactusmux_control import peer_documents
 from cactusmux_entry import address_handlers
 from cactusmux_entry import addresses
@@ -33,16 +26,6 @@
 from cactusmux_peers import grpc_transport
 from cactusmux_peers import peer_service
 from cactusmux_peers import polling
-from cactusmux_platform import http_instances
-from cactusmux_platform import http_plain_services
-from cactusmux_platform import http_store
-from cactusmux_platform import http_targets
-from cactusmux_platform import http_weights
-from cactusmux_platform import instances
-from cactusmux_platform import plain_services
-from cactusmux_platform import stores
-from cactusmux_platform import targets
-from cactusmux_platform import weights
 from cactusmux_routing import admission
 from cactusmux_routing import breakers
 from cactusmux_routing import choosers
@@ -51,26 +34,18 @@
 from cactusmux_routing import policies
 from cactusmux_routing import retries
 from cactusmux_routing import target_table
-from returns import pipeline
 
 from . import admission_feed
+from . import claim_parts
+from . import instance_state
 from . import order_parts
+from . import outside as outside_lib
 from . import pool_view
 from . import settings as settings_lib
 
 PROCESS_ID_CHARS = 8
 
 
-class Outside(NamedTuple):
-    """Clients of everything that is not ours."""
-
-    store: stores.ConfigStore
-    instance_list: instances.InstanceList
-    weight_store: weights.WeightStore
-    targets: targets.TargetClient
-    plain_services: plain_services.PlainServiceClient
-
-
 class Instance:
     """All parts of one instance, wired; one a process."""
 
@@ -79,7 +54,7 @@
         settings: settings_lib.Settings,
         timer: timers.TimerService,
         sink: metrics.MemoryMetrics,
-        outside: Outside,
+        outside: outside_lib.Outside,
     ) -> None:
         self.settings = settings
         self.timer = timer
@@ -121,7 +96,14 @@
             timer,
             sink,
         )
-        self.claims = self._make_claims()
+        self.claims = claim_parts.make_claims(
+            settings.claims,
+            outside.store,
+            timer,
+            sink,
+            self.process_id,
+            self.peers,
+        )
         meter = demand.DemandMeter(timer)
         share = fair_share.FairShare(timer, meter)
         self.admission = admission.AdmissionController(
@@ -138,9 +120,7 @@
             self.pool,
         )
         self.orders = order_parts.OrderParts(
-            order_parts.Outside(
-                outside.store, outside.targets, outside.weight_store
-            ),
+            outside,
             timer,
             sink,
             self.peers,
@@ -149,8 +129,19 @@
             lambda: self.pool.listed,
             settings.platform.weight_part,
         )
+        self._state = instance_state.InstanceState(
+            settings,
+            sink,
+            self.peers,
+            self.documents,
+            self.pool,
+            self.leaving,
+            self.chooser,
+        )
         self.surface = self._make_surface()
         self.drain = self._make_drain()
+        self._state.surface = self.surface
+        self._state.drain = self.drain
         self._jobs: list[timers.Subscription] = []
 
     def start(self) -> None:
@@ -189,52 +180,6 @@
         self.peers.stop()
         events.info('instance_stopped', instance=self.settings.instance_id)
 
-    def not_ready_reason(self) -> str:
-        """Returns why this instance should get no new callers, if so."""
-        if not self.drain.takes_callers:
-            return 'draining'
-        missing = [
-            service
-            for service in self.settings.services
-            if self.documents.in_force(service) is None
-        ]
-        if missing:
-            return f'no document of {", ".join(missing)}'
-        if not self.pool.table.target_by_address:
-            return 'no target is known'
-        return ''
-
-    def state(self) -> dict[str, object]:
-        """Returns what this instance knows, for operators."""
-        members = {
-            member.instance_id: {
-                'address': member.address,
-                'zone': member.zone,
-                'state': member.state.name.lower(),
-                'incarnation': member.incarnation,
-            }
-            for member in self.peers.view.live()
-        }
-        targets_known = {
-            address: {
-                'zone': target.zone,
-                'holdings': [list(held) for held in target.holdings],
-                'running': target.running,
-            }
-            for address, target in self.pool.table.target_by_address.items()
-        }
-        return {
-            'instance': self.settings.instance_id,
-            'process': self.process_id,
-            'requests_in_flight': self.surface.in_flight,
-            'member_by_process': members,
-            'target_by_address': targets_known,
-            'models_with_route': self._models_with_route(),
-            'leaving_targets': sorted(self.leaving.leaving()),
-            'counter_by_name': dict(self.metrics.counter_by_name),
-            'gauge_by_name': dict(self.metrics.gauge_by_name),
-        }
-
     def _make_peers(self) -> peer_service.PeerService:
         settings = self.settings
         return peer_service.PeerService(
@@ -263,21 +208,6 @@
             self._rng,
         )
 
-    def _make_claims(
-        self,
-    ) -> direct_claims.DirectClaims | batched_claims.BatchedClaims:
-        store, timer, sink = self._outside.store, self.timer, self.metrics
-        durations = claims.ClaimSettings()
-        if self.settings.claims == settings_lib.BATCHED_CLAIMS:
-            owner = claim_owner.ClaimOwner(store, timer, sink, durations)
-            forwarder = peer_claims.PeerClaimForwarder(owner, self.peers)
-            return batched_claims.BatchedClaims(
-                forwarder, timer, sink, self.process_id, durations
-            )
-        return direct_claims.DirectClaims(
-            store, timer, sink, self.process_id, durations
-        )
-
     def _make_surface(self) -> surface.Surface:
         settings, timer = self.settings, self.timer
         budget = retries.RetryBudget(timer)
@@ -323,10 +253,12 @@
             self._outside.store,
             timer,
             self.documents,
-            self._revisions_by_instance,
+            self._state.revisions_by_instance,
         )
         state = state_handlers.StateHandlers(
-            self._explain_log, self.not_ready_reason, self.state
+            self._explain_log,
+            self._state.not_ready_reason,
+            self._state.as_json,
         )
         handler_by_segment = {
             'services': services.handle,
@@ -350,26 +282,6 @@
             serves=lambda: self.drain.serves,
         )
 
-    def _models_with_route(self) -> list[str]:
-        """Returns the models that have a route with each adapter."""
-        return [
-            name
-            for held in self.documents.all_in_force().values()
-            for name, model in held.document.model_by_name.items()
-            if all(
-                self._has_route(name, model, adapter)
-                for adapter in ('', *model.adapters)
-            )
-        ]
-
-    def _has_route(
-        self, name: str, model: documents.Model, adapter: str
-    ) -> bool:
-        request = choosers.RouteRequest(
-            name, model.version, adapter, model.layers
-        )
-        return pipeline.is_successful(self.chooser.choose(request))
-
     def _can_lose(self, lost: frozenset[str]) -> bool:
         return self.chooser.has_routes_without(
             lost, breakers.MAX_EJECTED_FRACTION
@@ -416,29 +328,6 @@
             for aged in reports
         ]
 
-    def _revisions_by_instance(self) -> dict[str, dict[str, int]]:
-        own = self.peers.view.own
-        revisions = {
-            member.instance_id: dict(member.revision_by_service)
-            for member in self.peers.view.live()
-        }
-        revisions[own.instance_id] = self.documents.revision_by_service()
-        return revisions
-
-
-def connect_outside(
-    settings: settings_lib.Settings, sink: metrics.Metrics
-) -> Outside:
-    """Returns clients of the platform and the targets by HTTP."""
-    platform = settings.platform
-    return Outside(
-        http_store.HttpConfigStore(platform.config_store, sink),
-        http_instances.HttpInstanceList(platform.instance_list, sink),
-        http_weights.HttpWeightStore(platform.weight_store, sink),
-        http_targets.HttpTargetClient(),
-        http_plain_services.HttpPlainServiceClient(),
-    )
-
 
 def _make_chooser(
     policy: str, timer: timers.TimerService, rng: random.Random
--- a/packages/cactusmux/src/cactusmux/order_parts.py
+++ b/packages/cactusmux/src/cactusmux/order_parts.py
@@ -1,7 +1,6 @@
 """The parts that place models on the targets of a region."""
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
@@ -13,19 +12,10 @@
 from cactusmux_peers import peer_service
 from cactusmux_peers import rendezvous
 from cactusmux_platform import instances
-from cactusmux_platform import stores
-from cactusmux_platform import targets
-from cactusmux_platform import weights
-
-CANDIDATES_PER_REGION = 3
 
+from . import outside as outside_lib
 
-class Outside(NamedTuple):
-    """What orders need from outside."""
-
-    store: stores.ConfigStore
-    targets: targets.TargetClient
-    weight_store: weights.WeightStore
+CANDIDATES_PER_REGION = 3
 
 
 class OrderParts:
@@ -42,7 +32,7 @@
 
     def __init__(
         self,
-        outside: Outside,
+        outside: outside_lib.Outside,
         timer: timers.TimerService,
         sink: metrics.Metrics,
         peers: peer_service.PeerService,
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -11,6 +11,7 @@
 
 from . import instance as instance_lib
 from . import io_batching
+from . import outside as outside_lib
 from . import settings as settings_lib
 
 METRICS_PREFIX = 'cactusmux'
@@ -24,7 +25,7 @@
     grpc_transport.use_gevent()
     timer = timers.GeventTimers()
     sink = make_metrics(settings)
-    outside = instance_lib.connect_outside(settings, sink)
+    outside = outside_lib.connect(settings, sink)
     instance = instance_lib.Instance(settings, timer, sink, outside)
     host, _, port = settings.address.rpartition(':')
     server = pywsgi.WSGIServer(
