Count a failed probe of an ejected target as failed

Cause: found by reading: an attempt's end was told to the breakers before its failure, as abandoned, so a failed probe closed the probe instead of ejecting the target again; its ejection never grew. Change: the failure is noted where it is caught, before the end. Before: the new test failed (nothing ejected after a failed probe). Ruled out: changing the breakers, whose own tests hold. Conclusion: ejections of a target that stays dead double, as designed.

--- a/packages/cactusmux-entry/src/cactusmux_entry/drafts.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/drafts.py
@@ -107,7 +107,6 @@
             try:
                 yield from self._run_attempt(route)
             except targets.TargetError as error:
-                self._note_failure(route, error)
                 self._wait_before_retry(error)
 
     def _run_attempt(self, route: routes.Route) -> Iterator[str]:
@@ -128,6 +127,10 @@
         try:
             stream = self._open(route)
             yield from self._read(stream, route)
+        except targets.TargetError as error:
+            # Before the end is noted: a failed probe must count as failed.
+            self._note_failure(route, error)
+            raise
         finally:
             services.chooser.note_finished(route)
             self._note_end(route)
--- a/packages/cactusmux-entry/tests/test_drafts.py
+++ b/packages/cactusmux-entry/tests/test_drafts.py
@@ -330,3 +330,15 @@
         list(rig.draft().texts())
     assert refused.value.problem.reason == 'route_invalid'
     assert rig.client.opened == []
+
+
+def test_failed_probe_ejects_a_target_again() -> None:
+    rig = Rig(copies=1)
+    engine = rig.engines[0]
+    engine.dead = True
+    rig.services.breakers.note_failure(engine.address, certain=True)
+    rig.clock.advance(breakers.MAX_EJECTION_S)
+    assert rig.services.breakers.ejected() == frozenset()
+    with pytest.raises(problems.RequestFailed):
+        list(rig.draft().texts())
+    assert engine.address in rig.services.breakers.ejected()
