--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.ready
 UV_VERSION := 0.13.9
 PACKAGES := $(wildcard packages/*)
-SOURCES := packages tests bench demo
+SOURCES := packages platform tests bench demo
 
 .PHONY: setup test lint types unit format lock demo bench slopes binary protos
 
@@ -35,6 +35,7 @@
 
 types: $(STAMP)
 	$(VENV)/bin/mypy $(PACKAGES:%=%/src)
+	MYPYPATH=platform $(VENV)/bin/mypy -p adapter
 
 unit: $(STAMP)
 	$(VENV)/bin/pytest
--- a/packages/cactusmux-platform/src/cactusmux_platform/stores.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/stores.py
@@ -102,6 +102,25 @@
         self.oldest = oldest
 
 
+class Snapshot(NamedTuple):
+    """Entries under a prefix and the store's revision when they were read."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+class SnapshotReader(abc.ABC):
+    """Reads a prefix together with the revision to watch from."""
+
+    @abc.abstractmethod
+    def read_prefix(self, prefix: str) -> result.Result[Snapshot, StoreError]:
+        """Returns all entries whose key starts with ``prefix``.
+
+        Changes made during the read may be missing; a watch from the
+        returned revision tells of them.
+        """
+
+
 class ConfigStore(abc.ABC):
     """Compare-and-swap, leases and watches; calls block their task.
 
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays opaque requests to services and to models split over targets."""
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chains.py
@@ -0,0 +1,186 @@
+"""How many requests a second a set of cards serves as one copy of a model.
+
+The cards of a chain share the layers so that each has about the same room
+for requests: the least room on a path is the path's room. Layers beyond
+those needed are left off the slowest cards.
+"""
+
+import functools
+from typing import NamedTuple
+
+from . import cost_model
+from . import desired
+from . import segments
+
+# Mean share of a card's room in use at the rate that a chain is rated for.
+FILL = 0.7
+# Longest time of a token: four of them make an event.
+MAX_TOKEN_MS = 40.0
+# Time of a stage that reading prompts may take.
+MAX_READING_SHARE = 0.5
+# What a chain loses by each crossing into another zone.
+CROSSING_FACTOR = 0.88
+ROOM_SEARCH_STEPS = 18
+# A request of twice the usual size always fits.
+LEAST_ROOM_REQUESTS = 4.0
+
+
+class Group(NamedTuple):
+    """Cards of one kind in one zone."""
+
+    card: str
+    zone: str
+
+
+class Rating(NamedTuple):
+    """What a chain serves.
+
+    :ivar rate: requests a second, 0 where the layers don't fit.
+    :ivar room: tokens that fit on the card with the least room.
+    """
+
+    rate: float
+    room: float
+
+
+NO_RATING = Rating(0.0, 0.0)
+
+# Number of cards by group, in the order of the groups.
+Composition = tuple[int, ...]
+
+
+class ChainRater:
+    """Rates compositions of cards; equal ones are computed once."""
+
+    def __init__(
+        self, engine: desired.Engine, groups: tuple[Group, ...]
+    ) -> None:
+        self._engine = engine
+        self._groups = groups
+        self._cards = tuple(engine.card_by_name[each.card] for each in groups)
+        self.rate = functools.lru_cache(maxsize=20000)(self._rate)
+
+    def _rate(self, composition: Composition) -> Rating:
+        room = self.room(composition)
+        if room <= 0:
+            return NO_RATING
+        layers = self.layers_by_group(composition, room)
+        engine = self._engine
+        context = engine.usual_prompt + engine.usual_answer / 2
+        writing = FILL * room / (engine.usual_prompt + engine.usual_answer)
+        token_ms = self._token_ms(composition, layers, writing, context)
+        if token_ms > MAX_TOKEN_MS:
+            idle_ms = self._token_ms(composition, layers, 1.0, context)
+            if idle_ms >= MAX_TOKEN_MS:
+                return NO_RATING
+            share = (MAX_TOKEN_MS - idle_ms) / (token_ms - idle_ms)
+            writing = max(1.0, writing * share)
+            token_ms = MAX_TOKEN_MS
+        reading_ms, longest_ms = self._reading_ms(composition, layers)
+        duration_ms = token_ms * engine.usual_answer + reading_ms
+        rate = writing / duration_ms * cost_model.MS_PER_S
+        most = MAX_READING_SHARE * cost_model.MS_PER_S / longest_ms
+        crossings = self.zone_count(composition) - 1
+        return Rating(min(rate, most) * CROSSING_FACTOR**crossings, room)
+
+    def room(self, composition: Composition) -> float:
+        """Returns the largest room at which all layers fit, 0 for none."""
+        engine = self._engine
+        usual = engine.usual_prompt + engine.usual_answer
+        low = usual * LEAST_ROOM_REQUESTS
+        if not self._fits(composition, low):
+            return 0.0
+        high = low
+        while self._fits(composition, high * 2) and high < 1e7:
+            high *= 2
+        high *= 2
+        for _ in range(ROOM_SEARCH_STEPS):
+            middle = (low + high) / 2
+            if self._fits(composition, middle):
+                low = middle
+            else:
+                high = middle
+        return low
+
+    def _fits(self, composition: Composition, room: float) -> bool:
+        total = 0
+        for count, card in zip(composition, self._cards, strict=True):
+            if count:
+                most = cost_model.most_layers(self._engine, card, room)
+                total += count * most
+        return total >= self._engine.layers
+
+    def layers_by_group(
+        self, composition: Composition, room: float
+    ) -> list[float]:
+        """Returns the mean layers a card, without those beyond need."""
+        layers = [
+            float(cost_model.most_layers(self._engine, card, room))
+            for card in self._cards
+        ]
+        total = sum(
+            count * each
+            for count, each in zip(composition, layers, strict=True)
+        )
+        surplus = total - self._engine.layers
+        slowest_first = sorted(
+            range(len(self._cards)),
+            key=lambda index: -self._cards[index].step_pace,
+        )
+        for index in slowest_first:
+            count = composition[index]
+            if not count or surplus <= 0:
+                continue
+            taken = min(surplus, count * (layers[index] - 1.0))
+            layers[index] -= taken / count
+            surplus -= taken
+        return layers
+
+    def zone_count(self, composition: Composition) -> int:
+        """Returns how many zones a composition has cards in."""
+        zones = set()
+        for count, group in zip(composition, self._groups, strict=True):
+            if count:
+                zones.add(group.zone)
+        return len(zones)
+
+    def _token_ms(
+        self,
+        composition: Composition,
+        layers: list[float],
+        writing: float,
+        context: float,
+    ) -> float:
+        engine = self._engine
+        whole_ms = (
+            engine.step_ms
+            + engine.per_sequence_ms * writing
+            + engine.per_context_k_ms * writing * context / 1000.0
+        )
+        total = segments.CROSSING_MS * (self.zone_count(composition) - 1)
+        for index, count in enumerate(composition):
+            share = count * layers[index] / engine.layers
+            total += whole_ms * self._cards[index].step_pace * share
+            total += segments.HOP_MS * count
+        return total
+
+    def _reading_ms(
+        self, composition: Composition, layers: list[float]
+    ) -> tuple[float, float]:
+        """Returns the time of reading a prompt: all stages, longest one."""
+        engine = self._engine
+        whole_ms = (
+            engine.usual_prompt
+            / engine.read_tokens_per_s
+            * cost_model.MS_PER_S
+        )
+        total = 0.0
+        longest = 0.0
+        for index, count in enumerate(composition):
+            if not count:
+                continue
+            pace = self._cards[index].read_pace
+            stage_ms = whole_ms * pace * layers[index] / engine.layers
+            total += stage_ms * count
+            longest = max(longest, stage_ms)
+        return total, longest
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -0,0 +1,108 @@
+"""Copies of the store's content, from instance to instance.
+
+An instance that hears of a newer revision than its own asks for the copy
+when its own watch hasn't brought it within :data:`PATIENCE_S`.
+"""
+
+from cactusmux_base import events
+from cactusmux_base import timers
+from cactusmux_platform import http_calls
+import gevent
+import msgspec
+from returns import result
+
+from . import http_server
+from . import store_mirror
+
+PATH = '/copies/'
+PATIENCE_S = 0.4
+CALL_S = 1.0
+CONNECTIONS = 2
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(store_mirror.Copy)
+
+
+class CopyHandler:
+    """Answers ``GET /copies/PREFIX`` with our copy."""
+
+    def __init__(
+        self, mirror_by_prefix: dict[str, store_mirror.StoreMirror]
+    ) -> None:
+        self._mirror_by_prefix = mirror_by_prefix
+
+    def handle(
+        self, request: http_server.Request, answerer: http_server.Answerer
+    ) -> None:
+        """Serves one request; a handler of :mod:`http_server`."""
+        prefix = request.path.removeprefix(PATH)
+        mirror = self._mirror_by_prefix.get(prefix)
+        if mirror is None:
+            answerer.answer(404, [], b'')
+            return
+        body = _encoder.encode(mirror.copy())
+        answerer.answer(200, [(b'content-type', b'application/msgpack')], body)
+
+
+class CopyPuller:
+    """Asks other instances for copies that are newer than ours."""
+
+    def __init__(
+        self,
+        mirror_by_prefix: dict[str, store_mirror.StoreMirror],
+        timer: timers.TimerService,
+    ) -> None:
+        self._mirror_by_prefix = mirror_by_prefix
+        self._timer = timer
+        self._pulling: set[str] = set()
+
+    def note_revisions(
+        self, address: str, revision_by_prefix: dict[str, int]
+    ) -> None:
+        """Takes the revisions of the instance at ``address``."""
+        for prefix, revision in revision_by_prefix.items():
+            mirror = self._mirror_by_prefix.get(prefix)
+            if mirror is None or prefix in self._pulling:
+                continue
+            if revision > mirror.revision:
+                self._pulling.add(prefix)
+                gevent.spawn(self._pull, mirror, prefix, address, revision)
+
+    def _pull(
+        self,
+        mirror: store_mirror.StoreMirror,
+        prefix: str,
+        address: str,
+        revision: int,
+    ) -> None:
+        try:
+            self._timer.sleep(PATIENCE_S if mirror.revision else 0.0)
+            if mirror.revision >= revision:
+                return
+            copy = self._fetch(prefix, address)
+            if copy is not None:
+                mirror.take(copy)
+        finally:
+            self._pulling.discard(prefix)
+
+    def _fetch(self, prefix: str, address: str) -> store_mirror.Copy | None:
+        caller = http_calls.HttpCaller(address, CONNECTIONS, CALL_S)
+        try:
+            called = caller.call('GET', PATH + prefix, b'', CALL_S)
+        finally:
+            caller.close()
+        match called:
+            case result.Success(http_calls.Answer(200, body)):
+                return self._decode(body, address)
+            case result.Failure(failure):
+                events.info(
+                    'copy_not_had', address=address, reason=failure.reason
+                )
+        return None
+
+    def _decode(self, body: bytes, address: str) -> store_mirror.Copy | None:
+        try:
+            return _decoder.decode(body)
+        except msgspec.MsgspecError:
+            events.warning('copy_unreadable', address=address)
+            return None
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/cost_model.py
@@ -0,0 +1,81 @@
+"""Times and room of a path of stages, from the engine's published costs."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from . import desired
+from . import targets
+
+MS_PER_S = 1000.0
+
+
+class Stage(NamedTuple):
+    """A target's part of a path."""
+
+    target: targets.Target
+    layers: targets.LayerRange
+
+
+Path = tuple[Stage, ...]
+
+
+def room_tokens(
+    engine: desired.Engine, card: desired.Card, layer_count: int
+) -> float:
+    """Returns how many tokens fit beside a number of layers on a card.
+
+    Negative when the layers themselves don't fit.
+    """
+    free_mb = card.memory_mb - layer_count * engine.layer_mb
+    if layer_count <= 0:
+        return 0.0 if free_mb >= 0 else -1.0
+    return free_mb * engine.layers / (layer_count * engine.token_mb)
+
+
+def most_layers(
+    engine: desired.Engine, card: desired.Card, tokens: float
+) -> int:
+    """Returns how many layers a card holds beside ``tokens`` tokens."""
+    token_layer_mb = engine.token_mb / engine.layers
+    layer_mb = engine.layer_mb + tokens * token_layer_mb
+    return min(engine.layers, int(card.memory_mb / layer_mb))
+
+
+def step_ms(
+    engine: desired.Engine,
+    card: desired.Card,
+    layer_count: int,
+    writing: float,
+    context_tokens: float,
+) -> float:
+    """Returns the time of one token step of a stage, in milliseconds.
+
+    :param writing: requests that take part.
+    :param context_tokens: tokens of all their contexts.
+    """
+    whole = (
+        engine.step_ms
+        + engine.per_sequence_ms * writing
+        + engine.per_context_k_ms * context_tokens / 1000.0
+    )
+    return whole * card.step_pace * layer_count / engine.layers
+
+
+def read_ms(
+    engine: desired.Engine,
+    card: desired.Card,
+    layer_count: int,
+    prompt_tokens: float,
+) -> float:
+    """Returns the time in which a stage reads a prompt, in milliseconds."""
+    whole = prompt_tokens / engine.read_tokens_per_s * MS_PER_S
+    return whole * card.read_pace * layer_count / engine.layers
+
+
+def path_step_ms(engine: desired.Engine, path: Iterable[Stage]) -> float:
+    """Returns the time of a token step through an idle path."""
+    total = 0.0
+    for stage in path:
+        card = engine.card_by_name[stage.target.card]
+        total += step_ms(engine, card, stage.layers.size, 1.0, 0.0)
+    return total
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/directory.py
@@ -0,0 +1,65 @@
+"""Tells callers which instances to connect to."""
+
+from cactusmux_base import timers
+
+from . import membership
+from . import soft_exchange
+
+# An instance not heard of for so long is left out of answers.
+SILENT_S = 2.0
+# With fewer instances in the caller's zone, all zones are named.
+LEAST_IN_ZONE = 2
+MOST_ADDRESSES = 64
+
+
+class Directory:
+    """Chooses addresses for a caller's zone."""
+
+    def __init__(
+        self, exchange: soft_exchange.SoftExchange, timer: timers.TimerService
+    ) -> None:
+        self._exchange = exchange
+        self._timer = timer
+        self._instances: list[membership.Instance] = []
+        self._listed_at_by_name: dict[str, float] = {}
+        self._stopping: set[str] = set()
+
+    def update(self, instances: list[membership.Instance]) -> None:
+        """Takes the present list of instances."""
+        now = self._timer.now()
+        self._instances = instances
+        listed = {each.name: now for each in instances}
+        listed.update(
+            (name, at)
+            for name, at in self._listed_at_by_name.items()
+            if name in listed
+        )
+        self._listed_at_by_name = listed
+
+    def note_stopping(self, name: str, is_stopping: bool) -> None:
+        """Notes whether an instance takes no new callers."""
+        if is_stopping:
+            self._stopping.add(name)
+        else:
+            self._stopping.discard(name)
+
+    def addresses(self, zone: str) -> list[str]:
+        """Returns addresses for a caller in ``zone``, its own zone first."""
+        live = [each for each in self._instances if self._is_live(each.name)]
+        if not live:
+            live = [
+                each
+                for each in self._instances
+                if each.name not in self._stopping
+            ]
+        near = [each for each in live if each.zone == zone]
+        chosen = near if len(near) >= LEAST_IN_ZONE else live
+        return [each.entry_address for each in chosen[:MOST_ADDRESSES]]
+
+    def _is_live(self, name: str) -> bool:
+        if name in self._stopping:
+            return False
+        heard_at = self._exchange.heard_at_by_name.get(name, 0.0)
+        listed_at = self._listed_at_by_name.get(name, 0.0)
+        silent_s = self._timer.now() - max(heard_at, listed_at)
+        return silent_s < SILENT_S
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
@@ -0,0 +1,65 @@
+"""Interface to a target's layers: what it holds, and orders to change that."""
+
+import abc
+from typing import NamedTuple
+
+from cactusmux_base import failures
+from returns import result
+
+from . import targets
+
+
+class LayerReport(NamedTuple):
+    """What a target says of itself.
+
+    :ivar is_busy: an order is in progress.
+    """
+
+    layers: targets.LayerRange
+    order_number: int
+    is_busy: bool
+
+
+class OrderUnanswered(failures.CactusmuxError):
+    """The order may be carried out, at once or later."""
+
+    reason = 'order_unanswered'
+
+    def __init__(self, target_id: str) -> None:
+        super().__init__(f'target {target_id} did not answer an order')
+        self.target_id = target_id
+
+
+class OrderRefused(failures.CactusmuxError):
+    """The order doesn't fit the target's state."""
+
+    reason = 'order_refused'
+
+    def __init__(self, target_id: str, status: int) -> None:
+        super().__init__(f'target {target_id} refused an order: {status}')
+        self.target_id = target_id
+        self.status = status
+
+
+OrderFailure = OrderUnanswered | OrderRefused
+
+
+class LayerOrders(abc.ABC):
+    """Sends orders and asks for reports; calls block their task."""
+
+    @abc.abstractmethod
+    def hold(
+        self, target: targets.Target, layers: targets.LayerRange, number: int
+    ) -> result.Result[None, OrderFailure]:
+        """Orders a target to hold exactly ``layers``.
+
+        :param number: of orders that the target has begun; at any other
+            number it refuses, so that an order carried out late does
+            nothing.
+        """
+
+    @abc.abstractmethod
+    def report(
+        self, target: targets.Target
+    ) -> result.Result[LayerReport, OrderFailure]:
+        """Asks a target what it holds."""
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -0,0 +1,113 @@
+"""Streams under way, by the targets that they pass through.
+
+A target that goes silent holds up every stream through it. The watch looks
+for streams that are silent for longer than is usual for them, has the
+targets of their paths probed, and interrupts the streams through targets
+that turn out to be down.
+"""
+
+from collections.abc import Callable
+
+from cactusmux_base import timers
+
+from . import cost_model
+from . import down_targets
+from . import target_calls
+from . import targets
+
+CHECK_PERIOD_S = 0.05
+# A stream is silent after this many of its usual pauses.
+SILENT_PAUSES = 2.5
+MIN_SILENCE_S = 0.1
+# Before its first event a request may wait for others' prompts.
+FIRST_EVENT_SILENCE_S = 0.35
+PAUSE_SMOOTHING = 0.3
+
+
+class LiveStream:
+    """One attempt of a stream on one path."""
+
+    def __init__(self, path: cost_model.Path, now: float) -> None:
+        self.target_ids = tuple(stage.target.id for stage in path)
+        self.path = path
+        self.call: target_calls.TargetCall | None = None
+        self.last_at = now
+        self.first_at = now
+        self.pause_s = 0.0
+        self.longest_pause_s = 0.0
+        self.has_started = False
+
+    def note_event(self, now: float) -> None:
+        """Notes that an event has arrived."""
+        if self.has_started:
+            pause_s = now - self.last_at
+            self.pause_s += PAUSE_SMOOTHING * (pause_s - self.pause_s)
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        else:
+            self.first_at = now
+        self.has_started = True
+        self.last_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Whether the stream waits for longer than is usual for it."""
+        silence_s = now - self.last_at
+        if not self.has_started:
+            return silence_s > FIRST_EVENT_SILENCE_S
+        return silence_s > max(MIN_SILENCE_S, SILENT_PAUSES * self.pause_s)
+
+
+class LiveStreams:
+    """All streams of this instance; checks them periodically."""
+
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        down: down_targets.DownTargets,
+        probe: Callable[[targets.Target], None],
+    ) -> None:
+        """Prepares the watch.
+
+        :param probe: starts finding out whether a target is down; must not
+            block, and may be called often.
+        """
+        self._timer = timer
+        self._down = down
+        self._probe = probe
+        self._streams: set[LiveStream] = set()
+        down.subscribe(self._interrupt)
+
+    def start(self) -> None:
+        """Begins to check."""
+        self._timer.every(CHECK_PERIOD_S, self.check)
+
+    def add(self, stream: LiveStream) -> None:
+        """Begins to watch a stream."""
+        self._streams.add(stream)
+
+    def remove(self, stream: LiveStream) -> None:
+        """Ends watching a stream."""
+        self._streams.discard(stream)
+
+    def check(self) -> None:
+        """Has the targets probed on which silent streams depend."""
+        now = self._timer.now()
+        silent = [each for each in self._streams if each.is_silent(now)]
+        if not silent:
+            return
+        last_at_by_target: dict[str, float] = {}
+        for stream in self._streams:
+            if not stream.has_started:
+                continue
+            for target_id in stream.target_ids:
+                last_at = last_at_by_target.get(target_id, 0.0)
+                last_at_by_target[target_id] = max(last_at, stream.last_at)
+        for stream in silent:
+            for stage in stream.path:
+                heard_at = last_at_by_target.get(stage.target.id, 0.0)
+                if now - heard_at > MIN_SILENCE_S:
+                    self._probe(stage.target)
+
+    def _interrupt(self, target_id: str) -> None:
+        for stream in list(self._streams):
+            if target_id in stream.target_ids and stream.call is not None:
+                stream.call.cut()
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -0,0 +1,112 @@
+"""Instances find each other by keys that live as long as their lease."""
+
+from typing import NamedTuple
+
+from cactusmux_base import events
+from cactusmux_base import timers
+from cactusmux_platform import stores
+import gevent
+import msgspec
+from returns import result
+
+PREFIX = 'cactusmux/instances/'
+LEASE_TTL_S = 4.0
+RENEWAL_S = 1.2
+RETRY_S = 0.3
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """What an instance says of itself.
+
+    :ivar entry_address: where callers connect.
+    :ivar exchange_address: where other instances send news and read copies.
+    """
+
+    name: str
+    zone: str
+    region: str
+    entry_address: str
+    exchange_address: str
+
+
+class _Registered(NamedTuple):
+    lease_id: int
+    revision: int
+
+
+class Registration:
+    """Keeps this instance's key while the instance takes requests."""
+
+    def __init__(
+        self,
+        store: stores.ConfigStore,
+        timer: timers.TimerService,
+        own: Instance,
+    ) -> None:
+        self._store = store
+        self._timer = timer
+        self._own = own
+        self._registered: _Registered | None = None
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Registers and renews, in a task of its own."""
+        gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Takes the key away; other instances name us no more."""
+        self._is_stopped = True
+        registered = self._registered
+        if registered is not None:
+            gevent.spawn(self._store.revoke_lease, registered.lease_id)
+
+    def _run(self) -> None:
+        while not self._is_stopped:
+            if self._registered is None:
+                done = self._register()
+            else:
+                done = self._renew(self._registered)
+            self._timer.sleep(RENEWAL_S if done else RETRY_S)
+
+    def _register(self) -> bool:
+        match self._store.grant_lease(LEASE_TTL_S):
+            case result.Success(lease_id):
+                return self._write(lease_id)
+        return False
+
+    def _write(self, lease_id: int) -> bool:
+        key = PREFIX + self._own.name
+        value = msgspec.json.encode(self._own)
+        expected = stores.ABSENT
+        match self._store.get(key):
+            case result.Success(entry) if entry is not None:
+                expected = entry.revision
+        written = self._store.compare_and_swap(key, value, expected, lease_id)
+        match written:
+            case result.Success(entry):
+                self._registered = _Registered(lease_id, entry.revision)
+                events.info('instance_registered', name=self._own.name)
+                if self._is_stopped:
+                    self.stop()
+                return True
+        return False
+
+    def _renew(self, registered: _Registered) -> bool:
+        match self._store.renew_lease(registered.lease_id):
+            case result.Success(_):
+                return True
+            case result.Failure(stores.LeaseLost()):
+                events.warning('registration_lost', name=self._own.name)
+                self._registered = None
+        return False
+
+
+def decode_instances(entries: list[stores.Entry]) -> list[Instance]:
+    """Returns the instances of entries; one that can't be read is left out."""
+    found = []
+    for entry in entries:
+        try:
+            found.append(msgspec.json.decode(entry.value, type=Instance))
+        except msgspec.MsgspecError:
+            events.warning('instance_entry_unreadable', key=entry.key)
+    return found
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
@@ -0,0 +1,56 @@
+"""How a request to one target, and a caller's request, can end."""
+
+import enum
+from typing import NamedTuple
+
+from . import target_calls
+
+
+class Refusal(enum.StrEnum):
+    """Why a caller gets an answer of our own; used in logs and metrics."""
+
+    NO_CONFIGURATION = 'no_configuration'
+    MALFORMED = 'malformed'
+    NO_ROUTE = 'no_route'
+    UNKNOWN_KEY = 'unknown_key'
+    NO_TARGET = 'no_target'
+    NO_ROOM = 'no_room'
+    REJECTED = 'rejected'
+    TARGET_FAILED = 'target_failed'
+    TIMED_OUT = 'timed_out'
+    REPEATS_SPENT = 'repeats_spent'
+
+
+class NotRun(NamedTuple):
+    """The target can't have run the request, and won't.
+
+    :ivar at_fault: address of the target that is the cause.
+    :ivar status: of the target's answer, 0 where it didn't answer.
+    """
+
+    at_fault: str
+    status: int
+
+
+class MaybeRun(NamedTuple):
+    """The request was sent and has no valid answer."""
+
+    address: str
+    detail: str
+
+
+class Whole(NamedTuple):
+    """A valid answer with its whole body."""
+
+    head: target_calls.AnswerHead
+    body: bytes
+
+
+class Streaming(NamedTuple):
+    """A valid head of a stream; its events are still to come."""
+
+    head: target_calls.AnswerHead
+    call: target_calls.TargetCall
+
+
+SendOutcome = NotRun | MaybeRun | Whole | Streaming
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -0,0 +1,293 @@
+"""Keeps each model's placement in force, on the one instance that may.
+
+The placement lies in the store, so that the next holder of the lease goes on
+with it. Orders are absolute and bound to the number of orders that a target
+has begun, so that one carried out late does nothing.
+"""
+
+from collections.abc import Callable
+import random
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import lease_types
+from cactusmux_platform import stores
+import gevent
+import msgspec
+from returns import result
+
+from . import desired
+from . import layer_orders
+from . import placing
+from . import repairing
+from . import request_core
+from . import target_book
+from . import targets
+
+PREFIX = 'cactusmux/placement/'
+PERIOD_S = 0.25
+# The first placement waits until no new target has come for so long.
+SETTLE_S = 1.6
+# An order is not repeated before its effect can be seen.
+ORDER_PATIENCE_S = 1.5
+REPORT_PERIOD_S = 0.25
+ORDER_DELIVERY_S = 1.0
+
+Authority = Callable[[float], lease_types.Authority | None]
+
+
+class StoredPlacement(msgspec.Struct, frozen=True):
+    """A placement as it lies in the store."""
+
+    chains: list[list[tuple[str, int, int]]]
+
+
+class PlacementKeeper:
+    """Places models, repairs placements and sends the orders."""
+
+    def __init__(
+        self,
+        store: stores.ConfigStore,
+        in_force: request_core.InForce,
+        book: target_book.TargetBook,
+        orders: layer_orders.LayerOrders,
+        authority: Authority,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        rng: random.Random,
+        on_report: Callable[[targets.Target], None],
+    ) -> None:
+        """Prepares the keeper.
+
+        :param authority: of this instance for so many seconds from now.
+        :param on_report: told of a target's layers as soon as they change.
+        """
+        self._store = store
+        self._in_force = in_force
+        self._book = book
+        self._orders = orders
+        self._authority = authority
+        self._timer = timer
+        self._metric = metric
+        self._rng = rng
+        self._on_report = on_report
+        self._placement_by_service: dict[str, placing.Placement] = {}
+        self._revision_by_service: dict[str, int] = {}
+        self._loaded_fencing = 0
+        self._known_ids: frozenset[str] = frozenset()
+        self._known_at = 0.0
+        self._ordered_at_by_start: dict[tuple[str, int], float] = {}
+        self._ordering: set[str] = set()
+
+    def start(self) -> None:
+        """Begins to keep placements, in a task of its own."""
+        gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            self._timer.sleep(PERIOD_S)
+            self.step()
+
+    def step(self) -> None:
+        """Places, repairs and orders, if this instance may."""
+        self._note_targets()
+        authority = self._authority(ORDER_DELIVERY_S)
+        state = self._in_force.state
+        if authority is None or state is None:
+            return
+        if not self._load(authority.fencing, state):
+            return
+        for name, service in state.service_by_name.items():
+            if service.engine is None:
+                continue
+            self._keep(name, service.engine)
+
+    def _note_targets(self) -> None:
+        ids = frozenset(self._book.target_by_id)
+        if not ids <= self._known_ids:
+            self._known_at = self._timer.now()
+        self._known_ids = ids
+
+    def _load(self, fencing: int, state: desired.DesiredState) -> bool:
+        """Reads the placements in the store, once an authority."""
+        if fencing == self._loaded_fencing:
+            return True
+        found: dict[str, placing.Placement] = {}
+        revisions: dict[str, int] = {}
+        for name in state.service_by_name:
+            match self._store.get(PREFIX + name):
+                case result.Success(entry):
+                    revisions[name] = entry.revision if entry else 0
+                    if entry is not None:
+                        found[name] = _decode(entry)
+                case result.Failure(_):
+                    return False
+        self._placement_by_service = found
+        self._revision_by_service = revisions
+        self._loaded_fencing = fencing
+        return True
+
+    def _keep(self, name: str, engine: desired.Engine) -> None:
+        members = self._book.ready(name)
+        placement = self._placement_by_service.get(name)
+        if placement is None or not placement.chains:
+            waited_s = self._timer.now() - self._known_at
+            if not members or waited_s < SETTLE_S:
+                return
+            changed = placing.place(engine, members, self._rng)
+        else:
+            known = frozenset(self._book.target_by_id)
+            changed = repairing.repair(engine, placement, members, known)
+        old_chains = placement.chains if placement else ()
+        if changed.chains != old_chains and not self._save(name, changed):
+            return
+        self._placement_by_service[name] = changed
+        self._send_orders(name, engine, changed)
+
+    def _save(self, name: str, placement: placing.Placement) -> bool:
+        expected = self._revision_by_service.get(name, stores.ABSENT)
+        written = self._store.compare_and_swap(
+            PREFIX + name, _encode(placement), expected
+        )
+        match written:
+            case result.Success(entry):
+                self._revision_by_service[name] = entry.revision
+                events.info(
+                    'placement_changed',
+                    service=name,
+                    revision=entry.revision,
+                    chains=len(placement.chains),
+                    spares=len(placement.spares),
+                )
+                return True
+            case result.Failure(failure):
+                events.warning(
+                    'placement_not_saved', service=name, reason=failure.reason
+                )
+                # What the store holds now is read anew at the next step.
+                self._loaded_fencing = 0
+        return False
+
+    def _send_orders(
+        self, name: str, engine: desired.Engine, placement: placing.Placement
+    ) -> None:
+        ready = {each.id: each for each in self._book.ready(name)}
+        for target_id, layers in placement.layers_by_target().items():
+            target = ready.get(target_id)
+            if target is None or target.layers == layers:
+                continue
+            if target_id in self._ordering:
+                continue
+            if len(self._ordering) >= engine.loads_at_once:
+                return
+            start = (target.id, target.born_ms)
+            ordered_at = self._ordered_at_by_start.get(start)
+            now = self._timer.now()
+            if ordered_at is not None and now - ordered_at < ORDER_PATIENCE_S:
+                continue
+            self._ordered_at_by_start[start] = now
+            self._ordering.add(target_id)
+            gevent.spawn(self._order, engine, target, layers)
+
+    def _order(
+        self,
+        engine: desired.Engine,
+        target: targets.Target,
+        layers: targets.LayerRange,
+    ) -> None:
+        try:
+            if not self._begin_order(target, layers):
+                return
+            self._await_layers(engine, target, layers)
+        finally:
+            self._ordering.discard(target.id)
+
+    def _begin_order(
+        self, target: targets.Target, layers: targets.LayerRange
+    ) -> bool:
+        reported = self._report(target)
+        if reported is None:
+            return False
+        if reported.layers == layers or reported.is_busy:
+            return True
+        if self._authority(ORDER_DELIVERY_S) is None:
+            return False
+        ordered = self._orders.hold(target, layers, reported.order_number)
+        match ordered:
+            case result.Success(_):
+                self._metric.count('placement.orders')
+                events.info(
+                    'layers_ordered',
+                    target=target.id,
+                    first=layers.first,
+                    end=layers.end,
+                    number=reported.order_number,
+                )
+                return True
+            case result.Failure(failure):
+                events.warning(
+                    'order_failed', target=target.id, reason=failure.reason
+                )
+        return False
+
+    def _await_layers(
+        self,
+        engine: desired.Engine,
+        target: targets.Target,
+        layers: targets.LayerRange,
+    ) -> None:
+        share = layers.size / engine.layers
+        until = self._timer.now() + engine.load_s * share * 2 + 2.0
+        while self._timer.now() < until:
+            self._timer.sleep(REPORT_PERIOD_S)
+            current = self._book.target_by_id.get(target.id)
+            if current is None or current.born_ms != target.born_ms:
+                return
+            if current.layers == layers:
+                return
+            reported = self._report(target)
+            if reported is None:
+                return
+            if not reported.is_busy:
+                self._on_report(current._replace(layers=reported.layers))
+                return
+
+    def _report(
+        self, target: targets.Target
+    ) -> layer_orders.LayerReport | None:
+        match self._orders.report(target):
+            case result.Success(report):
+                return report
+            case result.Failure(failure):
+                events.info(
+                    'report_not_had', target=target.id, reason=failure.reason
+                )
+        return None
+
+
+def _encode(placement: placing.Placement) -> bytes:
+    rows = [
+        [(each.target_id, *each.layers) for each in chain]
+        for chain in placement.chains
+    ]
+    return msgspec.json.encode(StoredPlacement(rows))
+
+
+def _decode(entry: stores.Entry) -> placing.Placement:
+    """Reads a stored placement; one that can't be read is placed anew."""
+    try:
+        stored = msgspec.json.decode(entry.value, type=StoredPlacement)
+    except msgspec.MsgspecError:
+        events.error('placement_unreadable', key=entry.key)
+        return placing.EMPTY
+    return placing.Placement(
+        tuple(
+            tuple(
+                placing.Placed(row[0], targets.LayerRange(row[1], row[2]))
+                for row in chain
+            )
+            for chain in stored.chains
+        ),
+        (),
+    )
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placing.py
@@ -0,0 +1,266 @@
+"""Decides which targets make up the copies of a model, and their layers.
+
+It answers a steady load of the usual requests on mixed cards, of which any
+one may fail: chains of targets, each a copy of all layers, are rated by the
+requests that they serve, and a local search moves cards between chains. The
+worst loss of a single chain counts against a placement. A few cards stay
+without layers, to replace those that fail.
+"""
+
+from collections.abc import Iterable
+import random
+from typing import NamedTuple
+
+from . import chains
+from . import cost_model
+from . import desired
+from . import segments
+from . import targets
+
+MAX_CHAINS = 6
+RESTARTS = 3
+# Share of the rate of the best chain that counts as lost.
+LOSS_WEIGHT = 0.5
+SPARE_SHARE = 0.1
+SEARCH_ROUNDS = 60
+
+
+class Placed(NamedTuple):
+    """A target's part of a chain."""
+
+    target_id: str
+    layers: targets.LayerRange
+
+
+Chain = tuple[Placed, ...]
+
+
+class Placement(NamedTuple):
+    """Chains of targets; each runs all layers in order.
+
+    :ivar spares: targets that hold no layers, to replace others.
+    """
+
+    chains: tuple[Chain, ...]
+    spares: tuple[str, ...]
+
+    def layers_by_target(self) -> dict[str, targets.LayerRange]:
+        """Returns the layers of each target that has some."""
+        return {
+            placed.target_id: placed.layers
+            for chain in self.chains
+            for placed in chain
+        }
+
+
+EMPTY = Placement((), ())
+
+
+def place(
+    engine: desired.Engine,
+    members: Iterable[targets.Target],
+    rng: random.Random,
+) -> Placement:
+    """Returns a placement of all layers on targets that hold none yet."""
+    known = [each for each in members if each.card in engine.card_by_name]
+    targets_by_group: dict[chains.Group, list[targets.Target]] = {}
+    for target in sorted(known, key=lambda each: each.id):
+        group = chains.Group(target.card, target.zone)
+        targets_by_group.setdefault(group, []).append(target)
+    groups = tuple(sorted(targets_by_group))
+    if not groups:
+        return EMPTY
+    rater = chains.ChainRater(engine, groups)
+    counts = [len(targets_by_group[group]) for group in groups]
+    reserve_spares(engine, groups, counts)
+    best: list[chains.Composition] = []
+    best_value = 0.0
+    for chain_count in range(1, MAX_CHAINS + 1):
+        for _ in range(RESTARTS):
+            found = _climb(rater, counts, chain_count, rng)
+            value = _value(rater, found)
+            if value > best_value * 1.001:
+                best, best_value = found, value
+    return _assign(engine, rater, groups, targets_by_group, best)
+
+
+def reserve_spares(
+    engine: desired.Engine, groups: tuple[chains.Group, ...], counts: list[int]
+) -> None:
+    """Takes cards with the least memory out of the counts."""
+    spares = int(sum(counts) * SPARE_SHARE)
+    for _ in range(spares):
+        index = min(
+            (each for each in range(len(groups)) if counts[each]),
+            key=lambda each: (
+                engine.card_by_name[groups[each].card].memory_mb,
+                -counts[each],
+            ),
+        )
+        counts[index] -= 1
+
+
+def _value(
+    rater: chains.ChainRater, compositions: list[chains.Composition]
+) -> float:
+    rates = [rater.rate(each).rate for each in compositions]
+    return sum(rates) - LOSS_WEIGHT * max(rates, default=0.0)
+
+
+def _climb(
+    rater: chains.ChainRater,
+    counts: list[int],
+    chain_count: int,
+    rng: random.Random,
+) -> list[chains.Composition]:
+    """Moves cards between chains while that helps."""
+    pools = [[0] * len(counts) for _ in range(chain_count)]
+    for index, count in enumerate(counts):
+        for _ in range(count):
+            pools[rng.randrange(chain_count)][index] += 1
+    current = [tuple(pool) for pool in pools]
+    value = _value(rater, current)
+    for _ in range(SEARCH_ROUNDS):
+        step = _best_step(rater, current, value)
+        if step is None:
+            return current
+        current, value = step
+    return current
+
+
+def _best_step(
+    rater: chains.ChainRater,
+    current: list[chains.Composition],
+    value: float,
+) -> tuple[list[chains.Composition], float] | None:
+    """Returns the best move of one card, or exchange of two, if any helps."""
+    best: tuple[list[chains.Composition], float] | None = None
+    best_value = value * 1.0005 + 1e-9
+    for changed in _neighbours(current):
+        changed_value = _value(rater, changed)
+        if changed_value > best_value:
+            best_value = changed_value
+            best = (changed, changed_value)
+    return best
+
+
+def _neighbours(
+    current: list[chains.Composition],
+) -> Iterable[list[chains.Composition]]:
+    groups = range(len(current[0]))
+    for giver in range(len(current)):
+        for taker in range(len(current)):
+            if giver == taker:
+                continue
+            for index in groups:
+                if not current[giver][index]:
+                    continue
+                moved = _move(current, giver, taker, index, 1)
+                yield moved
+                if giver > taker:
+                    continue
+                for other in groups:
+                    if other != index and current[taker][other]:
+                        yield _move(moved, taker, giver, other, 1)
+                if current[giver][index] > 1:
+                    yield _move(current, giver, taker, index, 2)
+
+
+def _move(
+    current: list[chains.Composition],
+    giver: int,
+    taker: int,
+    index: int,
+    count: int,
+) -> list[chains.Composition]:
+    changed = list(current)
+    given = list(changed[giver])
+    given[index] -= count
+    changed[giver] = tuple(given)
+    taken = list(changed[taker])
+    taken[index] += count
+    changed[taker] = tuple(taken)
+    return changed
+
+
+def _assign(
+    engine: desired.Engine,
+    rater: chains.ChainRater,
+    groups: tuple[chains.Group, ...],
+    targets_by_group: dict[chains.Group, list[targets.Target]],
+    compositions: list[chains.Composition],
+) -> Placement:
+    """Gives the layers of each chain to targets, zone by zone."""
+    free = {group: list(each) for group, each in targets_by_group.items()}
+    placed: list[Chain] = []
+    for composition in compositions:
+        room = rater.room(composition)
+        if room <= 0:
+            continue
+        members: list[targets.Target] = []
+        for count, group in zip(composition, groups, strict=True):
+            for _ in range(count):
+                members.append(free[group].pop())
+        if len(members) > segments.MAX_STAGES:
+            members = _fewer(engine, members, room)
+        placed.append(share_layers(engine, members, room))
+    used = {each.target_id for chain in placed for each in chain}
+    spares = [
+        target.id
+        for each in targets_by_group.values()
+        for target in each
+        if target.id not in used
+    ]
+    return Placement(tuple(placed), tuple(sorted(spares)))
+
+
+def _fewer(
+    engine: desired.Engine, members: list[targets.Target], room: float
+) -> list[targets.Target]:
+    """Returns the members that hold most, as many as a path may have."""
+
+    def most(target: targets.Target) -> int:
+        card = engine.card_by_name[target.card]
+        return cost_model.most_layers(engine, card, room)
+
+    return sorted(members, key=most)[-segments.MAX_STAGES :]
+
+
+def share_layers(
+    engine: desired.Engine, members: list[targets.Target], room: float
+) -> Chain:
+    """Shares all layers so that each member keeps about the same room."""
+    ordered = sorted(members, key=lambda each: (each.zone, each.card, each.id))
+    counts = []
+    for member in ordered:
+        card = engine.card_by_name[member.card]
+        counts.append(cost_model.most_layers(engine, card, room))
+    _trim(engine, ordered, counts)
+    chain = []
+    first = 0
+    for member, count in zip(ordered, counts, strict=True):
+        if count <= 0:
+            continue
+        layers = targets.LayerRange(first, first + count)
+        chain.append(Placed(member.id, layers))
+        first += count
+    return tuple(chain)
+
+
+def _trim(
+    engine: desired.Engine, members: list[targets.Target], counts: list[int]
+) -> None:
+    """Takes surplus layers off the slowest cards that hold most."""
+    surplus = sum(counts) - engine.layers
+    while surplus > 0:
+        index = max(
+            range(len(counts)),
+            key=lambda each: (
+                engine.card_by_name[members[each].card].step_pace
+                if counts[each] > 1
+                else 0.0,
+                counts[each],
+            ),
+        )
+        counts[index] -= 1
+        surplus -= 1
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -0,0 +1,172 @@
+"""Relays requests to plain services: few slots, short work.
+
+It answers a service of a few servers with a few slots each, of which some
+may be slow, failing or mute: the least busy target goes first, a request
+that may be repeated goes on to another one after a failure or half of its
+time, and one that may not is sent once, unless a target says that it did
+not run it.
+"""
+
+import random
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_routing import breakers
+import gevent
+
+from . import context
+from . import load_ledger
+from . import outcomes
+from . import repeat_budget
+from . import sending
+from . import target_book
+from . import targets
+
+# Sends after which a request that no target ran is refused.
+MAX_REJECTIONS = 3
+RETRY_AFTER_S = 0.5
+FIRST_SERVER_ERROR = 500
+# Failures that may pass elsewhere; the rest is the caller's own.
+FAILED_STATUSES = range(500, 600)
+
+
+class PlainRelay:
+    """Serves requests of safe and unsafe routes."""
+
+    def __init__(
+        self,
+        book: target_book.TargetBook,
+        ledger: load_ledger.LoadLedger,
+        sender: sending.Sender,
+        budget: repeat_budget.RepeatBudget,
+        health: breakers.Breakers,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        rng: random.Random,
+        zone: str,
+    ) -> None:
+        self._book = book
+        self._ledger = ledger
+        self._sender = sender
+        self._budget = budget
+        self._health = health
+        self._timer = timer
+        self._metric = metric
+        self._rng = rng
+        self._zone = zone
+
+    def serve(self, exchange: context.Exchange) -> outcomes.Whole:
+        """Returns the answer; raises :class:`context.Refused`."""
+        tried: set[str] = set()
+        runs = 0
+        rejections = 0
+        failed: outcomes.Whole | None = None
+        service = exchange.service.name
+        while True:
+            target = self._choose(service, tried)
+            if target is None:
+                raise self._spent(failed, runs, outcomes.Refusal.NO_TARGET)
+            if tried and not self._budget.take(service):
+                raise self._spent(failed, runs, outcomes.Refusal.REPEATS_SPENT)
+            tried.add(target.id)
+            may_go_on = self._may_run_again(exchange, runs + 1)
+            outcome = self._send(exchange, target, may_go_on)
+            if isinstance(outcome, outcomes.Whole):
+                if outcome.head.status not in FAILED_STATUSES:
+                    return outcome
+                failed = outcome
+                runs += 1
+            elif isinstance(outcome, outcomes.NotRun):
+                rejections += 1
+            else:
+                runs += 1
+            if runs and not self._may_run_again(exchange, runs):
+                raise self._spent(failed, runs, outcomes.Refusal.TARGET_FAILED)
+            if rejections >= MAX_REJECTIONS:
+                raise self._spent(failed, runs, outcomes.Refusal.REJECTED)
+
+    def _may_run_again(self, exchange: context.Exchange, runs: int) -> bool:
+        if not exchange.route.is_idempotent:
+            return False
+        return runs < exchange.route.max_attempts
+
+    def _spent(
+        self,
+        failed: outcomes.Whole | None,
+        runs: int,
+        refusal: outcomes.Refusal,
+    ) -> context.Refused | context.Answered:
+        if failed is not None:
+            return context.Answered(failed)
+        retry_after_s = None if runs else RETRY_AFTER_S
+        return context.Refused(refusal, runs > 0, retry_after_s)
+
+    def _choose(self, service: str, tried: set[str]) -> targets.Target | None:
+        """Returns the least busy target, in our zone among equals."""
+        ejected = self._health.ejected()
+        ready = [
+            each for each in self._book.ready(service) if each.id not in tried
+        ]
+        sound = [each for each in ready if each.address not in ejected]
+        candidates = sound or ready
+        if not candidates:
+            return None
+        return min(candidates, key=self._rank)
+
+    def _rank(self, target: targets.Target) -> tuple[float, bool, float]:
+        busy = self._ledger.all_requests(target.id) / max(1, target.slots)
+        return (busy, target.zone != self._zone, self._rng.random())
+
+    def _send(
+        self,
+        exchange: context.Exchange,
+        target: targets.Target,
+        may_go_on: bool,
+    ) -> outcomes.SendOutcome:
+        left_s = exchange.ends_at - self._timer.now()
+        wait_s = left_s / 2 if may_go_on else left_s
+        self._ledger.add((target.id,), 0.0)
+        self._health.note_started(target.address)
+        outcome: outcomes.SendOutcome = outcomes.MaybeRun(
+            target.address, 'no answer in time'
+        )
+        try:
+            with gevent.Timeout(max(wait_s, 0.0), False):
+                outcome = self._sender.send(exchange, target)
+        finally:
+            self._ledger.remove((target.id,), 0.0)
+        self._note(exchange, target, outcome)
+        return outcome
+
+    def _note(
+        self,
+        exchange: context.Exchange,
+        target: targets.Target,
+        outcome: outcomes.SendOutcome,
+    ) -> None:
+        match outcome:
+            case outcomes.Whole(head, _):
+                if head.status in FAILED_STATUSES:
+                    self._health.note_failure(target.address)
+                    self._log(exchange, target, f'status_{head.status}')
+                else:
+                    self._health.note_success(target.address)
+            case outcomes.NotRun(_, status):
+                self._health.note_failure(target.address, status == 0)
+                self._log(exchange, target, f'not_run_{status}')
+            case outcomes.MaybeRun(_, detail):
+                self._health.note_failure(target.address)
+                self._log(exchange, target, detail)
+
+    def _log(
+        self, exchange: context.Exchange, target: targets.Target, detail: str
+    ) -> None:
+        self._metric.count('relay.target_failed')
+        events.info(
+            'target_failed',
+            id=exchange.facts.request_id,
+            target=target.id,
+            address=target.address,
+            detail=detail,
+        )
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -0,0 +1,310 @@
+"""Wires one instance of the relay from a deployment's translations."""
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import lease_types
+from cactusmux_control import leases
+from cactusmux_platform import stores
+from cactusmux_routing import breakers
+
+from . import copies
+from . import desired
+from . import dialect
+from . import directory
+from . import down_targets
+from . import http_server
+from . import layer_orders
+from . import live_streams
+from . import load_ledger
+from . import membership
+from . import placement_keeper
+from . import plain_relay
+from . import repeat_budget
+from . import request_core
+from . import sending
+from . import soft_exchange
+from . import store_mirror
+from . import stream_relay
+from . import target_book
+from . import target_calls
+from . import target_roster
+from . import targets
+
+LEASE_NAME = 'placement'
+LEASE_SETTINGS = lease_types.LeaseSettings(
+    ttl_s=3.0, margin_s=0.5, period_s=0.8, delivery_s=1.0
+)
+STOP_POLL_S = 0.05
+
+
+class RelaySettings(NamedTuple):
+    """An instance's place, its addresses and the bounds on repeats.
+
+    :ivar entry_address: where callers connect.
+    :ivar exchange_address: of news (UDP) and copies (TCP) between instances.
+    :ivar state_prefix: of the store's keys of the desired state.
+    :ivar target_prefix: of the store's keys of targets.
+    :ivar callers_come_s: how long callers may come after a planned stop.
+    """
+
+    name: str
+    zone: str
+    region: str
+    entry_address: str
+    exchange_address: str
+    state_prefix: str
+    target_prefix: str
+    repeat_ratio: float
+    repeat_allowance: float
+    repeat_window_s: float
+    callers_come_s: float
+    stop_within_s: float
+
+
+class Translations(NamedTuple):
+    """What a deployment provides: its store, its spelling, its targets."""
+
+    store: stores.ConfigStore
+    reader: stores.SnapshotReader
+    spelling: dialect.Dialect
+    decode_state: Callable[[stores.Entry], desired.DesiredState | None]
+    decode_target: Callable[[stores.Entry], targets.Target | None]
+    orders: layer_orders.LayerOrders
+
+
+class RelayInstance:
+    """All parts of one instance."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        given: Translations,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._given = given
+        self._timer = timer
+        self.is_stopping = False
+        self.in_force = request_core.InForce()
+        self._book = target_book.TargetBook()
+        self._ledger = load_ledger.LoadLedger(timer)
+        self._down = down_targets.DownTargets(timer)
+        self._roster = target_roster.TargetRoster(
+            self._book, self._down, self.in_force, timer, given.decode_target
+        )
+        self._budget = repeat_budget.RepeatBudget(
+            timer,
+            settings.repeat_ratio,
+            settings.repeat_allowance,
+            settings.repeat_window_s,
+        )
+        self._live = live_streams.LiveStreams(
+            timer, self._down, self._down.probe
+        )
+        core = self._make_core(metric, rng)
+        self._entry = http_server.HttpServer(
+            settings.entry_address,
+            core.handle,
+            timer,
+            lambda: self.in_force.limits,
+        )
+        self._mirror_by_prefix = self._make_mirrors()
+        self._own = membership.Instance(
+            settings.name,
+            settings.zone,
+            settings.region,
+            settings.entry_address,
+            settings.exchange_address,
+        )
+        self._registration = membership.Registration(
+            given.store, timer, self._own
+        )
+        self._exchange = soft_exchange.SoftExchange(
+            settings.exchange_address,
+            timer,
+            self._own_news,
+            self._peer_addresses,
+            self._take_news,
+        )
+        self._copy_server = http_server.HttpServer(
+            settings.exchange_address,
+            copies.CopyHandler(self._mirror_by_prefix).handle,
+            timer,
+        )
+        self._puller = copies.CopyPuller(self._mirror_by_prefix, timer)
+        self.directory = directory.Directory(self._exchange, timer)
+        self._instance_by_name: dict[str, membership.Instance] = {}
+        self._lease = leases.LeaseHolder(
+            given.store,
+            timer,
+            metric,
+            LEASE_NAME,
+            settings.name,
+            LEASE_SETTINGS,
+        )
+        self._keeper = placement_keeper.PlacementKeeper(
+            given.store,
+            self.in_force,
+            self._book,
+            given.orders,
+            self._lease.authority,
+            timer,
+            metric,
+            rng,
+            self._roster.note_report,
+        )
+
+    def _make_core(
+        self, metric: metrics.Metrics, rng: random.Random
+    ) -> request_core.RequestCore:
+        timer = self._timer
+        connections = target_calls.TargetConnections(timer)
+        sender = sending.Sender(connections, self._given.spelling, timer)
+        health = breakers.Breakers(timer, rng, metric, lambda lost: True)
+        plain = plain_relay.PlainRelay(
+            self._book,
+            self._ledger,
+            sender,
+            self._budget,
+            health,
+            timer,
+            metric,
+            rng,
+            self._settings.zone,
+        )
+        streams = stream_relay.StreamRelay(
+            self._book,
+            self._ledger,
+            sender,
+            self._given.spelling,
+            self._budget,
+            self._down,
+            self._live,
+            timer,
+            metric,
+        )
+        return request_core.RequestCore(
+            self.in_force,
+            self._given.spelling,
+            plain,
+            streams,
+            self._budget,
+            timer,
+            metric,
+            rng,
+        )
+
+    def _make_mirrors(self) -> dict[str, store_mirror.StoreMirror]:
+        change_by_prefix = {
+            self._settings.state_prefix: self._take_state,
+            self._settings.target_prefix: self._roster.update,
+            membership.PREFIX: self._take_instances,
+        }
+        mirrors = {}
+        for prefix, on_change in change_by_prefix.items():
+            mirrors[prefix] = store_mirror.StoreMirror(
+                self._given.store,
+                self._given.reader,
+                prefix,
+                self._timer,
+                on_change,
+            )
+        self._roster.follow(mirrors[self._settings.target_prefix])
+        return mirrors
+
+    def start(self) -> None:
+        """Starts to mirror the store and to serve."""
+        for mirror in self._mirror_by_prefix.values():
+            mirror.start()
+        self._copy_server.start()
+        self._exchange.start()
+        self._entry.start()
+        self._registration.start()
+        self._down.start()
+        self._live.start()
+        self._lease.start()
+        self._keeper.start()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may come."""
+        return self.in_force.state is not None and not self.is_stopping
+
+    def stop(self) -> None:
+        """Ends without cutting a request; returns when all are answered."""
+        started_at = self._timer.now()
+        self.is_stopping = True
+        events.info('stop_begun', busy=self._entry.busy_count)
+        self._registration.stop()
+        self._exchange.send()
+        self._entry.close_after_answers()
+        self._lease.stop()
+        end_s = self._settings.stop_within_s
+        while True:
+            age_s = self._timer.now() - started_at
+            callers_gone = age_s >= self._settings.callers_come_s
+            if age_s >= end_s or (callers_gone and not self._entry.busy_count):
+                break
+            self._timer.sleep(STOP_POLL_S)
+        events.info('stop_done', busy=self._entry.busy_count)
+        self._entry.stop()
+
+    def _take_state(self) -> None:
+        prefix = self._settings.state_prefix
+        for entry in self._mirror_by_prefix[prefix].entry_by_key.values():
+            state = self._given.decode_state(entry)
+            if state is not None:
+                self.in_force.replace(state)
+                self._roster.update()
+
+    def _take_instances(self) -> None:
+        entries = self._mirror_by_prefix[membership.PREFIX].entry_by_key
+        instances = membership.decode_instances(list(entries.values()))
+        self._instance_by_name = {each.name: each for each in instances}
+        self._budget.set_instances(len(instances))
+        self.directory.update(instances)
+
+    def _peer_addresses(self) -> list[str]:
+        return [
+            each.exchange_address
+            for each in self._instance_by_name.values()
+            if each.name != self._settings.name
+        ]
+
+    def _own_news(self) -> soft_exchange.News:
+        tokens = self._ledger.tokens_by_target
+        return soft_exchange.News(
+            name=self._settings.name,
+            is_stopping=self.is_stopping,
+            revision_by_prefix={
+                prefix: mirror.revision
+                for prefix, mirror in self._mirror_by_prefix.items()
+            },
+            tokens_by_target={
+                target_id: int(count) for target_id, count in tokens.items()
+            },
+            requests_by_target=dict(self._ledger.requests_by_target),
+            down=sorted(self._down.ids),
+        )
+
+    def _take_news(self, news: soft_exchange.News) -> None:
+        self._ledger.note_peer(
+            news.name, news.tokens_by_target, news.requests_by_target
+        )
+        self.directory.note_stopping(news.name, news.is_stopping)
+        for target_id in news.down:
+            target = self._book.target_by_id.get(target_id)
+            if target is not None:
+                self._down.probe(target)
+        peer = self._instance_by_name.get(news.name)
+        if peer is not None:
+            self._puller.note_revisions(
+                peer.exchange_address, news.revision_by_prefix
+            )
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -0,0 +1,286 @@
+"""One request from its head to its answer, for whichever surface read it."""
+
+import random
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+import gevent
+
+from . import context
+from . import desired
+from . import dialect
+from . import http_server
+from . import outcomes
+from . import plain_relay
+from . import repeat_budget
+from . import route_table
+from . import stream_relay
+
+STATUS_BY_REFUSAL = {
+    outcomes.Refusal.MALFORMED: 400,
+    outcomes.Refusal.UNKNOWN_KEY: 401,
+    outcomes.Refusal.NO_ROUTE: 404,
+}
+STATUS_NOT_RUN = 503
+STATUS_BAD_GATEWAY = 502
+STATUS_GATEWAY_TIMEOUT = 504
+NO_CONFIGURATION_RETRY_S = 0.5
+TIMED_OUT_RETRY_S = 1.0
+
+
+class InForce:
+    """The desired state in force and what is derived from it."""
+
+    def __init__(self) -> None:
+        self.state: desired.DesiredState | None = None
+        self._table = route_table.RouteTable(())
+
+    def replace(self, state: desired.DesiredState) -> None:
+        """Puts a state in force unless it is older than the present one."""
+        if self.state is not None and state.version <= self.state.version:
+            return
+        self.state = state
+        self._table = route_table.RouteTable(state.routes)
+        events.info(
+            'configuration_in_force',
+            version=state.version,
+            routes=len(state.routes),
+        )
+
+    @property
+    def limits(self) -> desired.Limits:
+        """Limits in force."""
+        return self.state.limits if self.state else desired.Limits()
+
+    def route(self, host: str, path: str) -> desired.Route | None:
+        """Returns the route of a request."""
+        return self._table.find(host, path)
+
+
+class RequestCore:
+    """Finds out what a request may have, and serves it until its deadline."""
+
+    def __init__(
+        self,
+        in_force: InForce,
+        spelling: dialect.Dialect,
+        plain: plain_relay.PlainRelay,
+        streams: stream_relay.StreamRelay,
+        budget: repeat_budget.RepeatBudget,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._in_force = in_force
+        self._spelling = spelling
+        self._plain = plain
+        self._streams = streams
+        self._budget = budget
+        self._timer = timer
+        self._metric = metric
+        self._rng = rng
+
+    def handle(
+        self, request: http_server.Request, answerer: http_server.Answerer
+    ) -> None:
+        """Serves one request; a handler of :mod:`http_server`."""
+        facts: dialect.RequestFacts | None = None
+        try:
+            facts = self._spelling.request_facts(request)
+            exchange = self._admit(request, facts, answerer)
+        except dialect.MalformedRequest as malformed:
+            events.info('request_malformed', name=malformed.name)
+            self._refuse(
+                answerer,
+                facts,
+                context.Refused(outcomes.Refusal.MALFORMED, False),
+            )
+            return
+        except context.Refused as refused:
+            self._refuse(answerer, facts, refused)
+            return
+        self._metric.count(f'relay.requests.{exchange.route.kind}')
+        self._serve(exchange)
+
+    def _admit(
+        self,
+        request: http_server.Request,
+        facts: dialect.RequestFacts,
+        answerer: http_server.Answerer,
+    ) -> context.Exchange:
+        state = self._in_force.state
+        if state is None:
+            raise context.Refused(
+                outcomes.Refusal.NO_CONFIGURATION,
+                False,
+                NO_CONFIGURATION_RETRY_S,
+            )
+        route = self._in_force.route(facts.host, request.path)
+        if route is None:
+            raise context.Refused(outcomes.Refusal.NO_ROUTE, False)
+        organisation = None
+        if facts.key is not None:
+            organisation = state.organisation_by_key.get(facts.key)
+        needs_key = state.needs_keys and not route.is_open
+        if needs_key and organisation is None:
+            raise context.Refused(outcomes.Refusal.UNKNOWN_KEY, False)
+        service = self._pick_service(state, route)
+        wait_s = route.timeout_s
+        if facts.wait_s is not None:
+            wait_s = min(wait_s, facts.wait_s)
+        self._budget.note_request(service.name)
+        return context.Exchange(
+            request=request,
+            facts=facts,
+            answerer=answerer,
+            route=route,
+            service=service,
+            organisation=organisation,
+            ends_at=request.received_at + wait_s,
+        )
+
+    def _pick_service(
+        self, state: desired.DesiredState, route: desired.Route
+    ) -> desired.Service:
+        known = [
+            each
+            for each in route.services
+            if each.service in state.service_by_name and each.weight > 0
+        ]
+        if not known:
+            raise context.Refused(
+                outcomes.Refusal.NO_TARGET, False, NO_CONFIGURATION_RETRY_S
+            )
+        if len(known) == 1:
+            return state.service_by_name[known[0].service]
+        weights = [each.weight for each in known]
+        picked = self._rng.choices(known, weights)[0]
+        return state.service_by_name[picked.service]
+
+    def _serve(self, exchange: context.Exchange) -> None:
+        progress = _Progress(exchange.answerer)
+        watched = exchange._replace(answerer=progress)
+        left_s = exchange.ends_at - self._timer.now()
+        try:
+            with gevent.Timeout(max(left_s, 0.0)) as timeout:
+                self._relay(watched)
+        except gevent.Timeout as raised:
+            if raised is not timeout:
+                raise
+            self._time_out(exchange, progress)
+        except context.Answered as answered:
+            self._answer(exchange, answered.answer)
+        except context.BrokenOff as broken:
+            self._log_refusal(exchange.facts, broken.refusal, True, 0)
+            exchange.answerer.abort()
+        except context.Refused as refused:
+            self._refuse(exchange.answerer, exchange.facts, refused)
+        except http_server.CallerGone:
+            self._metric.count('relay.caller_gone')
+            events.info(
+                'caller_gone',
+                id=exchange.facts.request_id,
+                after_s=self._age_s(exchange),
+            )
+            raise
+
+    def _relay(self, exchange: context.Exchange) -> None:
+        if exchange.service.engine is not None:
+            self._streams.serve(exchange)
+            return
+        self._answer(exchange, self._plain.serve(exchange))
+
+    def _time_out(
+        self, exchange: context.Exchange, progress: '_Progress'
+    ) -> None:
+        if progress.has_begun:
+            self._log_refusal(
+                exchange.facts, outcomes.Refusal.TIMED_OUT, True, 0
+            )
+            exchange.answerer.abort()
+            return
+        refused = context.Refused(outcomes.Refusal.TIMED_OUT, True)
+        self._refuse(
+            exchange.answerer,
+            exchange.facts,
+            refused,
+            STATUS_GATEWAY_TIMEOUT,
+        )
+
+    def _answer(
+        self, exchange: context.Exchange, answer: outcomes.Whole
+    ) -> None:
+        headers = self._spelling.caller_headers(answer.head)
+        kept = [each for each in headers if each[0] != b'content-length']
+        status = answer.head.status
+        if status in (408, 421, 429, 503):
+            # These statuses promise that the request has not run.
+            refused = context.Refused(outcomes.Refusal.TARGET_FAILED, True)
+            self._refuse(exchange.answerer, exchange.facts, refused)
+            return
+        exchange.answerer.answer(status, kept, answer.body)
+
+    def _refuse(
+        self,
+        answerer: http_server.Answerer,
+        facts: dialect.RequestFacts | None,
+        refused: context.Refused,
+        status: int | None = None,
+    ) -> None:
+        if status is None:
+            own = STATUS_BAD_GATEWAY if refused.has_run else STATUS_NOT_RUN
+            status = STATUS_BY_REFUSAL.get(refused.refusal, own)
+        self._log_refusal(facts, refused.refusal, refused.has_run, status)
+        headers = self._spelling.refusal_headers(facts, refused.retry_after_s)
+        answerer.answer(status, headers, b'')
+
+    def _log_refusal(
+        self,
+        facts: dialect.RequestFacts | None,
+        refusal: outcomes.Refusal,
+        has_run: bool,
+        status: int,
+    ) -> None:
+        self._metric.count(f'relay.refused.{refusal}')
+        events.info(
+            'request_refused',
+            id=facts.request_id if facts else 'unknown',
+            reason=refusal,
+            has_run=has_run,
+            status=status,
+            version=self._in_force.state.version
+            if self._in_force.state
+            else 0,
+        )
+
+    def _age_s(self, exchange: context.Exchange) -> float:
+        age_s = self._timer.now() - exchange.request.received_at
+        return round(age_s, 3)
+
+
+class _Progress(http_server.Answerer):
+    """Notes whether an answer has begun."""
+
+    def __init__(self, answerer: http_server.Answerer) -> None:
+        self._answerer = answerer
+        self.has_begun = False
+
+    def answer(
+        self, status: int, headers: http_server.Headers, body: bytes
+    ) -> None:
+        self.has_begun = True
+        self._answerer.answer(status, headers, body)
+
+    def start(self, status: int, headers: http_server.Headers) -> None:
+        self.has_begun = True
+        self._answerer.start(status, headers)
+
+    def send(self, data: bytes) -> None:
+        self._answerer.send(data)
+
+    def finish(self) -> None:
+        self._answerer.finish()
+
+    def abort(self) -> None:
+        self._answerer.abort()
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/route_table.py
@@ -0,0 +1,30 @@
+"""Finds the route of a request by its host and the start of its path."""
+
+from collections.abc import Iterable
+
+from . import desired
+
+
+class RouteTable:
+    """Routes by host, the longest matching prefix first."""
+
+    def __init__(self, routes: Iterable[desired.Route]) -> None:
+        self._routes_by_host: dict[str, list[desired.Route]] = {}
+        for route in routes:
+            key = route.host.lower()
+            self._routes_by_host.setdefault(key, []).append(route)
+        for of_host in self._routes_by_host.values():
+            of_host.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> desired.Route | None:
+        """Returns the route with the longest prefix that begins ``path``.
+
+        :param host: the Host header, with or without a port.
+        :param path: the request's path; a query behind it is ignored.
+        """
+        name = host.strip().lower().partition(':')[0]
+        bare_path = path.partition('?')[0]
+        for route in self._routes_by_host.get(name, ()):
+            if bare_path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/segments.py
@@ -0,0 +1,119 @@
+"""The graph of layer boundaries, and the cheapest path through it."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from . import cost_model
+from . import desired
+from . import targets
+
+MAX_STAGES = 32
+# A token that goes on within a zone, and that crosses into another one.
+HOP_MS = 0.1
+CROSSING_MS = 0.75
+
+
+class Segment(NamedTuple):
+    """A run of layers on one target; a target may run a part of its own.
+
+    :ivar idle_ms: a token step on the idle target, with the way to it.
+    :ivar room: tokens that fit beside the layers that the target holds.
+    """
+
+    target: targets.Target
+    layers: targets.LayerRange
+    idle_ms: float
+    room: float
+
+
+# Cost of a segment, ``None`` where it can't be used.
+Price = Callable[[Segment], float | None]
+
+
+class SegmentGraph:
+    """All segments of one model's targets between common boundaries.
+
+    A target that holds layers 20 to 40 also gives the segments from 20 to
+    any boundary of others within, and from there to 40, so that targets
+    with different ranges replace each other.
+    """
+
+    def __init__(
+        self, engine: desired.Engine, members: Iterable[targets.Target]
+    ) -> None:
+        self._layers = engine.layers
+        known = [
+            each
+            for each in members
+            if each.card in engine.card_by_name and each.layers.size > 0
+        ]
+        boundaries = {0, engine.layers}
+        for each in known:
+            boundaries.update(each.layers)
+        found: list[Segment] = []
+        for each in known:
+            found.extend(_segments_of(engine, each, sorted(boundaries)))
+        # In the order of their first layer one pass finds all paths.
+        found.sort(key=lambda each: (each.layers, each.target.id))
+        self.segments = tuple(found)
+
+    def cheapest(self, price: Price) -> cost_model.Path | None:
+        """Returns the path of least total price that runs every layer once.
+
+        A target takes part at most once. ``None`` when no path is left.
+        """
+        cost_by_boundary: dict[int, float] = {0: 0.0}
+        stages_by_boundary: dict[int, int] = {0: 0}
+        last_by_boundary: dict[int, Segment] = {}
+        for segment in self.segments:
+            first, end = segment.layers
+            before = cost_by_boundary.get(first)
+            if before is None or stages_by_boundary[first] >= MAX_STAGES:
+                continue
+            cost = price(segment)
+            if cost is None:
+                continue
+            previous = last_by_boundary.get(first)
+            if previous is not None:
+                if previous.target.id == segment.target.id:
+                    continue
+                if previous.target.zone != segment.target.zone:
+                    cost += CROSSING_MS
+            total = before + cost
+            if total < cost_by_boundary.get(end, float('inf')):
+                cost_by_boundary[end] = total
+                stages_by_boundary[end] = stages_by_boundary[first] + 1
+                last_by_boundary[end] = segment
+        return self._walk_back(last_by_boundary)
+
+    def _walk_back(
+        self, last_by_boundary: dict[int, Segment]
+    ) -> cost_model.Path | None:
+        stages: list[cost_model.Stage] = []
+        boundary = self._layers
+        while boundary > 0:
+            segment = last_by_boundary.get(boundary)
+            if segment is None:
+                return None
+            stages.append(cost_model.Stage(segment.target, segment.layers))
+            boundary = segment.layers.first
+        used = {stage.target.id for stage in stages}
+        if len(used) < len(stages):
+            return None
+        return tuple(reversed(stages))
+
+
+def _segments_of(
+    engine: desired.Engine, target: targets.Target, boundaries: list[int]
+) -> Iterable[Segment]:
+    first, end = target.layers
+    card = engine.card_by_name[target.card]
+    room = cost_model.room_tokens(engine, card, target.layers.size)
+    inner = [each for each in boundaries if first < each < end]
+    ranges = [(first, end)]
+    ranges.extend((first, each) for each in inner)
+    ranges.extend((each, end) for each in inner)
+    for start, stop in ranges:
+        part = targets.LayerRange(start, stop)
+        idle_ms = cost_model.step_ms(engine, card, part.size, 1.0, 0.0)
+        yield Segment(target, part, idle_ms + HOP_MS, room)
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -0,0 +1,99 @@
+"""Soft news between instances, as datagrams: loads, revisions, suspicion.
+
+Losing a datagram costs nothing but age. A revision that is ahead of ours
+tells whom to ask for a copy while the store doesn't answer us.
+"""
+
+from collections.abc import Callable
+
+from cactusmux_base import events
+from cactusmux_base import timers
+from gevent import server
+from gevent import socket
+import msgspec
+
+PERIOD_S = 0.25
+# Unchanged news are repeated this seldom, as a sign of life.
+QUIET_PERIOD_S = 0.5
+MAX_DATAGRAM_BYTES = 60000
+
+
+class News(msgspec.Struct, array_like=True, frozen=True):
+    """What an instance tells the others.
+
+    :ivar revision_by_prefix: of its mirrors of the store.
+    :ivar tokens_by_target: in flight from this instance, likewise requests.
+    :ivar down: ids of targets that it found down.
+    """
+
+    name: str
+    is_stopping: bool
+    revision_by_prefix: dict[str, int]
+    tokens_by_target: dict[str, int]
+    requests_by_target: dict[str, int]
+    down: list[str]
+
+
+class SoftExchange:
+    """Sends our news to all other instances and hands on theirs.
+
+    :param own_news: asked for at each sending.
+    :param peers: addresses of the other instances.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        timer: timers.TimerService,
+        own_news: Callable[[], News],
+        peers: Callable[[], list[str]],
+        on_news: Callable[[News], None],
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self._timer = timer
+        self._own_news = own_news
+        self._peers = peers
+        self._on_news = on_news
+        self._server = server.DatagramServer((host, int(port)), self._receive)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(News)
+        self._last_sent = b''
+        self._sent_at = 0.0
+        self.heard_at_by_name: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Begins to listen and to send."""
+        self._server.start()
+        self._timer.every(PERIOD_S, self.send)
+
+    def send(self) -> None:
+        """Sends our news if they changed or it is time for a sign of life."""
+        now = self._timer.now()
+        news = self._own_news()
+        data = self._encoder.encode(news)
+        if data == self._last_sent and now - self._sent_at < QUIET_PERIOD_S:
+            return
+        self.heard_at_by_name[news.name] = now
+        self._last_sent = data
+        self._sent_at = now
+        if len(data) > MAX_DATAGRAM_BYTES:
+            events.warning('news_too_long', size=len(data))
+            return
+        for address in self._peers():
+            host, _, port = address.rpartition(':')
+            self._send_to(data, (host, int(port)))
+
+    def _send_to(self, data: bytes, peer: tuple[str, int]) -> None:
+        try:
+            self._server.sendto(data, peer)
+        except OSError as error:
+            events.info('news_not_sent', peer=peer[0], cause=error.strerror)
+
+    def _receive(self, data: bytes, _peer: socket.socket) -> None:
+        try:
+            news = self._decoder.decode(data)
+        except msgspec.MsgspecError:
+            events.warning('news_unreadable', size=len(data))
+            return
+        self.heard_at_by_name[news.name] = self._timer.now()
+        self._on_news(news)
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -0,0 +1,336 @@
+"""Relays streams of models whose layers are split over targets.
+
+A stream that breaks or whose path is interrupted goes on at another path
+after the last event that the caller got, within the same answer.
+"""
+
+from collections.abc import Iterator
+from typing import NoReturn
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+
+from . import context
+from . import cost_model
+from . import desired
+from . import dialect
+from . import down_targets
+from . import event_stream
+from . import live_streams
+from . import load_ledger
+from . import outcomes
+from . import path_choice
+from . import repeat_budget
+from . import sending
+from . import target_book
+from . import target_calls
+
+# Sends after which a request that no path took is refused.
+MAX_REJECTIONS = 4
+RETRY_AFTER_S = 1.0
+# A path that was full is looked for again this often, for this long.
+ROOM_WAIT_S = 0.05
+ROOM_POLL_S = 0.01
+# A resumed stream may wait longer: its caller has waited already.
+RESUME_ROOM_WAIT_S = 1.0
+# A target that was short of memory is left out for so long.
+FULL_S = 0.3
+STATUS_UNAVAILABLE = 503
+
+
+class _Broken(Exception):
+    """The stream broke off; it may be resumed."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+
+class StreamRelay:
+    """Serves requests of stream routes."""
+
+    def __init__(
+        self,
+        book: target_book.TargetBook,
+        ledger: load_ledger.LoadLedger,
+        sender: sending.Sender,
+        spelling: dialect.Dialect,
+        budget: repeat_budget.RepeatBudget,
+        down: down_targets.DownTargets,
+        live: live_streams.LiveStreams,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+    ) -> None:
+        self._book = book
+        self._ledger = ledger
+        self._sender = sender
+        self._spelling = spelling
+        self._budget = budget
+        self._down = down
+        self._live = live
+        self._timer = timer
+        self._metric = metric
+        self._full_until_by_id: dict[str, float] = {}
+
+    def serve(self, exchange: context.Exchange) -> None:
+        """Streams the answer; raises :class:`context.Refused`.
+
+        Once the answer has begun, a failure breaks it off.
+        """
+        _Run(self, exchange).serve()
+
+    def choose(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        avoided: set[str],
+        wait_s: float,
+    ) -> cost_model.Path | None:
+        """Returns a path with room, waiting up to ``wait_s`` for one."""
+        until = min(self._timer.now() + wait_s, exchange.ends_at)
+        while True:
+            graph = self._book.graph(exchange.service.name)
+            if graph is not None:
+                path = path_choice.choose(
+                    graph,
+                    demand,
+                    self._ledger.all_tokens(),
+                    self._down.ids | self._full() | avoided,
+                )
+                if path is not None:
+                    return path
+            if self._timer.now() >= until:
+                return None
+            self._timer.sleep(ROOM_POLL_S)
+
+    def note_not_run(
+        self, exchange: context.Exchange, outcome: outcomes.NotRun
+    ) -> None:
+        """Draws conclusions on the target that kept a request from running."""
+        target = self._book.target_by_address.get(outcome.at_fault)
+        events.info(
+            'path_rejected',
+            id=exchange.facts.request_id,
+            at_fault=outcome.at_fault,
+            target=target.id if target else 'unknown',
+            status=outcome.status,
+        )
+        self._metric.count(f'relay.path_rejected.{outcome.status}')
+        if target is None:
+            return
+        if outcome.status == 0:
+            self._down.probe(target)
+        self._full_until_by_id[target.id] = self._timer.now() + FULL_S
+
+    def _full(self) -> set[str]:
+        now = self._timer.now()
+        for target_id, until in list(self._full_until_by_id.items()):
+            if until <= now:
+                del self._full_until_by_id[target_id]
+        return set(self._full_until_by_id)
+
+
+class _Run:
+    """One request: its attempts, and what the caller has got so far."""
+
+    def __init__(self, relay: StreamRelay, exchange: context.Exchange) -> None:
+        self._relay = relay
+        self._exchange = exchange
+        self._demand = demand_of(exchange.service.engine, exchange.facts)
+        self._avoided: set[str] = set()
+        self._runs = 0
+        self._rejections = 0
+        self._sends = 0
+        self._last_id: int | None = None
+        self._has_begun = False
+
+    def serve(self) -> None:
+        while True:
+            path = self._next_path()
+            try:
+                self._attempt(path)
+                return
+            except _Broken as broken:
+                self._log_broken(path, broken)
+                if not self._may_resume():
+                    self._give_up(outcomes.Refusal.TARGET_FAILED)
+
+    def _next_path(self) -> cost_model.Path:
+        service = self._exchange.service.name
+        wait_s = RESUME_ROOM_WAIT_S if self._runs else ROOM_WAIT_S
+        path = self._relay.choose(
+            self._exchange, self._demand, self._avoided, wait_s
+        )
+        if path is None and self._avoided:
+            self._avoided = set()
+            path = self._relay.choose(
+                self._exchange, self._demand, self._avoided, 0.0
+            )
+        if path is None:
+            self._give_up(outcomes.Refusal.NO_ROOM)
+        if self._sends and not self._relay._budget.take(service):
+            self._give_up(outcomes.Refusal.REPEATS_SPENT)
+        return path
+
+    def _attempt(self, path: cost_model.Path) -> None:
+        relay = self._relay
+        ids = [stage.target.id for stage in path]
+        tokens = self._demand.tokens
+        live = live_streams.LiveStream(path, relay._timer.now())
+        self._sends += 1
+        relay._ledger.add(ids, tokens)
+        relay._live.add(live)
+        try:
+            self._send_on(path, live)
+        finally:
+            relay._live.remove(live)
+            relay._ledger.remove(ids, tokens)
+
+    def _send_on(
+        self, path: cost_model.Path, live: live_streams.LiveStream
+    ) -> None:
+        outcome = self._relay._sender.send(
+            self._exchange, path[0].target, path, self._last_id, live
+        )
+        match outcome:
+            case outcomes.NotRun():
+                self._note_not_run(outcome)
+            case outcomes.MaybeRun(_, detail):
+                self._runs += 1
+                self._avoided.add(path[0].target.id)
+                self._relay._down.probe(path[0].target)
+                raise _Broken(detail)
+            case outcomes.Whole() as whole:
+                self._runs += 1
+                if self._has_begun:
+                    raise _Broken(f'status {whole.head.status}')
+                raise context.Answered(whole)
+            case outcomes.Streaming(head, call):
+                self._runs += 1
+                try:
+                    self._pass_on(head, call, live)
+                finally:
+                    call.close()
+
+    def _note_not_run(self, outcome: outcomes.NotRun) -> None:
+        self._rejections += 1
+        self._relay.note_not_run(self._exchange, outcome)
+        target = self._relay._book.target_by_address.get(outcome.at_fault)
+        if target is not None:
+            self._avoided.add(target.id)
+        if self._rejections >= MAX_REJECTIONS:
+            self._give_up(outcomes.Refusal.REJECTED)
+        raise _Rejected('not run')
+
+    def _pass_on(
+        self,
+        head: target_calls.AnswerHead,
+        call: target_calls.TargetCall,
+        live: live_streams.LiveStream,
+    ) -> None:
+        """Passes events on as they arrive, each at most once."""
+        for event in self._events(call):
+            live.note_event(self._relay._timer.now())
+            if not self._is_next(event):
+                continue
+            self._begin(head)
+            self._exchange.answerer.send(event.data)
+        self._begin(head)
+        self._exchange.answerer.finish()
+        self._log_served(live)
+
+    def _events(
+        self, call: target_calls.TargetCall
+    ) -> Iterator[event_stream.Event]:
+        splitter = event_stream.EventSplitter()
+        try:
+            for part in call.parts():
+                yield from splitter.feed(part)
+        except target_calls.AnswerBroken as broken:
+            raise _Broken(broken.detail) from broken
+        if splitter.rest:
+            raise _Broken('ended within an event')
+
+    def _is_next(self, event: event_stream.Event) -> bool:
+        """Whether an event is due; raises on a gap in the ids."""
+        if event.id is None:
+            return True
+        last_id = self._last_id
+        if last_id is not None and event.id <= last_id:
+            return False
+        if last_id is not None and event.id != last_id + 1:
+            raise _Broken(f'event {event.id} came after {last_id}')
+        self._last_id = event.id
+        return True
+
+    def _begin(self, head: target_calls.AnswerHead) -> None:
+        if self._has_begun:
+            return
+        self._has_begun = True
+        headers = self._relay._spelling.caller_headers(head)
+        kept = [each for each in headers if each[0] != b'content-length']
+        self._exchange.answerer.start(head.status, kept)
+
+    def _may_resume(self) -> bool:
+        if self._runs == 0:
+            return True
+        if not self._exchange.route.is_idempotent:
+            return False
+        return self._runs < self._exchange.route.max_attempts
+
+    def _give_up(self, refusal: outcomes.Refusal) -> NoReturn:
+        if self._has_begun:
+            raise context.BrokenOff(refusal)
+        has_run = self._runs > 0
+        retry_after_s = None if has_run else RETRY_AFTER_S
+        raise context.Refused(refusal, has_run, retry_after_s)
+
+    def _log_served(self, live: live_streams.LiveStream) -> None:
+        now = self._relay._timer.now()
+        received_at = self._exchange.request.received_at
+        events.info(
+            'stream_served',
+            id=self._exchange.facts.request_id,
+            path=','.join(live.target_ids),
+            tokens=int(self._demand.tokens),
+            first_ms=_ms(live.first_at - received_at),
+            total_ms=_ms(now - received_at),
+            longest_pause_ms=_ms(live.longest_pause_s),
+            sends=self._sends,
+        )
+
+    def _log_broken(self, path: cost_model.Path, broken: _Broken) -> None:
+        if isinstance(broken, _Rejected):
+            return
+        self._relay._metric.count('relay.stream_broken')
+        events.info(
+            'stream_broken',
+            id=self._exchange.facts.request_id,
+            path=','.join(stage.target.id for stage in path),
+            detail=broken.detail,
+            last_event=self._last_id,
+            runs=self._runs,
+        )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * cost_model.MS_PER_S)
+
+
+class _Rejected(_Broken):
+    """No target ran the request; another path may."""
+
+
+def demand_of(
+    engine: desired.Engine | None, facts: dialect.RequestFacts
+) -> path_choice.Demand:
+    """Returns the memory that a request will need, as far as it is known."""
+    if engine is None:
+        return path_choice.Demand(0.0, 0.0)
+    answer = facts.hinted_answer_tokens
+    if answer is None:
+        answer = engine.usual_answer
+    if facts.most_answer_tokens:
+        answer = min(answer, facts.most_answer_tokens)
+    return path_choice.Demand(facts.prompt_tokens, answer)
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -0,0 +1,282 @@
+"""HTTP/1.1 towards targets: kept connections, one request at a time each.
+
+A failure tells whether the target can have run the request. An answer is
+matched by its request id; a connection that carried anything unexpected is
+not used again.
+"""
+
+import collections
+from collections.abc import Iterator
+import socket as std_socket
+from typing import NamedTuple
+
+from cactusmux_base import failures
+from cactusmux_base import timers
+import gevent
+from gevent import select
+from gevent import socket
+import h11
+
+from . import http_server
+
+CONNECT_TIMEOUT_S = 0.3
+RECEIVE_BYTES = 65536
+MAX_HEAD_BYTES = 65536
+# Larger bodies are sent beside reading the answer, which may come first.
+SEND_BESIDE_BYTES = 32768
+MAX_IDLE_PER_TARGET = 32
+# Kept shorter than what a target announces, for what is on its way.
+KEEP_ALIVE_MARGIN_S = 1.0
+DEFAULT_KEEP_ALIVE_S = 4.0
+# Unacknowledged bytes for so long mean that the target is cut off.
+USER_TIMEOUT_MS = 2000
+
+
+class NotSent(failures.CactusmuxError):
+    """No connection was had: the target can't have run the request."""
+
+    reason = 'not_sent'
+
+    def __init__(self, address: str) -> None:
+        super().__init__(f'no connection to target {address}')
+        self.address = address
+
+
+class AnswerBroken(failures.CactusmuxError):
+    """The request was sent and its answer isn't complete or isn't valid."""
+
+    reason = 'answer_broken'
+
+    def __init__(self, address: str, detail: str) -> None:
+        super().__init__(f'answer of target {address}: {detail}')
+        self.address = address
+        self.detail = detail
+
+
+class AnswerHead(NamedTuple):
+    """Status and headers of an answer; names are in lower case."""
+
+    status: int
+    headers: tuple[http_server.Header, ...]
+
+    def header(self, name: bytes) -> str | None:
+        """Returns the first value of a header, ``None`` if it is absent."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode('latin-1')
+        return None
+
+
+class OutgoingRequest(NamedTuple):
+    """A request as it is sent to a target, its headers complete."""
+
+    method: str
+    path: str
+    headers: http_server.Headers
+    body: bytes
+
+
+class _Idle(NamedTuple):
+    sock: socket.socket
+    expires_at: float
+
+
+class TargetCall:
+    """One request to a target and its answer.
+
+    Always to be closed: :meth:`close` gives the connection back if the
+    answer was read to its end, else it cuts the connection, by which the
+    target stops its work.
+    """
+
+    def __init__(
+        self,
+        owner: 'TargetConnections',
+        address: str,
+        sock: socket.socket,
+        request: OutgoingRequest,
+    ) -> None:
+        self._owner = owner
+        self._address = address
+        self._sock = sock
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._sender: gevent.Greenlet | None = None
+        self._complete = False
+        self._is_cut = False
+        self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._send(request)
+
+    def _send(self, request: OutgoingRequest) -> None:
+        head = h11.Request(
+            method=request.method, target=request.path, headers=request.headers
+        )
+        data = self._h11.send(head) or b''
+        if request.body:
+            data += self._h11.send(h11.Data(data=request.body)) or b''
+        data += self._h11.send(h11.EndOfMessage()) or b''
+        if len(request.body) > SEND_BESIDE_BYTES:
+            self._sender = gevent.spawn(self._send_all, data)
+            return
+        self._send_all(data)
+
+    def _send_all(self, data: bytes) -> None:
+        try:
+            self._sock.sendall(data)
+        except OSError:
+            # Reading tells whether an answer came all the same.
+            return
+
+    def read_head(self) -> AnswerHead:
+        """Waits for the head of the answer; raises :class:`AnswerBroken`."""
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                head = AnswerHead(event.status_code, tuple(event.headers))
+                self._note_keep_alive(head)
+                return head
+            raise AnswerBroken(self._address, 'closed before an answer')
+
+    def parts(self) -> Iterator[bytes]:
+        """Yields the body as it arrives; raises :class:`AnswerBroken`."""
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                self._complete = True
+                return
+            raise AnswerBroken(self._address, 'closed within the body')
+
+    def read_body(self, max_bytes: int) -> bytes:
+        """Returns the whole body; raises :class:`AnswerBroken`."""
+        parts = []
+        size = 0
+        for part in self.parts():
+            size += len(part)
+            if size > max_bytes:
+                raise AnswerBroken(self._address, f'over {max_bytes} bytes')
+            parts.append(part)
+        return b''.join(parts)
+
+    def cut(self) -> None:
+        """Makes the task that reads the answer fail at once."""
+        self._is_cut = True
+        try:
+            self._sock.shutdown(std_socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Gives the connection back, or cuts it."""
+        sent = self._sender is None or self._sender.ready()
+        if self._complete and sent and self._is_reusable():
+            self._owner.give_back(
+                self._address, self._sock, self._keep_alive_s
+            )
+            return
+        if self._sender is not None:
+            self._sender.kill(block=False)
+        self._sock.close()
+
+    def _is_reusable(self) -> bool:
+        if self._h11.trailing_data[0]:
+            return False
+        done = (h11.DONE, h11.DONE)
+        return (self._h11.our_state, self._h11.their_state) == done
+
+    def _next_event(self) -> h11.Event:
+        try:
+            while True:
+                event = self._h11.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                data = self._sock.recv(RECEIVE_BYTES)
+                if self._is_cut:
+                    raise AnswerBroken(self._address, 'cut by us')
+                self._h11.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise AnswerBroken(self._address, str(error)) from error
+        except OSError as error:
+            raise AnswerBroken(self._address, 'reset') from error
+
+    def _note_keep_alive(self, head: AnswerHead) -> None:
+        announced = head.header(b'keep-alive') or ''
+        for part in announced.split(','):
+            name, _, value = part.strip().partition('=')
+            if name.lower() == 'timeout' and value.isdigit():
+                self._keep_alive_s = int(value) - KEEP_ALIVE_MARGIN_S
+
+
+class TargetConnections:
+    """Kept connections by target address."""
+
+    def __init__(self, timer: timers.TimerService) -> None:
+        self._timer = timer
+        self._idle_by_address: dict[str, collections.deque[_Idle]] = {}
+
+    def call(
+        self, address: str, request: OutgoingRequest, fresh: bool
+    ) -> TargetCall:
+        """Sends a request; raises :class:`NotSent`.
+
+        :param fresh: use a new connection, so that a failure can't come
+            from a kept one that the target had just closed.
+        """
+        sock = None if fresh else self._take(address)
+        if sock is None:
+            sock = self._connect(address)
+        return TargetCall(self, address, sock, request)
+
+    def give_back(
+        self, address: str, sock: socket.socket, keep_alive_s: float
+    ) -> None:
+        """Keeps a connection on which nothing is under way."""
+        idle = self._idle_by_address.setdefault(address, collections.deque())
+        if keep_alive_s <= 0 or len(idle) >= MAX_IDLE_PER_TARGET:
+            sock.close()
+            return
+        idle.append(_Idle(sock, self._timer.now() + keep_alive_s))
+
+    def forget(self, address: str) -> None:
+        """Closes the kept connections of a target that is gone."""
+        for idle in self._idle_by_address.pop(address, ()):
+            idle.sock.close()
+
+    def _take(self, address: str) -> socket.socket | None:
+        idle = self._idle_by_address.get(address)
+        while idle:
+            newest = idle.pop()
+            expired = newest.expires_at <= self._timer.now()
+            if not expired and _is_silent(newest.sock):
+                return newest.sock
+            newest.sock.close()
+        return None
+
+    def _connect(self, address: str) -> socket.socket:
+        host, _, port = address.rpartition(':')
+        sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+        try:
+            sock.settimeout(CONNECT_TIMEOUT_S)
+            sock.connect((host, int(port)))
+        except (OSError, ValueError) as error:
+            sock.close()
+            raise NotSent(address) from error
+        sock.settimeout(None)
+        sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            std_socket.IPPROTO_TCP,
+            std_socket.TCP_USER_TIMEOUT,
+            USER_TIMEOUT_MS,
+        )
+        return sock
+
+
+def _is_silent(sock: socket.socket) -> bool:
+    """Whether nothing, not even its end, has arrived on a connection."""
+    readable, _, _ = select.select([sock], [], [], 0)
+    return not readable
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
@@ -0,0 +1,114 @@
+"""The present targets: from the store's entries and from fresher reports."""
+
+from collections.abc import Callable, Iterable
+
+from cactusmux_base import events
+from cactusmux_base import timers
+from cactusmux_platform import stores
+
+from . import down_targets
+from . import request_core
+from . import store_mirror
+from . import target_book
+from . import targets
+
+# How often kept entries are looked at again.
+REVIEW_PERIOD_S = 0.5
+
+Decode = Callable[[stores.Entry], targets.Target | None]
+
+
+class TargetRoster:
+    """Keeps the target book in line with the mirror of the entries.
+
+    Entries lapse while the store is away, also those of sound targets: a
+    target whose entry is missing is kept until the store has been back for
+    some seconds.
+    """
+
+    def __init__(
+        self,
+        book: target_book.TargetBook,
+        down: down_targets.DownTargets,
+        in_force: request_core.InForce,
+        timer: timers.TimerService,
+        decode: Decode,
+    ) -> None:
+        self._book = book
+        self._down = down
+        self._in_force = in_force
+        self._timer = timer
+        self._decode = decode
+        self._mirror: store_mirror.StoreMirror | None = None
+        self._entry_target_by_id: dict[str, targets.Target] = {}
+        self._reported_by_id: dict[str, targets.Target] = {}
+
+    def follow(self, mirror: store_mirror.StoreMirror) -> None:
+        """Takes the mirror to read from; call before it starts."""
+        self._mirror = mirror
+        self._timer.every(REVIEW_PERIOD_S, self._review)
+
+    def update(self) -> None:
+        """Reads all entries anew; called on each change of the mirror."""
+        if self._mirror is None:
+            return
+        found: dict[str, targets.Target] = {}
+        for entry in self._mirror.entry_by_key.values():
+            target = self._decode(entry)
+            if target is not None:
+                found[target.id] = target
+        if not self._mirror.is_settled:
+            for target_id, known in self._entry_target_by_id.items():
+                found.setdefault(target_id, known)
+        self._log_changes(found)
+        self._entry_target_by_id = found
+        self._publish()
+
+    def note_report(self, target: targets.Target) -> None:
+        """Takes a target's layers before its entry tells of them."""
+        self._reported_by_id[target.id] = target
+        self._publish()
+
+    def _review(self) -> None:
+        mirror = self._mirror
+        if mirror is None or not mirror.is_settled:
+            return
+        if len(mirror.entry_by_key) < len(self._entry_target_by_id):
+            self.update()
+
+    def _publish(self) -> None:
+        current = list(self._merged())
+        state = self._in_force.state
+        services = state.service_by_name if state else {}
+        self._book.replace(current, services)
+        self._down.update(self._book.target_by_id)
+
+    def _merged(self) -> Iterable[targets.Target]:
+        for target in self._entry_target_by_id.values():
+            reported = self._reported_by_id.get(target.id)
+            if reported is None:
+                yield target
+                continue
+            same_start = reported.born_ms == target.born_ms
+            if not same_start or target.layers == reported.layers:
+                del self._reported_by_id[target.id]
+                yield target
+                continue
+            yield target._replace(layers=reported.layers)
+
+    def _log_changes(self, found: dict[str, targets.Target]) -> None:
+        old = self._entry_target_by_id
+        for target_id in old.keys() - found.keys():
+            events.info('target_gone', target=target_id)
+        for target_id, target in found.items():
+            if old.get(target_id) == target:
+                continue
+            events.info(
+                'target_changed',
+                target=target_id,
+                address=target.address,
+                leaving=target.is_leaving,
+                born_ms=target.born_ms,
+                first=target.layers.first,
+                end=target.layers.end,
+            )
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/targets.py
@@ -0,0 +1,42 @@
+"""Targets as they say of themselves, and the layers that they hold."""
+
+from typing import NamedTuple
+
+
+class LayerRange(NamedTuple):
+    """Layers from ``first`` up to, but without, ``end``."""
+
+    first: int
+    end: int
+
+    @property
+    def size(self) -> int:
+        """Number of layers."""
+        return self.end - self.first
+
+
+NO_LAYERS = LayerRange(0, 0)
+
+
+class Target(NamedTuple):
+    """One start of a target.
+
+    :ivar id: expected by requests that are sent to ``address``.
+    :ivar born_ms: time of its start, Unix milliseconds; a target may start
+        again under its id.
+    :ivar is_leaving: it gets no new work.
+    :ivar card: name of its kind of accelerator, empty for plain services.
+    :ivar layers: that it holds and can run now.
+    :ivar order_number: count of the orders that it has begun.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_leaving: bool
+    born_ms: int
+    card: str = ''
+    layers: LayerRange = NO_LAYERS
+    order_number: int = 0
