--- a/packages/cactusmux-relay/src/cactusmux_relay/chains.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chains.py
@@ -19,7 +19,7 @@
 # Time of a stage that reading prompts may take.
 MAX_READING_SHARE = 0.5
 # What a chain loses by each crossing into another zone.
-CROSSING_FACTOR = 0.88
+CROSSING_FACTOR = 0.8
 ROOM_SEARCH_STEPS = 18
 # A request of twice the usual size always fits.
 LEAST_ROOM_REQUESTS = 4.0
--- a/packages/cactusmux-relay/src/cactusmux_relay/copies.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -15,7 +15,7 @@
 from . import store_mirror
 
 PATH = '/copies/'
-PATIENCE_S = 0.4
+PATIENCE_S = 0.25
 CALL_S = 1.0
 CONNECTIONS = 2
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -18,6 +18,7 @@
 from returns import result
 
 from . import desired
+from . import down_targets
 from . import layer_orders
 from . import placing
 from . import repairing
@@ -57,6 +58,7 @@
         metric: metrics.Metrics,
         rng: random.Random,
         on_report: Callable[[targets.Target], None],
+        down: down_targets.DownTargets,
     ) -> None:
         """Prepares the keeper.
 
@@ -72,6 +74,7 @@
         self._metric = metric
         self._rng = rng
         self._on_report = on_report
+        self._down = down
         self._placement_by_service: dict[str, placing.Placement] = {}
         self._revision_by_service: dict[str, int] = {}
         self._loaded_fencing = 0
@@ -138,7 +141,9 @@
             changed = placing.place(engine, members, self._rng)
         else:
             known = frozenset(self._book.target_by_id)
-            changed = repairing.repair(engine, placement, members, known)
+            down = self._down.ids
+            sound = [each for each in members if each.id not in down]
+            changed = repairing.repair(engine, placement, sound, known)
         old_chains = placement.chains if placement else ()
         if changed.chains != old_chains and not self._save(name, changed):
             return
--- a/packages/cactusmux-relay/src/cactusmux_relay/placing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placing.py
@@ -21,6 +21,8 @@
 RESTARTS = 3
 # Share of the rate of the best chain that counts as lost.
 LOSS_WEIGHT = 0.5
+# A card more in a chain must add this rate: each may fail.
+STAGE_COST = 0.15
 SPARE_SHARE = 0.1
 SEARCH_ROUNDS = 60
 
@@ -76,8 +78,11 @@
     best: list[chains.Composition] = []
     best_value = 0.0
     for chain_count in range(1, MAX_CHAINS + 1):
+        starts = [_start_by_zone(groups, counts, chain_count)]
         for _ in range(RESTARTS):
-            found = _climb(rater, counts, chain_count, rng)
+            starts.append(_start_at_random(counts, chain_count, rng))
+        for start in starts:
+            found = _climb(rater, start)
             value = _value(rater, found)
             if value > best_value * 1.001:
                 best, best_value = found, value
@@ -104,21 +109,38 @@
     rater: chains.ChainRater, compositions: list[chains.Composition]
 ) -> float:
     rates = [rater.rate(each).rate for each in compositions]
-    return sum(rates) - LOSS_WEIGHT * max(rates, default=0.0)
+    stages = sum(sum(each) for each in compositions)
+    lost = LOSS_WEIGHT * max(rates, default=0.0) + STAGE_COST * stages
+    return sum(rates) - lost
 
 
-def _climb(
-    rater: chains.ChainRater,
-    counts: list[int],
-    chain_count: int,
-    rng: random.Random,
+def _start_by_zone(
+    groups: tuple[chains.Group, ...], counts: list[int], chain_count: int
+) -> list[chains.Composition]:
+    """Puts all cards of a zone into one chain, as far as chains go."""
+    zones = sorted({group.zone for group in groups})
+    pools = [[0] * len(counts) for _ in range(chain_count)]
+    for index, group in enumerate(groups):
+        pool = pools[zones.index(group.zone) % chain_count]
+        pool[index] = counts[index]
+    return [tuple(pool) for pool in pools]
+
+
+def _start_at_random(
+    counts: list[int], chain_count: int, rng: random.Random
 ) -> list[chains.Composition]:
-    """Moves cards between chains while that helps."""
     pools = [[0] * len(counts) for _ in range(chain_count)]
     for index, count in enumerate(counts):
         for _ in range(count):
             pools[rng.randrange(chain_count)][index] += 1
-    current = [tuple(pool) for pool in pools]
+    return [tuple(pool) for pool in pools]
+
+
+def _climb(
+    rater: chains.ChainRater, start: list[chains.Composition]
+) -> list[chains.Composition]:
+    """Moves cards between chains while that helps."""
+    current = start
     value = _value(rater, current)
     for _ in range(SEARCH_ROUNDS):
         step = _best_step(rater, current, value)
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -11,6 +11,7 @@
 from cactusmux_control import leases
 from cactusmux_platform import stores
 from cactusmux_routing import breakers
+import gevent
 
 from . import copies
 from . import desired
@@ -91,6 +92,7 @@
         self._settings = settings
         self._given = given
         self._timer = timer
+        self._rng = rng
         self.is_stopping = False
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
@@ -148,6 +150,7 @@
             LEASE_NAME,
             settings.name,
             LEASE_SETTINGS,
+            may_acquire=self._may_acquire_lease,
         )
         self._keeper = placement_keeper.PlacementKeeper(
             given.store,
@@ -159,6 +162,7 @@
             metric,
             rng,
             self._roster.note_report,
+            self._down,
         )
 
     def _make_core(
@@ -206,6 +210,7 @@
             self._settings.state_prefix: self._take_state,
             self._settings.target_prefix: self._roster.update,
             membership.PREFIX: self._take_instances,
+            leases.LEASE_PREFIX: self._take_leases,
         }
         mirrors = {}
         for prefix, on_change in change_by_prefix.items():
@@ -214,6 +219,7 @@
                 self._given.reader,
                 prefix,
                 self._timer,
+                self._rng,
                 on_change,
             )
         self._roster.follow(mirrors[self._settings.target_prefix])
@@ -222,7 +228,7 @@
     def start(self) -> None:
         """Starts to mirror the store and to serve."""
         for mirror in self._mirror_by_prefix.values():
-            mirror.start()
+            mirror.start(lambda: len(self._instance_by_name))
         self._copy_server.start()
         self._exchange.start()
         self._entry.start()
@@ -264,6 +270,16 @@
                 self.in_force.replace(state)
                 self._roster.update()
 
+    def _take_leases(self) -> None:
+        """Takes over at once when the lease has become free."""
+        if not self.is_stopping and self._may_acquire_lease():
+            gevent.spawn(self._lease.step)
+
+    def _may_acquire_lease(self) -> bool:
+        mirror = self._mirror_by_prefix[leases.LEASE_PREFIX]
+        key = leases.LEASE_PREFIX + LEASE_NAME
+        return mirror.is_connected and key not in mirror.entry_by_key
+
     def _take_instances(self) -> None:
         entries = self._mirror_by_prefix[membership.PREFIX].entry_by_key
         instances = membership.decode_instances(list(entries.values()))
--- a/packages/cactusmux-relay/src/cactusmux_relay/segments.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/segments.py
@@ -8,9 +8,11 @@
 from . import targets
 
 MAX_STAGES = 32
-# A token that goes on within a zone, and that crosses into another one.
+# A token that goes on within a zone.
 HOP_MS = 0.1
-CROSSING_MS = 0.75
+# Into another zone a token waits behind the prompts in the same pipe, each
+# of which takes some 20 ms.
+CROSSING_MS = 5.0
 
 
 class Segment(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import random
 from typing import NamedTuple
 
 from cactusmux_base import events
@@ -16,6 +17,10 @@
 
 WATCH_S = 20.0
 BACKOFF_S = 0.25
+# After a change, further ones are waited for, to bring them in one call.
+BATCH_S = 0.1
+# All instances together look so often whether a watch has missed a change.
+CHECK_PERIOD_S = 0.35
 # After an outage the store may still lack entries that lapsed meanwhile.
 SETTLE_S = 2.5
 
@@ -36,12 +41,14 @@
         reader: stores.SnapshotReader,
         prefix: str,
         timer: timers.TimerService,
+        rng: random.Random,
         on_change: Callable[[], None],
     ) -> None:
         self._store = store
         self._reader = reader
         self._prefix = prefix
         self._timer = timer
+        self._rng = rng
         self._on_change = on_change
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
@@ -49,9 +56,13 @@
         self.connected_at = 0.0
         self.failed_at = 0.0
 
-    def start(self) -> None:
-        """Begins to mirror, in a task of its own."""
+    def start(self, instances: Callable[[], int]) -> None:
+        """Begins to mirror, in tasks of its own.
+
+        :param instances: how many instances share the checks.
+        """
         gevent.spawn(self._run)
+        gevent.spawn(self._check_now_and_then, instances)
 
     @property
     def is_settled(self) -> bool:
@@ -84,6 +95,29 @@
                 continue
             must_read = not self._watch()
 
+    def _check_now_and_then(self, instances: Callable[[], int]) -> None:
+        """Reads past the watch, which may be deaf without having failed."""
+        while True:
+            period_s = CHECK_PERIOD_S * max(1, instances())
+            self._timer.sleep(period_s * self._rng.uniform(0.8, 1.2))
+            self.check()
+
+    def check(self) -> None:
+        """Reads all entries and takes what the watch hasn't brought."""
+        match self._reader.read_prefix(self._prefix):
+            case result.Success(snapshot):
+                entry_by_key = {each.key: each for each in snapshot.entries}
+                if snapshot.revision < self.revision:
+                    return
+                if entry_by_key == self.entry_by_key:
+                    return
+                events.warning(
+                    'watch_missed_change',
+                    prefix=self._prefix,
+                    revision=snapshot.revision,
+                )
+                self._replace(Copy(snapshot.entries, snapshot.revision))
+
     def _read(self) -> bool:
         match self._reader.read_prefix(self._prefix):
             case result.Success(snapshot):
@@ -129,6 +163,7 @@
         self.revision = watched.revision
         if changed:
             self._on_change()
+            self._timer.sleep(BATCH_S)
 
     def _replace(self, copy: Copy) -> None:
         self.entry_by_key = {each.key: each for each in copy.entries}
