--- a/packages/cactusmux-relay/src/cactusmux_relay/chains.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chains.py
@@ -18,7 +18,9 @@
 MAX_TOKEN_MS = 40.0
 # Time of a stage that reading prompts may take.
 MAX_READING_SHARE = 0.5
-# What a chain loses by each crossing into another zone.
+# Into another zone a token waits behind the prompts in the same pipe.
+CROSSING_MS = 5.0
+# What a chain loses besides by each crossing.
 CROSSING_FACTOR = 0.8
 ROOM_SEARCH_STEPS = 18
 # A request of twice the usual size always fits.
@@ -157,7 +159,7 @@
             + engine.per_sequence_ms * writing
             + engine.per_context_k_ms * writing * context / 1000.0
         )
-        total = segments.CROSSING_MS * (self.zone_count(composition) - 1)
+        total = CROSSING_MS * (self.zone_count(composition) - 1)
         for index, count in enumerate(composition):
             share = count * layers[index] / engine.layers
             total += whole_ms * self._cards[index].step_pace * share
--- a/packages/cactusmux-relay/src/cactusmux_relay/desired.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/desired.py
@@ -74,6 +74,8 @@
     :ivar usual_prompt: mean tokens of a prompt, and ``usual_answer`` of an
         answer.
     :ivar load_s: to load all layers.
+    :ivar pipe_tokens_per_s: that one pipe between two zones carries.
+    :ivar event_tokens: in one event of a stream.
     """
 
     slots: int
@@ -87,6 +89,8 @@
     usual_prompt: float
     usual_answer: float
     load_s: float
+    pipe_tokens_per_s: float
+    event_tokens: int
     loads_at_once: int
     card_by_name: dict[str, Card]
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -1,18 +1,44 @@
 """Tokens and requests in flight by target: our own and other instances'."""
 
 from collections.abc import Iterable, Mapping
+import math
 from typing import NamedTuple
 
 from cactusmux_base import timers
 
+from . import cost_model
+from . import path_choice
+
 # What another instance told is believed for so long after it was told.
 PEER_LOAD_AGE_S = 2.0
+# Tokens sent between zones are averaged over about this time.
+PIPE_WINDOW_S = 1.0
+
 
+class OwnLoads(NamedTuple):
+    """What one instance has under way, as it tells the others.
+
+    :ivar pipe_tokens: a second, by ``ZONE ZONE``.
+    """
 
-class _PeerLoads(NamedTuple):
-    told_at: float
     tokens_by_target: Mapping[str, float]
     requests_by_target: Mapping[str, int]
+    pipe_tokens: Mapping[str, float]
+
+
+class _PipeRate:
+    """A decaying average of tokens a second."""
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._at = 0.0
+
+    def add(self, now: float, tokens: float) -> None:
+        self._rate = self.rate(now) + tokens / PIPE_WINDOW_S
+        self._at = now
+
+    def rate(self, now: float) -> float:
+        return self._rate * math.exp((self._at - now) / PIPE_WINDOW_S)
 
 
 class LoadLedger:
@@ -20,58 +46,89 @@
 
     def __init__(self, timer: timers.TimerService) -> None:
         self._timer = timer
-        self.tokens_by_target: dict[str, float] = {}
-        self.requests_by_target: dict[str, int] = {}
-        self._loads_by_peer: dict[str, _PeerLoads] = {}
+        self._tokens_by_target: dict[str, float] = {}
+        self._requests_by_target: dict[str, int] = {}
+        self._rate_by_pipe: dict[tuple[str, str], _PipeRate] = {}
+        self._told_by_peer: dict[str, tuple[float, OwnLoads]] = {}
 
     def add(self, target_ids: Iterable[str], tokens: float) -> None:
         """Notes a request that is sent through targets."""
         for each in target_ids:
-            held = self.tokens_by_target.get(each, 0.0)
-            self.tokens_by_target[each] = held + tokens
-            count = self.requests_by_target.get(each, 0)
-            self.requests_by_target[each] = count + 1
+            held = self._tokens_by_target.get(each, 0.0)
+            self._tokens_by_target[each] = held + tokens
+            count = self._requests_by_target.get(each, 0)
+            self._requests_by_target[each] = count + 1
 
     def remove(self, target_ids: Iterable[str], tokens: float) -> None:
         """Notes the end of a request noted by :meth:`add`."""
         for each in target_ids:
-            count = self.requests_by_target.get(each, 0) - 1
+            count = self._requests_by_target.get(each, 0) - 1
             if count <= 0:
-                self.tokens_by_target.pop(each, None)
-                self.requests_by_target.pop(each, None)
+                self._tokens_by_target.pop(each, None)
+                self._requests_by_target.pop(each, None)
                 continue
-            self.requests_by_target[each] = count
-            self.tokens_by_target[each] -= tokens
-
-    def note_peer(
-        self,
-        peer: str,
-        tokens_by_target: Mapping[str, float],
-        requests_by_target: Mapping[str, int],
-    ) -> None:
-        """Takes what another instance says of its own load."""
-        self._loads_by_peer[peer] = _PeerLoads(
-            self._timer.now(), tokens_by_target, requests_by_target
+            self._requests_by_target[each] = count
+            self._tokens_by_target[each] -= tokens
+
+    def note_crossings(self, path: cost_model.Path, tokens: float) -> None:
+        """Notes that tokens will go through the pipes of a path."""
+        now = self._timer.now()
+        for stage, following in zip(path, path[1:], strict=False):
+            zones = (stage.target.zone, following.target.zone)
+            if zones[0] != zones[1]:
+                name = path_choice.pipe(*zones)
+                rate = self._rate_by_pipe.setdefault(name, _PipeRate())
+                rate.add(now, tokens)
+
+    def own(self) -> OwnLoads:
+        """Returns what this instance has under way."""
+        now = self._timer.now()
+        return OwnLoads(
+            self._tokens_by_target,
+            self._requests_by_target,
+            {
+                ' '.join(name): rate.rate(now)
+                for name, rate in self._rate_by_pipe.items()
+                if rate.rate(now) > 1.0
+            },
         )
 
-    def all_tokens(self) -> dict[str, float]:
-        """Returns tokens in use by target, of all instances."""
-        total = dict(self.tokens_by_target)
+    def note_peer(self, peer: str, loads: OwnLoads) -> None:
+        """Takes what another instance says of its own load."""
+        self._told_by_peer[peer] = (self._timer.now(), loads)
+
+    def all_loads(self) -> path_choice.Load:
+        """Returns what all instances have under way."""
+        tokens = dict(self._tokens_by_target)
+        requests = dict(self._requests_by_target)
+        now = self._timer.now()
+        pipes = {
+            name: rate.rate(now) for name, rate in self._rate_by_pipe.items()
+        }
         for loads in self._fresh():
-            for target_id, tokens in loads.tokens_by_target.items():
-                total[target_id] = total.get(target_id, 0.0) + tokens
-        return total
+            _add(tokens, loads.tokens_by_target)
+            _add(requests, loads.requests_by_target)
+            for joined, rate in loads.pipe_tokens.items():
+                zone, _, other = joined.partition(' ')
+                name = (zone, other)
+                pipes[name] = pipes.get(name, 0.0) + rate
+        return path_choice.Load(tokens, requests, pipes)
 
     def all_requests(self, target_id: str) -> int:
         """Returns requests under way at a target, of all instances."""
-        total = self.requests_by_target.get(target_id, 0)
+        total = self._requests_by_target.get(target_id, 0)
         for loads in self._fresh():
             total += loads.requests_by_target.get(target_id, 0)
         return total
 
-    def _fresh(self) -> list[_PeerLoads]:
+    def _fresh(self) -> list[OwnLoads]:
         oldest = self._timer.now() - PEER_LOAD_AGE_S
-        for peer, loads in list(self._loads_by_peer.items()):
-            if loads.told_at < oldest:
-                del self._loads_by_peer[peer]
-        return list(self._loads_by_peer.values())
+        for peer, (told_at, _) in list(self._told_by_peer.items()):
+            if told_at < oldest:
+                del self._told_by_peer[peer]
+        return [loads for _, loads in self._told_by_peer.values()]
+
+
+def _add(total: dict, told: Mapping) -> None:
+    for name, amount in told.items():
+        total[name] = total.get(name, 0) + amount
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -1,9 +1,10 @@
 """Chooses the path of a request by what is known of each stage's load.
 
-It answers a steady load near the room of the fastest paths: the price of a
-stage grows exponentially with the share of its memory in use, so that slow
-paths take over before fast ones refuse, and a target without room for the
-request isn't chosen at all.
+It answers a load near what the pool can carry. A stage costs the time that a
+request takes there and that it takes from the requests beside it, a pipe
+between zones likewise. A path without room for the request, or on which its
+events would come too slowly, isn't chosen at all: one request more there
+would make all of them late.
 """
 
 from collections.abc import Iterable, Mapping
@@ -11,19 +12,30 @@
 from typing import NamedTuple
 
 from . import cost_model
+from . import desired
 from . import segments
 
-# A stage at full memory costs e^4 = 55 times as much as an idle one.
-PRICE_GROWTH = 4.0
+# A stage at full memory costs e^3 = 20 times as much as its time alone.
+MEMORY_GROWTH = 3.0
 # Reports and estimates lag: this share of memory is left free.
 FILL_LIMIT = 0.92
+# A token waits for the pass in progress at each stage.
+WAITING_FACTOR = 1.7
+# A crossing on an idle pipe, and behind a prompt's part in a busy one.
+CROSSING_MS = 1.5
+CROSSING_WAIT_MS = 12.0
+PIPE_LIMIT = 0.7
 
 
 class Demand(NamedTuple):
-    """What a request will need: tokens of its prompt and of its answer."""
+    """What a request will need: tokens of its prompt and of its answer.
+
+    :ivar longest_pause_s: between events, for an answer in time.
+    """
 
     prompt_tokens: float
     answer_tokens: float
+    longest_pause_s: float
 
     @property
     def tokens(self) -> float:
@@ -31,15 +43,28 @@
         return self.prompt_tokens + self.answer_tokens
 
 
+class Load(NamedTuple):
+    """What is under way, of all instances.
+
+    :ivar tokens_by_target: in memory, by target id.
+    :ivar requests_by_target: by target id.
+    :ivar pipe_tokens: a second, by the names of two zones in order.
+    """
+
+    tokens_by_target: Mapping[str, float]
+    requests_by_target: Mapping[str, int]
+    pipe_tokens: Mapping[tuple[str, str], float]
+
+
 def choose(
+    engine: desired.Engine,
     graph: segments.SegmentGraph,
     demand: Demand,
-    used_by_target: Mapping[str, float],
+    load: Load,
     excluded: Iterable[str] = (),
 ) -> cost_model.Path | None:
-    """Returns the cheapest path with room, ``None`` if there is none.
+    """Returns the cheapest path with room and pace, ``None`` without one.
 
-    :param used_by_target: tokens in use by target id.
     :param excluded: ids of targets that are not to be used.
     """
     without = frozenset(excluded)
@@ -48,9 +73,73 @@
         target_id = segment.target.id
         if target_id in without:
             return None
-        used = used_by_target.get(target_id, 0.0)
+        used = load.tokens_by_target.get(target_id, 0.0)
         if used + demand.tokens > segment.room * FILL_LIMIT:
             return None
-        return segment.idle_ms * math.exp(PRICE_GROWTH * used / segment.room)
+        slowing_ms = _slowing_ms(engine, segment, load)
+        time_ms = segment.idle_ms + 2.0 * slowing_ms
+        return time_ms * math.exp(MEMORY_GROWTH * used / segment.room)
+
+    def crossing_price(zone: str, next_zone: str) -> float | None:
+        share = _pipe_share(engine, load, zone, next_zone)
+        if share > PIPE_LIMIT:
+            return None
+        return CROSSING_MS + CROSSING_WAIT_MS * share / (1.0 - share)
+
+    path = graph.cheapest(price, crossing_price)
+    if path is None:
+        return None
+    pause_ms = event_ms(engine, path, load)
+    if pause_ms > demand.longest_pause_s * cost_model.MS_PER_S:
+        return None
+    return path
+
+
+def event_ms(
+    engine: desired.Engine, path: cost_model.Path, load: Load
+) -> float:
+    """Returns the expected time between two events on a path."""
+    total = 0.0
+    zone = path[0].target.zone
+    for stage in path:
+        target = stage.target
+        card = engine.card_by_name[target.card]
+        total += segments.HOP_MS + cost_model.step_ms(
+            engine,
+            card,
+            stage.layers.size,
+            load.requests_by_target.get(target.id, 0) + 1.0,
+            load.tokens_by_target.get(target.id, 0.0),
+        )
+        if target.zone != zone:
+            share = _pipe_share(engine, load, zone, target.zone)
+            total += CROSSING_MS + CROSSING_WAIT_MS * share
+            zone = target.zone
+    return total * engine.event_tokens * WAITING_FACTOR
+
+
+def _slowing_ms(
+    engine: desired.Engine, segment: segments.Segment, load: Load
+) -> float:
+    """Returns by how much the requests there slow each other's steps."""
+    target_id = segment.target.id
+    card = engine.card_by_name[segment.target.card]
+    writing = load.requests_by_target.get(target_id, 0)
+    context_k = load.tokens_by_target.get(target_id, 0.0) / 1000.0
+    whole_ms = (
+        engine.per_sequence_ms * writing + engine.per_context_k_ms * context_k
+    )
+    share = segment.layers.size / engine.layers
+    return whole_ms * card.step_pace * share
+
+
+def pipe(zone: str, other: str) -> tuple[str, str]:
+    """Returns the name of the pipe between two zones."""
+    return (zone, other) if zone < other else (other, zone)
+
 
-    return graph.cheapest(price)
+def _pipe_share(
+    engine: desired.Engine, load: Load, zone: str, next_zone: str
+) -> float:
+    tokens = load.pipe_tokens.get(pipe(zone, next_zone), 0.0)
+    return min(tokens / engine.pipe_tokens_per_s, 0.99)
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -295,7 +295,7 @@
         ]
 
     def _own_news(self) -> soft_exchange.News:
-        tokens = self._ledger.tokens_by_target
+        loads = self._ledger.own()
         return soft_exchange.News(
             name=self._settings.name,
             is_stopping=self.is_stopping,
@@ -304,15 +304,24 @@
                 for prefix, mirror in self._mirror_by_prefix.items()
             },
             tokens_by_target={
-                target_id: int(count) for target_id, count in tokens.items()
+                target_id: int(tokens)
+                for target_id, tokens in loads.tokens_by_target.items()
+            },
+            requests_by_target=dict(loads.requests_by_target),
+            pipe_tokens={
+                name: int(rate) for name, rate in loads.pipe_tokens.items()
             },
-            requests_by_target=dict(self._ledger.requests_by_target),
             down=sorted(self._down.ids),
         )
 
     def _take_news(self, news: soft_exchange.News) -> None:
         self._ledger.note_peer(
-            news.name, news.tokens_by_target, news.requests_by_target
+            news.name,
+            load_ledger.OwnLoads(
+                news.tokens_by_target,
+                news.requests_by_target,
+                news.pipe_tokens,
+            ),
         )
         self.directory.note_stopping(news.name, news.is_stopping)
         for target_id in news.down:
--- a/packages/cactusmux-relay/src/cactusmux_relay/segments.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/segments.py
@@ -10,9 +10,6 @@
 MAX_STAGES = 32
 # A token that goes on within a zone.
 HOP_MS = 0.1
-# Into another zone a token waits behind the prompts in the same pipe, each
-# of which takes some 20 ms.
-CROSSING_MS = 5.0
 
 
 class Segment(NamedTuple):
@@ -30,6 +27,8 @@
 
 # Cost of a segment, ``None`` where it can't be used.
 Price = Callable[[Segment], float | None]
+# Cost of going on from a zone in another one, ``None`` where that's too much.
+CrossingPrice = Callable[[str, str], float | None]
 
 
 class SegmentGraph:
@@ -59,7 +58,9 @@
         found.sort(key=lambda each: (each.layers, each.target.id))
         self.segments = tuple(found)
 
-    def cheapest(self, price: Price) -> cost_model.Path | None:
+    def cheapest(
+        self, price: Price, crossing_price: CrossingPrice
+    ) -> cost_model.Path | None:
         """Returns the path of least total price that runs every layer once.
 
         A target takes part at most once. ``None`` when no path is left.
@@ -79,8 +80,12 @@
             if previous is not None:
                 if previous.target.id == segment.target.id:
                     continue
-                if previous.target.zone != segment.target.zone:
-                    cost += CROSSING_MS
+                zones = (previous.target.zone, segment.target.zone)
+                if zones[0] != zones[1]:
+                    crossing = crossing_price(*zones)
+                    if crossing is None:
+                        continue
+                    cost += crossing
             total = before + cost
             if total < cost_by_boundary.get(end, float('inf')):
                 cost_by_boundary[end] = total
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -31,6 +31,7 @@
     revision_by_prefix: dict[str, int]
     tokens_by_target: dict[str, int]
     requests_by_target: dict[str, int]
+    pipe_tokens: dict[str, int]
     down: list[str]
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -13,7 +13,6 @@
 
 from . import context
 from . import cost_model
-from . import desired
 from . import dialect
 from . import down_targets
 from . import event_stream
@@ -91,11 +90,13 @@
         until = min(self._timer.now() + wait_s, exchange.ends_at)
         while True:
             graph = self._book.graph(exchange.service.name)
-            if graph is not None:
+            engine = exchange.service.engine
+            if graph is not None and engine is not None:
                 path = path_choice.choose(
+                    engine,
                     graph,
                     demand,
-                    self._ledger.all_tokens(),
+                    self._ledger.all_loads(),
                     self._down.ids | self._full() | avoided,
                 )
                 if path is not None:
@@ -137,7 +138,7 @@
     def __init__(self, relay: StreamRelay, exchange: context.Exchange) -> None:
         self._relay = relay
         self._exchange = exchange
-        self._demand = demand_of(exchange.service.engine, exchange.facts)
+        self._demand = demand_of(exchange)
         self._avoided: set[str] = set()
         self._runs = 0
         self._rejections = 0
@@ -180,6 +181,7 @@
         live = live_streams.LiveStream(path, relay._timer.now())
         self._sends += 1
         relay._ledger.add(ids, tokens)
+        relay._ledger.note_crossings(path, tokens)
         relay._live.add(live)
         try:
             self._send_on(path, live)
@@ -322,15 +324,15 @@
     """No target ran the request; another path may."""
 
 
-def demand_of(
-    engine: desired.Engine | None, facts: dialect.RequestFacts
-) -> path_choice.Demand:
-    """Returns the memory that a request will need, as far as it is known."""
-    if engine is None:
-        return path_choice.Demand(0.0, 0.0)
+def demand_of(exchange: context.Exchange) -> path_choice.Demand:
+    """Returns what a request will need, as far as it is known."""
+    facts = exchange.facts
+    engine = exchange.service.engine
     answer = facts.hinted_answer_tokens
     if answer is None:
-        answer = engine.usual_answer
+        answer = engine.usual_answer if engine else 0.0
     if facts.most_answer_tokens:
         answer = min(answer, facts.most_answer_tokens)
-    return path_choice.Demand(facts.prompt_tokens, answer)
+    return path_choice.Demand(
+        facts.prompt_tokens, answer, exchange.route.gap_s
+    )
