Fill holes of broken chains before sharing them anew

Cause: a chain shared anew on live cards waits for what passes through them and is down for some ten seconds.

--- a/packages/cactusmux-relay/src/cactusmux_relay/chains.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chains.py
@@ -67,23 +67,14 @@
         if room <= 0:
             return NO_RATING
         layers = self.layers_by_group(composition, room)
-        engine = self._engine
-        context = engine.usual_prompt + engine.usual_answer / 2
-        writing = FILL * room / (engine.usual_prompt + engine.usual_answer)
-        token_ms = self._token_ms(composition, layers, writing, context)
-        if token_ms > MAX_TOKEN_MS:
-            idle_ms = self._token_ms(composition, layers, 1.0, context)
-            if idle_ms >= MAX_TOKEN_MS:
-                return NO_RATING
-            share = (MAX_TOKEN_MS - idle_ms) / (token_ms - idle_ms)
-            writing = max(1.0, writing * share)
-            token_ms = MAX_TOKEN_MS
-        reading_ms, longest_ms = self._reading_ms(composition, layers)
-        duration_ms = token_ms * engine.usual_answer + reading_ms
-        rate = writing / duration_ms * cost_model.MS_PER_S
-        most = MAX_READING_SHARE * cost_model.MS_PER_S / longest_ms
+        parts = [
+            _Part(self._cards[index], float(count), layers[index])
+            for index, count in enumerate(composition)
+            if count
+        ]
         crossings = self.zone_count(composition) - 1
-        return Rating(min(rate, most) * CROSSING_FACTOR**crossings, room)
+        rate = _rate(self._engine, parts, room, crossings)
+        return Rating(rate, room)
 
     def room(self, composition: Composition) -> float:
         """Returns the largest room at which all layers fit, 0 for none."""
@@ -146,43 +137,93 @@
                 zones.add(group.zone)
         return len(zones)
 
-    def _token_ms(
-        self,
-        composition: Composition,
-        layers: list[float],
-        writing: float,
-        context: float,
-    ) -> float:
-        engine = self._engine
-        whole_ms = (
-            engine.step_ms
-            + engine.per_sequence_ms * writing
-            + engine.per_context_k_ms * writing * context / 1000.0
-        )
-        total = CROSSING_MS * (self.zone_count(composition) - 1)
-        for index, count in enumerate(composition):
-            share = count * layers[index] / engine.layers
-            total += whole_ms * self._cards[index].step_pace * share
-            total += segments.HOP_MS * count
-        return total
-
-    def _reading_ms(
-        self, composition: Composition, layers: list[float]
-    ) -> tuple[float, float]:
-        """Returns the time of reading a prompt: all stages, longest one."""
-        engine = self._engine
-        whole_ms = (
+
+def path_rate(engine: desired.Engine, path: cost_model.Path) -> float:
+    """Returns how many usual requests a second a path serves."""
+    parts = []
+    room = float('inf')
+    crossings = 0
+    zone = path[0].target.zone if path else ''
+    for stage in path:
+        card = engine.card_by_name[stage.target.card]
+        size = stage.layers.size
+        room = min(room, cost_model.room_tokens(engine, card, size))
+        parts.append(_Part(card, 1.0, float(size)))
+        if stage.target.zone != zone:
+            crossings += 1
+            zone = stage.target.zone
+    if not parts or room <= 0:
+        return 0.0
+    return _rate(engine, parts, room, crossings)
+
+
+class _Part(NamedTuple):
+    """``cards`` equal cards with ``layers`` layers each."""
+
+    card: desired.Card
+    cards: float
+    layers: float
+
+
+def _rate(
+    engine: desired.Engine,
+    parts: list[_Part],
+    room: float,
+    crossings: int,
+) -> float:
+    """Returns requests a second at the filling that a chain is rated for."""
+    usual = engine.usual_prompt + engine.usual_answer
+    writing = FILL * room / usual
+    token_ms = _token_ms(engine, parts, writing, crossings)
+    if token_ms > MAX_TOKEN_MS:
+        idle_ms = _token_ms(engine, parts, 1.0, crossings)
+        if idle_ms >= MAX_TOKEN_MS:
+            return 0.0
+        share = (MAX_TOKEN_MS - idle_ms) / (token_ms - idle_ms)
+        writing = max(1.0, writing * share)
+        token_ms = MAX_TOKEN_MS
+    reading_ms, longest_ms = _reading_ms(engine, parts)
+    duration_ms = token_ms * engine.usual_answer + reading_ms
+    rate = writing / duration_ms * cost_model.MS_PER_S
+    most = MAX_READING_SHARE * cost_model.MS_PER_S / longest_ms
+    return min(rate, most) * CROSSING_FACTOR**crossings
+
+
+def _token_ms(
+    engine: desired.Engine,
+    parts: list[_Part],
+    writing: float,
+    crossings: int,
+) -> float:
+    context = engine.usual_prompt + engine.usual_answer / 2
+    whole_ms = (
+        engine.step_ms
+        + engine.per_sequence_ms * writing
+        + engine.per_context_k_ms * writing * context / 1000.0
+    )
+    total = CROSSING_MS * crossings
+    for part in parts:
+        share = part.cards * part.layers / engine.layers
+        total += whole_ms * part.card.step_pace * share
+        total += segments.HOP_MS * part.cards
+    return total
+
+
+def _reading_ms(
+    engine: desired.Engine, parts: list[_Part]
+) -> tuple[float, float]:
+    """Returns the time of reading a prompt: all stages, longest one."""
+    total = 0.0
+    longest = 0.0
+    for part in parts:
+        stage_ms = (
             engine.usual_prompt
             / engine.read_tokens_per_s
             * cost_model.MS_PER_S
+            * part.card.read_pace
+            * part.layers
+            / engine.layers
         )
-        total = 0.0
-        longest = 0.0
-        for index, count in enumerate(composition):
-            if not count:
-                continue
-            pace = self._cards[index].read_pace
-            stage_ms = whole_ms * pace * layers[index] / engine.layers
-            total += stage_ms * count
-            longest = max(longest, stage_ms)
-        return total, longest
+        total += stage_ms * part.cards
+        longest = max(longest, stage_ms)
+    return total, longest
--- a/packages/cactusmux-relay/src/cactusmux_relay/placing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placing.py
@@ -7,7 +7,7 @@
 without layers, to replace those that fail.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import random
 from typing import NamedTuple
 
@@ -62,8 +62,16 @@
     engine: desired.Engine,
     members: Iterable[targets.Target],
     rng: random.Random,
+    pause: Callable[[], None] = lambda: None,
+    present: Placement = EMPTY,
+    chain_counts: range = range(1, MAX_CHAINS + 1),
 ) -> Placement:
-    """Returns a placement of all layers on targets that hold none yet."""
+    """Returns a placement of all layers on the members.
+
+    :param pause: lets other tasks run; called often.
+    :param present: chains whose targets stay together where that fits.
+    :param chain_counts: numbers of chains to try.
+    """
     known = [each for each in members if each.card in engine.card_by_name]
     targets_by_group: dict[chains.Group, list[targets.Target]] = {}
     for target in sorted(known, key=lambda each: each.id):
@@ -77,16 +85,16 @@
     reserve_spares(engine, groups, counts)
     best: list[chains.Composition] = []
     best_value = 0.0
-    for chain_count in range(1, MAX_CHAINS + 1):
+    for chain_count in chain_counts:
         starts = [_start_by_zone(groups, counts, chain_count)]
         for _ in range(RESTARTS):
             starts.append(_start_at_random(counts, chain_count, rng))
         for start in starts:
-            found = _climb(rater, start)
+            found = _climb(rater, start, pause)
             value = _value(rater, found)
             if value > best_value * 1.001:
                 best, best_value = found, value
-    return _assign(engine, rater, groups, targets_by_group, best)
+    return _assign(engine, rater, groups, targets_by_group, best, present)
 
 
 def reserve_spares(
@@ -137,12 +145,15 @@
 
 
 def _climb(
-    rater: chains.ChainRater, start: list[chains.Composition]
+    rater: chains.ChainRater,
+    start: list[chains.Composition],
+    pause: Callable[[], None],
 ) -> list[chains.Composition]:
     """Moves cards between chains while that helps."""
     current = start
     value = _value(rater, current)
     for _ in range(SEARCH_ROUNDS):
+        pause()
         step = _best_step(rater, current, value)
         if step is None:
             return current
@@ -211,18 +222,21 @@
     groups: tuple[chains.Group, ...],
     targets_by_group: dict[chains.Group, list[targets.Target]],
     compositions: list[chains.Composition],
+    present: Placement,
 ) -> Placement:
     """Gives the layers of each chain to targets, zone by zone."""
     free = {group: list(each) for group, each in targets_by_group.items()}
+    chain_by_target = {
+        placed.target_id: index
+        for index, chain in enumerate(present.chains)
+        for placed in chain
+    }
     placed: list[Chain] = []
     for composition in compositions:
         room = rater.room(composition)
         if room <= 0:
             continue
-        members: list[targets.Target] = []
-        for count, group in zip(composition, groups, strict=True):
-            for _ in range(count):
-                members.append(free[group].pop())
+        members = _take(free, groups, composition, chain_by_target)
         if len(members) > segments.MAX_STAGES:
             members = _fewer(engine, members, room)
         placed.append(share_layers(engine, members, room))
@@ -236,6 +250,50 @@
     return Placement(tuple(placed), tuple(sorted(spares)))
 
 
+def _take(
+    free: dict[chains.Group, list[targets.Target]],
+    groups: tuple[chains.Group, ...],
+    composition: chains.Composition,
+    chain_by_target: dict[str, int],
+) -> list[targets.Target]:
+    """Takes a chain's targets, first those that are together already."""
+    wanted = [
+        chain_by_target[target.id]
+        for count, group in zip(composition, groups, strict=True)
+        for target in free[group]
+        if count and target.id in chain_by_target
+    ]
+    main = max(sorted(set(wanted)), key=wanted.count, default=-1)
+    members: list[targets.Target] = []
+    for count, group in zip(composition, groups, strict=True):
+        of_group = sorted(
+            free[group],
+            key=lambda each: chain_by_target.get(each.id, -1) != main,
+        )
+        members.extend(of_group[:count])
+        free[group] = of_group[count:]
+    return members
+
+
+def best_part(
+    rater: chains.ChainRater, composition: chains.Composition
+) -> chains.Composition:
+    """Returns the cards of a composition that make the best chain."""
+    best = composition
+    best_value = _value(rater, [best])
+    while True:
+        smaller = [
+            best[:index] + (count - 1,) + best[index + 1 :]
+            for index, count in enumerate(best)
+            if count
+        ]
+        values = [_value(rater, [each]) for each in smaller]
+        if not values or max(values) <= best_value:
+            return best
+        best_value = max(values)
+        best = smaller[values.index(best_value)]
+
+
 def _fewer(
     engine: desired.Engine, members: list[targets.Target], room: float
 ) -> list[targets.Target]:
