Search again when a target would take part in a path twice

Cause: with segments of parts of a target's layers the cheapest path could use one target for two of them; the choice then refused though other paths had room.

--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -43,6 +43,22 @@
         return self.prompt_tokens + self.answer_tokens
 
 
+class Choice(NamedTuple):
+    """The outcome of a choice, with what decided it.
+
+    :ivar path: ``None`` where no path has room or all are too slow.
+    :ivar pause_ms: expected between events on the cheapest path, 0 where no
+        path has room.
+    :ivar excluded: how many targets were not to be used.
+    :ivar fullest_pipe: share in use of the fullest pipe between zones.
+    """
+
+    path: cost_model.Path | None
+    pause_ms: float
+    excluded: int
+    fullest_pipe: float
+
+
 class Load(NamedTuple):
     """What is under way, of all instances.
 
@@ -62,8 +78,8 @@
     demand: Demand,
     load: Load,
     excluded: Iterable[str] = (),
-) -> cost_model.Path | None:
-    """Returns the cheapest path with room and pace, ``None`` without one.
+) -> Choice:
+    """Returns the cheapest path that has room and is fast enough.
 
     :param excluded: ids of targets that are not to be used.
     """
@@ -87,12 +103,13 @@
         return CROSSING_MS + CROSSING_WAIT_MS * share / (1.0 - share)
 
     path = graph.cheapest(price, crossing_price)
-    if path is None:
-        return None
-    pause_ms = event_ms(engine, path, load)
+    pause_ms = event_ms(engine, path, load) if path else 0.0
     if pause_ms > demand.longest_pause_s * cost_model.MS_PER_S:
-        return None
-    return path
+        path = None
+    fullest = max(load.pipe_tokens.values(), default=0.0)
+    return Choice(
+        path, pause_ms, len(without), fullest / engine.pipe_tokens_per_s
+    )
 
 
 def event_ms(
--- a/packages/cactusmux-relay/src/cactusmux_relay/segments.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/segments.py
@@ -8,6 +8,8 @@
 from . import targets
 
 MAX_STAGES = 32
+# Each search bans the segments by which a target would take part twice.
+MAX_SEARCHES = 8
 # A token that goes on within a zone.
 HOP_MS = 0.1
 
@@ -65,6 +67,26 @@
 
         A target takes part at most once. ``None`` when no path is left.
         """
+        banned: set[Segment] = set()
+        for _ in range(MAX_SEARCHES):
+            found = self._search(price, crossing_price, banned)
+            if found is None:
+                return None
+            repeated = _repeated(found)
+            if not repeated:
+                return tuple(
+                    cost_model.Stage(each.target, each.layers)
+                    for each in found
+                )
+            banned.update(repeated)
+        return None
+
+    def _search(
+        self,
+        price: Price,
+        crossing_price: CrossingPrice,
+        banned: set[Segment],
+    ) -> list[Segment] | None:
         cost_by_boundary: dict[int, float] = {0: 0.0}
         stages_by_boundary: dict[int, int] = {0: 0}
         last_by_boundary: dict[int, Segment] = {}
@@ -73,6 +95,8 @@
             before = cost_by_boundary.get(first)
             if before is None or stages_by_boundary[first] >= MAX_STAGES:
                 continue
+            if banned and segment in banned:
+                continue
             cost = price(segment)
             if cost is None:
                 continue
@@ -95,19 +119,33 @@
 
     def _walk_back(
         self, last_by_boundary: dict[int, Segment]
-    ) -> cost_model.Path | None:
-        stages: list[cost_model.Stage] = []
+    ) -> list[Segment] | None:
+        found: list[Segment] = []
         boundary = self._layers
         while boundary > 0:
             segment = last_by_boundary.get(boundary)
             if segment is None:
                 return None
-            stages.append(cost_model.Stage(segment.target, segment.layers))
+            found.append(segment)
             boundary = segment.layers.first
-        used = {stage.target.id for stage in stages}
-        if len(used) < len(stages):
-            return None
-        return tuple(reversed(stages))
+        found.reverse()
+        return found
+
+
+def _repeated(found: list[Segment]) -> list[Segment]:
+    """Returns the smaller segments of targets that occur twice."""
+    largest_by_target: dict[str, Segment] = {}
+    repeated = []
+    for segment in found:
+        other = largest_by_target.get(segment.target.id)
+        if other is None:
+            largest_by_target[segment.target.id] = segment
+            continue
+        smaller = min(segment, other, key=lambda each: each.layers.size)
+        repeated.append(smaller)
+        if smaller is other:
+            largest_by_target[segment.target.id] = segment
+    return repeated
 
 
 def _segments_of(
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -88,23 +88,40 @@
     ) -> cost_model.Path | None:
         """Returns a path with room, waiting up to ``wait_s`` for one."""
         until = min(self._timer.now() + wait_s, exchange.ends_at)
+        choice = path_choice.Choice(None, 0.0, 0, 0.0)
         while True:
             graph = self._book.graph(exchange.service.name)
             engine = exchange.service.engine
             if graph is not None and engine is not None:
-                path = path_choice.choose(
+                choice = path_choice.choose(
                     engine,
                     graph,
                     demand,
                     self._ledger.all_loads(),
                     self._down.ids | self._full() | avoided,
                 )
-                if path is not None:
-                    return path
+                if choice.path is not None:
+                    return choice.path
             if self._timer.now() >= until:
+                self._log_no_path(exchange, demand, choice)
                 return None
             self._timer.sleep(ROOM_POLL_S)
 
+    def _log_no_path(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        choice: path_choice.Choice,
+    ) -> None:
+        events.info(
+            'no_path',
+            id=exchange.facts.request_id,
+            tokens=int(demand.tokens),
+            pause_ms=int(choice.pause_ms),
+            excluded=choice.excluded,
+            fullest_pipe=round(choice.fullest_pipe, 2),
+        )
+
     def note_not_run(
         self, exchange: context.Exchange, outcome: outcomes.NotRun
     ) -> None:
