--- a/packages/cactusmux-relay/src/cactusmux_relay/chains.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chains.py
@@ -5,6 +5,7 @@
 those needed are left off the slowest cards.
 """
 
+from collections.abc import Mapping
 import functools
 from typing import NamedTuple
 
@@ -138,8 +139,15 @@
         return len(zones)
 
 
-def path_rate(engine: desired.Engine, path: cost_model.Path) -> float:
-    """Returns how many usual requests a second a path serves."""
+def path_rate(
+    engine: desired.Engine,
+    path: cost_model.Path,
+    pace_by_target: Mapping[str, float],
+) -> float:
+    """Returns how many usual requests a second a path serves.
+
+    :param pace_by_target: of slow targets, 2 is twice as slow.
+    """
     parts = []
     room = float('inf')
     crossings = 0
@@ -148,7 +156,11 @@
         card = engine.card_by_name[stage.target.card]
         size = stage.layers.size
         room = min(room, cost_model.room_tokens(engine, card, size))
-        parts.append(_Part(card, 1.0, float(size)))
+        pace = pace_by_target.get(stage.target.id, 1.0)
+        slowed = card._replace(
+            step_pace=card.step_pace * pace, read_pace=card.read_pace * pace
+        )
+        parts.append(_Part(slowed, 1.0, float(size)))
         if stage.target.zone != zone:
             crossings += 1
             zone = stage.target.zone
--- a/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
@@ -13,11 +13,13 @@
     """What a target says of itself.
 
     :ivar is_busy: an order is in progress.
+    :ivar pace: 1 is usual, 2 twice as slow.
     """
 
     layers: targets.LayerRange
     order_number: int
     is_busy: bool
+    pace: float
 
 
 class OrderUnanswered(failures.CactusmuxError):
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -63,16 +63,16 @@
         self,
         timer: timers.TimerService,
         down: down_targets.DownTargets,
-        probe: Callable[[targets.Target], None],
+        suspect: Callable[[targets.Target], None],
     ) -> None:
         """Prepares the watch.
 
-        :param probe: starts finding out whether a target is down; must not
-            block, and may be called often.
+        :param suspect: starts finding out whether a target is down or slow;
+            must not block, and may be called often.
         """
         self._timer = timer
         self._down = down
-        self._probe = probe
+        self._suspect = suspect
         self._streams: set[LiveStream] = set()
         down.subscribe(self._interrupt)
 
@@ -105,7 +105,7 @@
             for stage in stream.path:
                 heard_at = last_at_by_target.get(stage.target.id, 0.0)
                 if now - heard_at > MIN_SILENCE_S:
-                    self._probe(stage.target)
+                    self._suspect(stage.target)
 
     def _interrupt(self, target_id: str) -> None:
         for stream in list(self._streams):
--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -97,8 +97,13 @@
         """Takes what another instance says of its own load."""
         self._told_by_peer[peer] = (self._timer.now(), loads)
 
-    def all_loads(self) -> path_choice.Load:
-        """Returns what all instances have under way."""
+    def all_loads(
+        self, pace_by_target: Mapping[str, float]
+    ) -> path_choice.Load:
+        """Returns what all instances have under way.
+
+        :param pace_by_target: of slow targets, to go with the loads.
+        """
         tokens = dict(self._tokens_by_target)
         requests = dict(self._requests_by_target)
         now = self._timer.now()
@@ -112,7 +117,7 @@
                 zone, _, other = joined.partition(' ')
                 name = (zone, other)
                 pipes[name] = pipes.get(name, 0.0) + rate
-        return path_choice.Load(tokens, requests, pipes)
+        return path_choice.Load(tokens, requests, pipes, pace_by_target)
 
     def all_requests(self, target_id: str) -> int:
         """Returns requests under way at a target, of all instances."""
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/pace_book.py
@@ -0,0 +1,93 @@
+"""How much slower than usual each target works, from its own reports.
+
+The holder of the placement lease asks all targets in turn; any instance asks
+those on which a silent stream depends. Instances tell each other of slow
+targets.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from cactusmux_base import events
+from cactusmux_base import timers
+import gevent
+from returns import result
+
+from . import layer_orders
+from . import targets
+
+# A target is asked again by the same instance after so long.
+LEAST_AGE_S = 0.8
+# Without a newer report a slow target counts as usual again.
+MAX_AGE_S = 4.0
+SLOW_PACE = 1.15
+
+
+class _Known(NamedTuple):
+    at: float
+    pace: float
+
+
+class PaceBook:
+    """Paces by target id; 1 is usual, 2 twice as slow."""
+
+    def __init__(
+        self, orders: layer_orders.LayerOrders, timer: timers.TimerService
+    ) -> None:
+        self._orders = orders
+        self._timer = timer
+        self._asked_at_by_id: dict[str, float] = {}
+        self._own_by_id: dict[str, _Known] = {}
+        self._told_by_id: dict[str, _Known] = {}
+
+    def ask(self, target: targets.Target) -> None:
+        """Asks a target for its pace in a task of its own."""
+        now = self._timer.now()
+        asked_at = self._asked_at_by_id.get(target.id)
+        if asked_at is not None and now - asked_at < LEAST_AGE_S:
+            return
+        self._asked_at_by_id[target.id] = now
+        gevent.spawn(self._ask_now, target)
+
+    def own(self) -> dict[str, float]:
+        """Returns the slow targets by this instance's own reports."""
+        oldest = self._timer.now() - MAX_AGE_S
+        for target_id, known in list(self._own_by_id.items()):
+            if known.at < oldest:
+                del self._own_by_id[target_id]
+        return {
+            target_id: known.pace
+            for target_id, known in self._own_by_id.items()
+            if known.pace >= SLOW_PACE
+        }
+
+    def note_told(self, pace_by_target: Mapping[str, float]) -> None:
+        """Takes the slow targets that another instance told of."""
+        now = self._timer.now()
+        for target_id, pace in pace_by_target.items():
+            self._told_by_id[target_id] = _Known(now, pace)
+
+    def slow(self) -> dict[str, float]:
+        """Returns the paces of the targets that are slow now."""
+        oldest = self._timer.now() - LEAST_AGE_S
+        for target_id, known in list(self._told_by_id.items()):
+            if known.at < oldest:
+                del self._told_by_id[target_id]
+        paces = {
+            target_id: known.pace
+            for target_id, known in self._told_by_id.items()
+        }
+        paces.update(self.own())
+        return paces
+
+    def _ask_now(self, target: targets.Target) -> None:
+        match self._orders.report(target):
+            case result.Success(report):
+                self._note(target, report.pace)
+
+    def _note(self, target: targets.Target, pace: float) -> None:
+        known = self._own_by_id.get(target.id)
+        was_slow = known is not None and known.pace >= SLOW_PACE
+        if (pace >= SLOW_PACE) != was_slow:
+            events.info('target_pace', target=target.id, pace=round(pace, 2))
+        self._own_by_id[target.id] = _Known(self._timer.now(), pace)
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -65,11 +65,13 @@
     :ivar tokens_by_target: in memory, by target id.
     :ivar requests_by_target: by target id.
     :ivar pipe_tokens: a second, by the names of two zones in order.
+    :ivar pace_by_target: of slow targets, 2 is twice as slow.
     """
 
     tokens_by_target: Mapping[str, float]
     requests_by_target: Mapping[str, int]
     pipe_tokens: Mapping[tuple[str, str], float]
+    pace_by_target: Mapping[str, float]
 
 
 def choose(
@@ -94,6 +96,7 @@
             return None
         slowing_ms = _slowing_ms(engine, segment, load)
         time_ms = segment.idle_ms + 2.0 * slowing_ms
+        time_ms *= load.pace_by_target.get(target_id, 1.0)
         return time_ms * math.exp(MEMORY_GROWTH * used / segment.room)
 
     def crossing_price(zone: str, next_zone: str) -> float | None:
@@ -121,7 +124,8 @@
     for stage in path:
         target = stage.target
         card = engine.card_by_name[target.card]
-        total += segments.HOP_MS + cost_model.step_ms(
+        pace = load.pace_by_target.get(target.id, 1.0)
+        total += segments.HOP_MS + pace * cost_model.step_ms(
             engine,
             card,
             stage.layers.size,
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -21,6 +21,7 @@
 from . import desired
 from . import down_targets
 from . import layer_orders
+from . import pace_book
 from . import placing
 from . import repairing
 from . import request_core
@@ -35,6 +36,8 @@
 ORDER_PATIENCE_S = 1.5
 REPORT_PERIOD_S = 0.25
 ORDER_DELIVERY_S = 1.0
+# How often the targets are asked for their pace.
+ASK_PERIOD_S = 1.5
 # Between two steps of a search, for the requests of this instance.
 SEARCH_PAUSE_S = 0.002
 
@@ -69,6 +72,7 @@
         rng: random.Random,
         on_report: Callable[[targets.Target], None],
         down: down_targets.DownTargets,
+        paces: pace_book.PaceBook,
     ) -> None:
         """Prepares the keeper.
 
@@ -85,6 +89,8 @@
         self._rng = rng
         self._on_report = on_report
         self._down = down
+        self._paces = paces
+        self._asked_at = 0.0
         self._placement_by_service: dict[str, placing.Placement] = {}
         self._revision_by_service: dict[str, int] = {}
         self._loaded_fencing = 0
@@ -152,6 +158,7 @@
                 return
             changed = placing.place(engine, members, self._rng, self._pause)
         else:
+            self._ask_paces(members)
             changed = self._repair(name, engine, placement, members)
         old_chains = placement.chains if placement else ()
         if changed.chains != old_chains and not self._save(name, changed):
@@ -167,7 +174,9 @@
         members: list[targets.Target],
     ) -> placing.Placement:
         """Mends what is broken; places anew where that serves much more."""
-        pool = repairing.pool_of(engine, members, self._down.ids)
+        pool = repairing.pool_of(
+            engine, members, self._down.ids, self._paces.slow()
+        )
         usable = frozenset(pool.usable)
         found = self._found_by_service.pop(name, None)
         if found is not None and found.usable == usable:
@@ -194,6 +203,14 @@
         usable = frozenset(pool.usable)
         self._found_by_service[name] = _Found(usable, anew)
 
+    def _ask_paces(self, members: list[targets.Target]) -> None:
+        now = self._timer.now()
+        if now - self._asked_at < ASK_PERIOD_S:
+            return
+        self._asked_at = now
+        for target in members:
+            self._paces.ask(target)
+
     def _pause(self) -> None:
         self._timer.sleep(SEARCH_PAUSE_S)
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -23,6 +23,7 @@
 from . import live_streams
 from . import load_ledger
 from . import membership
+from . import pace_book
 from . import placement_keeper
 from . import plain_relay
 from . import repeat_budget
@@ -107,9 +108,8 @@
             settings.repeat_allowance,
             settings.repeat_window_s,
         )
-        self._live = live_streams.LiveStreams(
-            timer, self._down, self._down.probe
-        )
+        self._paces = pace_book.PaceBook(given.orders, timer)
+        self._live = live_streams.LiveStreams(timer, self._down, self._suspect)
         core = self._make_core(metric, rng)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -163,6 +163,7 @@
             rng,
             self._roster.note_report,
             self._down,
+            self._paces,
         )
 
     def _make_core(
@@ -191,6 +192,7 @@
             self._budget,
             self._down,
             self._live,
+            self._paces,
             timer,
             metric,
         )
@@ -262,6 +264,10 @@
         events.info('stop_done', busy=self._entry.busy_count)
         self._entry.stop()
 
+    def _suspect(self, target: targets.Target) -> None:
+        self._down.probe(target)
+        self._paces.ask(target)
+
     def _take_state(self) -> None:
         prefix = self._settings.state_prefix
         for entry in self._mirror_by_prefix[prefix].entry_by_key.values():
@@ -312,6 +318,7 @@
                 name: int(rate) for name, rate in loads.pipe_tokens.items()
             },
             down=sorted(self._down.ids),
+            pace_by_target=self._paces.own(),
         )
 
     def _take_news(self, news: soft_exchange.News) -> None:
@@ -323,6 +330,7 @@
                 news.pipe_tokens,
             ),
         )
+        self._paces.note_told(news.pace_by_target)
         self.directory.note_stopping(news.name, news.is_stopping)
         for target_id in news.down:
             target = self._book.target_by_id.get(target_id)
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -24,6 +24,7 @@
     :ivar revision_by_prefix: of its mirrors of the store.
     :ivar tokens_by_target: in flight from this instance, likewise requests.
     :ivar down: ids of targets that it found down.
+    :ivar pace_by_target: of the targets that it found slow.
     """
 
     name: str
@@ -33,6 +34,7 @@
     requests_by_target: dict[str, int]
     pipe_tokens: dict[str, int]
     down: list[str]
+    pace_by_target: dict[str, float]
 
 
 class SoftExchange:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -19,6 +19,7 @@
 from . import live_streams
 from . import load_ledger
 from . import outcomes
+from . import pace_book
 from . import path_choice
 from . import repeat_budget
 from . import sending
@@ -58,6 +59,7 @@
         budget: repeat_budget.RepeatBudget,
         down: down_targets.DownTargets,
         live: live_streams.LiveStreams,
+        paces: pace_book.PaceBook,
         timer: timers.TimerService,
         metric: metrics.Metrics,
     ) -> None:
@@ -68,6 +70,7 @@
         self._budget = budget
         self._down = down
         self._live = live
+        self._paces = paces
         self._timer = timer
         self._metric = metric
         self._full_until_by_id: dict[str, float] = {}
@@ -97,7 +100,7 @@
                     engine,
                     graph,
                     demand,
-                    self._ledger.all_loads(),
+                    self._ledger.all_loads(self._paces.slow()),
                     self._down.ids | self._full() | avoided,
                 )
                 if choice.path is not None:
