Remove placing everything anew

Cause: live cards that give up layers wait for what passes through them; a new placement took 10 to 30 s, during which its chains served nothing.

--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 import random
-from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import metrics
@@ -36,6 +35,8 @@
 ORDER_PATIENCE_S = 1.5
 REPORT_PERIOD_S = 0.25
 ORDER_DELIVERY_S = 1.0
+# Most of them wait for requests that pass through; loads share their rate.
+MAX_ORDERS_AT_ONCE = 24
 # How often the targets are asked for their pace.
 ASK_PERIOD_S = 1.5
 # Between two steps of a search, for the requests of this instance.
@@ -50,13 +51,6 @@
     chains: list[list[tuple[str, int, int]]]
 
 
-class _Found(NamedTuple):
-    """A better placement, for as long as the same targets are usable."""
-
-    usable: frozenset[str]
-    placement: placing.Placement
-
-
 class PlacementKeeper:
     """Places models, repairs placements and sends the orders."""
 
@@ -98,8 +92,6 @@
         self._known_at = 0.0
         self._ordered_at_by_start: dict[tuple[str, int], float] = {}
         self._ordering: set[str] = set()
-        self._considered_by_service: dict[str, frozenset[str]] = {}
-        self._found_by_service: dict[str, _Found] = {}
 
     def start(self) -> None:
         """Begins to keep placements, in a task of its own."""
@@ -159,50 +151,16 @@
             changed = placing.place(engine, members, self._rng, self._pause)
         else:
             self._ask_paces(members)
-            changed = self._repair(name, engine, placement, members)
+            pool = repairing.pool_of(
+                engine, members, self._down.ids, self._paces.slow()
+            )
+            changed = repairing.repair(pool, placement)
         old_chains = placement.chains if placement else ()
         if changed.chains != old_chains and not self._save(name, changed):
             return
         self._placement_by_service[name] = changed
         self._send_orders(name, engine, changed)
 
-    def _repair(
-        self,
-        name: str,
-        engine: desired.Engine,
-        placement: placing.Placement,
-        members: list[targets.Target],
-    ) -> placing.Placement:
-        """Mends what is broken; places anew where that serves much more."""
-        pool = repairing.pool_of(
-            engine, members, self._down.ids, self._paces.slow()
-        )
-        usable = frozenset(pool.usable)
-        found = self._found_by_service.pop(name, None)
-        if found is not None and found.usable == usable:
-            return found.placement
-        repaired = repairing.repair(pool, placement)
-        if usable != self._considered_by_service.get(name):
-            self._considered_by_service[name] = usable
-            gevent.spawn(self._search, name, pool, repaired)
-        return repaired
-
-    def _search(
-        self, name: str, pool: repairing.Pool, repaired: placing.Placement
-    ) -> None:
-        """Looks for a placement that serves much more, beside the rest."""
-        anew = repairing.place_anew(pool, repaired, self._rng, self._pause)
-        if anew is None:
-            return
-        events.info(
-            'placed_anew',
-            service=name,
-            value=round(repairing.placement_value(pool, anew), 1),
-            before=round(repairing.placement_value(pool, repaired), 1),
-        )
-        usable = frozenset(pool.usable)
-        self._found_by_service[name] = _Found(usable, anew)
-
     def _ask_paces(self, members: list[targets.Target]) -> None:
         now = self._timer.now()
         if now - self._asked_at < ASK_PERIOD_S:
@@ -248,7 +206,7 @@
                 continue
             if target_id in self._ordering:
                 continue
-            if len(self._ordering) >= engine.loads_at_once:
+            if len(self._ordering) >= MAX_ORDERS_AT_ONCE:
                 return
             start = (target.id, target.born_ms)
             ordered_at = self._ordered_at_by_start.get(start)
--- a/packages/cactusmux-relay/src/cactusmux_relay/placing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placing.py
@@ -63,14 +63,10 @@
     members: Iterable[targets.Target],
     rng: random.Random,
     pause: Callable[[], None] = lambda: None,
-    present: Placement = EMPTY,
-    chain_counts: range = range(1, MAX_CHAINS + 1),
 ) -> Placement:
     """Returns a placement of all layers on the members.
 
     :param pause: lets other tasks run; called often.
-    :param present: chains whose targets stay together where that fits.
-    :param chain_counts: numbers of chains to try.
     """
     known = [each for each in members if each.card in engine.card_by_name]
     targets_by_group: dict[chains.Group, list[targets.Target]] = {}
@@ -85,7 +81,7 @@
     reserve_spares(engine, groups, counts)
     best: list[chains.Composition] = []
     best_value = 0.0
-    for chain_count in chain_counts:
+    for chain_count in range(1, MAX_CHAINS + 1):
         starts = [_start_by_zone(groups, counts, chain_count)]
         for _ in range(RESTARTS):
             starts.append(_start_at_random(counts, chain_count, rng))
@@ -94,7 +90,7 @@
             value = _value(rater, found)
             if value > best_value * 1.001:
                 best, best_value = found, value
-    return _assign(engine, rater, groups, targets_by_group, best, present)
+    return _assign(engine, rater, groups, targets_by_group, best)
 
 
 def reserve_spares(
@@ -222,21 +218,18 @@
     groups: tuple[chains.Group, ...],
     targets_by_group: dict[chains.Group, list[targets.Target]],
     compositions: list[chains.Composition],
-    present: Placement,
 ) -> Placement:
     """Gives the layers of each chain to targets, zone by zone."""
     free = {group: list(each) for group, each in targets_by_group.items()}
-    chain_by_target = {
-        placed.target_id: index
-        for index, chain in enumerate(present.chains)
-        for placed in chain
-    }
     placed: list[Chain] = []
     for composition in compositions:
         room = rater.room(composition)
         if room <= 0:
             continue
-        members = _take(free, groups, composition, chain_by_target)
+        members: list[targets.Target] = []
+        for count, group in zip(composition, groups, strict=True):
+            members.extend(free[group][:count])
+            del free[group][:count]
         if len(members) > segments.MAX_STAGES:
             members = _fewer(engine, members, room)
         placed.append(share_layers(engine, members, room))
@@ -250,31 +243,6 @@
     return Placement(tuple(placed), tuple(sorted(spares)))
 
 
-def _take(
-    free: dict[chains.Group, list[targets.Target]],
-    groups: tuple[chains.Group, ...],
-    composition: chains.Composition,
-    chain_by_target: dict[str, int],
-) -> list[targets.Target]:
-    """Takes a chain's targets, first those that are together already."""
-    wanted = [
-        chain_by_target[target.id]
-        for count, group in zip(composition, groups, strict=True)
-        for target in free[group]
-        if count and target.id in chain_by_target
-    ]
-    main = max(sorted(set(wanted)), key=wanted.count, default=-1)
-    members: list[targets.Target] = []
-    for count, group in zip(composition, groups, strict=True):
-        of_group = sorted(
-            free[group],
-            key=lambda each: chain_by_target.get(each.id, -1) != main,
-        )
-        members.extend(of_group[:count])
-        free[group] = of_group[count:]
-    return members
-
-
 def best_part(
     rater: chains.ChainRater, composition: chains.Composition
 ) -> chains.Composition:
--- a/packages/cactusmux-relay/src/cactusmux_relay/repairing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/repairing.py
@@ -4,11 +4,11 @@
 serves nothing, so it is mended in the quickest way that leaves a good rate:
 spares take over the missing layers, or the chain is shared anew among its
 targets and the spares. In a sound chain a spare takes over from slow or weak
-targets; everything is only placed anew when that serves much more.
+targets. Sound targets keep their layers: one that gives some up waits for all
+that passes through them.
 """
 
-from collections.abc import Callable, Iterable, Mapping
-import random
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from . import chains
@@ -26,8 +26,6 @@
 MAX_TAKE_OVERS = 3
 # At this pace a target's layers may be loaded elsewhere.
 SLOW_PACE = 2.0
-# A new placement of everything must serve this much more.
-REPLACE_GAIN = 2.0
 
 
 class Pool(NamedTuple):
@@ -91,38 +89,6 @@
     )
 
 
-def place_anew(
-    pool: Pool,
-    placement: placing.Placement,
-    rng: random.Random,
-    pause: Callable[[], None],
-) -> placing.Placement | None:
-    """Returns a placement that serves much more, ``None`` if there is none.
-
-    :param pause: lets other tasks run; called often.
-    """
-    members = list(pool.usable.values())
-    count = len(placement.chains)
-    changed = placing.place(
-        pool.engine,
-        members,
-        rng,
-        pause,
-        placement,
-        range(max(1, count - 1), count + 2),
-    )
-    present = placement_value(pool, placement)
-    if placement_value(pool, changed) < present * REPLACE_GAIN:
-        return None
-    return changed
-
-
-def placement_value(pool: Pool, placement: placing.Placement) -> float:
-    """Returns the rate of a placement, less what its worst loss costs."""
-    rates = [chain_rate(pool, chain) for chain in placement.chains]
-    return sum(rates) - placing.LOSS_WEIGHT * max(rates, default=0.0)
-
-
 def chain_rate(pool: Pool, chain: placing.Chain) -> float:
     """Returns what a chain serves a second, 0 for a broken one."""
     stages = []
