Find dead stages sooner; keep spares in each zone

Cause: a stream on a dead stage was late by the time it was resumed (first event after 0.35 s + resume), and spares of other zones made paths cross.

--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -14,7 +14,7 @@
 
 from . import targets
 
-PROBE_TIMEOUT_S = 0.1
+PROBE_TIMEOUT_S = 0.06
 # A target found to be up isn't probed again for so long.
 PROBE_PERIOD_S = 0.4
 RECHECK_PERIOD_S = 0.7
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -15,19 +15,22 @@
 from . import target_calls
 from . import targets
 
-CHECK_PERIOD_S = 0.05
+CHECK_PERIOD_S = 0.03
 # A stream is silent after this many of its usual pauses.
 SILENT_PAUSES = 2.5
-MIN_SILENCE_S = 0.1
+MIN_SILENCE_S = 0.08
 # Before its first event a request may wait for others' prompts.
-FIRST_EVENT_SILENCE_S = 0.35
+FIRST_EVENT_SILENCE_S = 0.2
 PAUSE_SMOOTHING = 0.3
 
 
 class LiveStream:
     """One attempt of a stream on one path."""
 
-    def __init__(self, path: cost_model.Path, now: float) -> None:
+    def __init__(
+        self, path: cost_model.Path, expected_pause_ms: float, now: float
+    ) -> None:
+        self.expected_pause_ms = expected_pause_ms
         self.target_ids = tuple(stage.target.id for stage in path)
         self.path = path
         self.call: target_calls.TargetCall | None = None
@@ -35,6 +38,7 @@
         self.first_at = now
         self.pause_s = 0.0
         self.longest_pause_s = 0.0
+        self.events = 0
         self.has_started = False
 
     def note_event(self, now: float) -> None:
@@ -47,6 +51,12 @@
             self.first_at = now
         self.has_started = True
         self.last_at = now
+        self.events += 1
+
+    @property
+    def mean_pause_s(self) -> float:
+        """Returns the mean time between events."""
+        return (self.last_at - self.first_at) / max(1, self.events - 1)
 
     def is_silent(self, now: float) -> bool:
         """Whether the stream waits for longer than is usual for it."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/placing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placing.py
@@ -96,17 +96,19 @@
 def reserve_spares(
     engine: desired.Engine, groups: tuple[chains.Group, ...], counts: list[int]
 ) -> None:
-    """Takes cards with the least memory out of the counts."""
-    spares = int(sum(counts) * SPARE_SHARE)
-    for _ in range(spares):
+    """Takes the cards with the least memory out, in each zone alike."""
+    taken_by_zone = {group.zone: 0 for group in groups}
+    for _ in range(int(sum(counts) * SPARE_SHARE)):
         index = min(
             (each for each in range(len(groups)) if counts[each]),
             key=lambda each: (
+                taken_by_zone[groups[each].zone],
                 engine.card_by_name[groups[each].card].memory_mb,
                 -counts[each],
             ),
         )
         counts[index] -= 1
+        taken_by_zone[groups[index].zone] += 1
 
 
 def _value(
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -141,6 +141,7 @@
             timer,
         )
         self._puller = copies.CopyPuller(self._mirror_by_prefix, timer)
+        self._down.subscribe(self._tell_down)
         self.directory = directory.Directory(self._exchange, timer)
         self._instance_by_name: dict[str, membership.Instance] = {}
         self._lease = leases.LeaseHolder(
@@ -264,6 +265,10 @@
         events.info('stop_done', busy=self._entry.busy_count)
         self._entry.stop()
 
+    def _tell_down(self, _target_id: str) -> None:
+        """Lets the other instances probe a target at once."""
+        gevent.spawn(self._exchange.send)
+
     def _suspect(self, target: targets.Target) -> None:
         self._down.probe(target)
         self._paces.ask(target)
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -88,7 +88,7 @@
         demand: path_choice.Demand,
         avoided: set[str],
         wait_s: float,
-    ) -> cost_model.Path | None:
+    ) -> path_choice.Choice:
         """Returns a path with room, waiting up to ``wait_s`` for one."""
         until = min(self._timer.now() + wait_s, exchange.ends_at)
         choice = path_choice.Choice(None, 0.0, 0, 0.0)
@@ -104,10 +104,10 @@
                     self._down.ids | self._full() | avoided,
                 )
                 if choice.path is not None:
-                    return choice.path
+                    return choice
             if self._timer.now() >= until:
                 self._log_no_path(exchange, demand, choice)
-                return None
+                return choice
             self._timer.sleep(ROOM_POLL_S)
 
     def _log_no_path(
@@ -168,37 +168,41 @@
 
     def serve(self) -> None:
         while True:
-            path = self._next_path()
+            path, expected_pause_ms = self._next_path()
             try:
-                self._attempt(path)
+                self._attempt(path, expected_pause_ms)
                 return
             except _Broken as broken:
                 self._log_broken(path, broken)
                 if not self._may_resume():
                     self._give_up(outcomes.Refusal.TARGET_FAILED)
 
-    def _next_path(self) -> cost_model.Path:
+    def _next_path(self) -> tuple[cost_model.Path, float]:
         service = self._exchange.service.name
         wait_s = RESUME_ROOM_WAIT_S if self._runs else ROOM_WAIT_S
-        path = self._relay.choose(
+        choice = self._relay.choose(
             self._exchange, self._demand, self._avoided, wait_s
         )
-        if path is None and self._avoided:
+        if choice.path is None and self._avoided:
             self._avoided = set()
-            path = self._relay.choose(
+            choice = self._relay.choose(
                 self._exchange, self._demand, self._avoided, 0.0
             )
-        if path is None:
+        if choice.path is None:
             self._give_up(outcomes.Refusal.NO_ROOM)
         if self._sends and not self._relay._budget.take(service):
             self._give_up(outcomes.Refusal.REPEATS_SPENT)
-        return path
+        return choice.path, choice.pause_ms
 
-    def _attempt(self, path: cost_model.Path) -> None:
+    def _attempt(
+        self, path: cost_model.Path, expected_pause_ms: float
+    ) -> None:
         relay = self._relay
         ids = [stage.target.id for stage in path]
         tokens = self._demand.tokens
-        live = live_streams.LiveStream(path, relay._timer.now())
+        live = live_streams.LiveStream(
+            path, expected_pause_ms, relay._timer.now()
+        )
         self._sends += 1
         relay._ledger.add(ids, tokens)
         relay._ledger.note_crossings(path, tokens)
@@ -318,6 +322,8 @@
             tokens=int(self._demand.tokens),
             first_ms=_ms(live.first_at - received_at),
             total_ms=_ms(now - received_at),
+            expected_pause_ms=int(live.expected_pause_ms),
+            mean_pause_ms=_ms(live.mean_pause_s),
             longest_pause_ms=_ms(live.longest_pause_s),
             sends=self._sends,
         )
