Calibrate the expected pause between events

Cause: at a full path the expected pause was 2.5 times the mean one, so paths were refused that would have been in time.

--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -20,7 +20,7 @@
 # Reports and estimates lag: this share of memory is left free.
 FILL_LIMIT = 0.92
 # A token waits for the pass in progress at each stage.
-WAITING_FACTOR = 1.7
+WAITING_FACTOR = 1.2
 # A crossing on an idle pipe, and behind a prompt's part in a busy one.
 CROSSING_MS = 1.5
 CROSSING_WAIT_MS = 12.0
