--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -156,8 +156,10 @@
             )
             changed = repairing.repair(pool, placement)
         old_chains = placement.chains if placement else ()
-        if changed.chains != old_chains and not self._save(name, changed):
-            return
+        if changed.chains != old_chains:
+            if not self._save(name, changed):
+                return
+            self._log_changed(name, engine, changed)
         self._placement_by_service[name] = changed
         self._send_orders(name, engine, changed)
 
@@ -180,13 +182,6 @@
         match written:
             case result.Success(entry):
                 self._revision_by_service[name] = entry.revision
-                events.info(
-                    'placement_changed',
-                    service=name,
-                    revision=entry.revision,
-                    chains=len(placement.chains),
-                    spares=len(placement.spares),
-                )
                 return True
             case result.Failure(failure):
                 events.warning(
@@ -196,6 +191,28 @@
                 self._loaded_fencing = 0
         return False
 
+    def _log_changed(
+        self, name: str, engine: desired.Engine, placement: placing.Placement
+    ) -> None:
+        pool = repairing.pool_of(
+            engine,
+            self._book.ready(name),
+            self._down.ids,
+            self._paces.slow(),
+        )
+        rates = [
+            round(repairing.chain_rate(pool, chain), 1)
+            for chain in placement.chains
+        ]
+        events.info(
+            'placement_changed',
+            service=name,
+            revision=self._revision_by_service[name],
+            rates=rates,
+            stages=[len(chain) for chain in placement.chains],
+            spares=len(placement.spares),
+        )
+
     def _send_orders(
         self, name: str, engine: desired.Engine, placement: placing.Placement
     ) -> None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -23,6 +23,7 @@
 from . import live_streams
 from . import load_ledger
 from . import membership
+from . import mirror_checks
 from . import pace_book
 from . import placement_keeper
 from . import plain_relay
@@ -93,7 +94,6 @@
         self._settings = settings
         self._given = given
         self._timer = timer
-        self._rng = rng
         self.is_stopping = False
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
@@ -118,6 +118,12 @@
             lambda: self.in_force.limits,
         )
         self._mirror_by_prefix = self._make_mirrors()
+        self._checks = mirror_checks.MirrorChecks(
+            tuple(self._mirror_by_prefix.values()),
+            lambda: len(self._instance_by_name),
+            timer,
+            rng,
+        )
         self._own = membership.Instance(
             settings.name,
             settings.zone,
@@ -222,7 +228,6 @@
                 self._given.reader,
                 prefix,
                 self._timer,
-                self._rng,
                 on_change,
             )
         self._roster.follow(mirrors[self._settings.target_prefix])
@@ -231,7 +236,8 @@
     def start(self) -> None:
         """Starts to mirror the store and to serve."""
         for mirror in self._mirror_by_prefix.values():
-            mirror.start(lambda: len(self._instance_by_name))
+            mirror.start()
+        self._checks.start()
         self._copy_server.start()
         self._exchange.start()
         self._entry.start()
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-import random
 from typing import NamedTuple
 
 from cactusmux_base import events
@@ -18,9 +17,7 @@
 WATCH_S = 20.0
 BACKOFF_S = 0.25
 # After a change, further ones are waited for, to bring them in one call.
-BATCH_S = 0.1
-# All instances together look so often whether a watch has missed a change.
-CHECK_PERIOD_S = 0.35
+BATCH_S = 0.2
 # After an outage the store may still lack entries that lapsed meanwhile.
 SETTLE_S = 2.5
 
@@ -41,14 +38,12 @@
         reader: stores.SnapshotReader,
         prefix: str,
         timer: timers.TimerService,
-        rng: random.Random,
         on_change: Callable[[], None],
     ) -> None:
         self._store = store
         self._reader = reader
         self._prefix = prefix
         self._timer = timer
-        self._rng = rng
         self._on_change = on_change
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
@@ -56,13 +51,9 @@
         self.connected_at = 0.0
         self.failed_at = 0.0
 
-    def start(self, instances: Callable[[], int]) -> None:
-        """Begins to mirror, in tasks of its own.
-
-        :param instances: how many instances share the checks.
-        """
+    def start(self) -> None:
+        """Begins to mirror, in a task of its own."""
         gevent.spawn(self._run)
-        gevent.spawn(self._check_now_and_then, instances)
 
     @property
     def is_settled(self) -> bool:
@@ -95,28 +86,27 @@
                 continue
             must_read = not self._watch()
 
-    def _check_now_and_then(self, instances: Callable[[], int]) -> None:
-        """Reads past the watch, which may be deaf without having failed."""
-        while True:
-            period_s = CHECK_PERIOD_S * max(1, instances())
-            self._timer.sleep(period_s * self._rng.uniform(0.8, 1.2))
-            self.check()
+    def check(self) -> int:
+        """Reads all entries and takes what the watch hasn't brought.
 
-    def check(self) -> None:
-        """Reads all entries and takes what the watch hasn't brought."""
+        Returns the store's revision, 0 if it doesn't answer.
+        """
         match self._reader.read_prefix(self._prefix):
             case result.Success(snapshot):
                 entry_by_key = {each.key: each for each in snapshot.entries}
                 if snapshot.revision < self.revision:
-                    return
+                    return snapshot.revision
                 if entry_by_key == self.entry_by_key:
-                    return
+                    self.revision = snapshot.revision
+                    return snapshot.revision
                 events.warning(
                     'watch_missed_change',
                     prefix=self._prefix,
                     revision=snapshot.revision,
                 )
                 self._replace(Copy(snapshot.entries, snapshot.revision))
+                return snapshot.revision
+        return stores.ABSENT
 
     def _read(self) -> bool:
         match self._reader.read_prefix(self._prefix):
