--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -92,6 +92,7 @@
         self._known_at = 0.0
         self._ordered_at_by_start: dict[tuple[str, int], float] = {}
         self._ordering: set[str] = set()
+        self._sound_by_service: dict[str, tuple[object, ...]] = {}
 
     def start(self) -> None:
         """Begins to keep placements, in a task of its own."""
@@ -154,7 +155,7 @@
             pool = repairing.pool_of(
                 engine, members, self._down.ids, self._paces.slow()
             )
-            changed = repairing.repair(pool, placement)
+            changed = self._repair(name, pool, placement)
         old_chains = placement.chains if placement else ()
         if changed.chains != old_chains:
             if not self._save(name, changed):
@@ -163,6 +164,22 @@
         self._placement_by_service[name] = changed
         self._send_orders(name, engine, changed)
 
+    def _repair(
+        self, name: str, pool: repairing.Pool, placement: placing.Placement
+    ) -> placing.Placement:
+        """Repairs a placement, once for the same state of the pool."""
+        slow = frozenset(
+            target_id
+            for target_id, pace in pool.pace_by_target.items()
+            if pace >= repairing.SLOW_PACE
+        )
+        state = (frozenset(pool.usable), slow, placement.chains)
+        if self._sound_by_service.get(name) == state:
+            return placement
+        repaired = repairing.repair(pool, placement)
+        self._sound_by_service[name] = (*state[:2], repaired.chains)
+        return repaired
+
     def _ask_paces(self, members: list[targets.Target]) -> None:
         now = self._timer.now()
         if now - self._asked_at < ASK_PERIOD_S:
--- a/packages/cactusmux-relay/src/cactusmux_relay/repairing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/repairing.py
@@ -24,6 +24,9 @@
 # Spares take over from targets that work when that serves this much more.
 TAKE_OVER_GAIN = 1.15
 MAX_TAKE_OVERS = 3
+# The weakest chain is shared anew with the spares, which then are no spares
+# any more, when it serves this many requests a second more.
+MERGE_GAIN_RATE = 5.0
 # At this pace a target's layers may be loaded elsewhere.
 SLOW_PACE = 2.0
 
@@ -81,6 +84,7 @@
         ]
         free = [each for each in free if each.id not in taken] + own
         kept.append(mended)
+    _merge_weakest(pool, kept, free)
     for _ in range(MAX_TAKE_OVERS):
         if not _take_over(pool, kept, free):
             break
@@ -145,6 +149,28 @@
     return chain
 
 
+def _merge_weakest(
+    pool: Pool, kept: list[placing.Chain], free: list[targets.Target]
+) -> None:
+    """Shares the weakest chain anew with the spares if that pays."""
+    rates = [chain_rate(pool, chain) for chain in kept]
+    weakest = min(range(len(kept)), key=lambda each: rates[each], default=-1)
+    if weakest >= 0 and rates[weakest] <= 0:
+        # A broken chain waits for a target that may come back.
+        return
+    own = _own_targets(pool, kept[weakest]) if weakest >= 0 else []
+    merged = _rebuild(pool, own + free)
+    rate = rates[weakest] if weakest >= 0 else 0.0
+    if not merged or chain_rate(pool, merged) < rate + MERGE_GAIN_RATE:
+        return
+    taken = {each.target_id for each in merged}
+    free[:] = [each for each in own + free if each.id not in taken]
+    if weakest >= 0:
+        kept[weakest] = merged
+    else:
+        kept.append(merged)
+
+
 def _take_over(
     pool: Pool, kept: list[placing.Chain], free: list[targets.Target]
 ) -> bool:
