--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gauges.py
@@ -0,0 +1,57 @@
+"""Gauges of what an instance believes, how old that is, and of its loop."""
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+import gevent
+
+from . import request_core
+from . import store_mirror
+from . import target_book
+
+PERIOD_S = 1.0
+LAG_PROBE_S = 0.05
+
+
+class Gauges:
+    """Sets gauges once a second."""
+
+    def __init__(
+        self,
+        in_force: request_core.InForce,
+        book: target_book.TargetBook,
+        mirror_by_prefix: dict[str, store_mirror.StoreMirror],
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+    ) -> None:
+        self._in_force = in_force
+        self._book = book
+        self._mirror_by_prefix = mirror_by_prefix
+        self._timer = timer
+        self._metric = metric
+
+    def start(self) -> None:
+        """Begins to set gauges."""
+        self._timer.every(PERIOD_S, self.set)
+        gevent.spawn(self._measure_lag)
+
+    def set(self) -> None:
+        """Sets all gauges."""
+        state = self._in_force.state
+        version = state.version if state else 0
+        self._metric.gauge('believed.configuration_version', version)
+        self._metric.gauge('believed.targets', len(self._book.target_by_id))
+        now = self._timer.now()
+        for prefix, mirror in self._mirror_by_prefix.items():
+            name = prefix.strip('/').replace('/', '_')
+            self._metric.gauge(f'store.connected.{name}', mirror.is_connected)
+            age_s = now - mirror.heard_at if mirror.heard_at else -1.0
+            self._metric.gauge(f'store.age_seconds.{name}', age_s)
+
+    def _measure_lag(self) -> None:
+        """Measures by how much the event loop wakes tasks too late."""
+        while True:
+            due = self._timer.now() + LAG_PROBE_S
+            self._timer.sleep(LAG_PROBE_S)
+            lag_s = max(0.0, self._timer.now() - due)
+            self._metric.timing('loop.lag', lag_s)
+            self._timer.sleep(PERIOD_S)
--- a/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
@@ -11,6 +11,7 @@
 
     NO_CONFIGURATION = 'no_configuration'
     MALFORMED = 'malformed'
+    STOPPING = 'stopping'
     NO_ROUTE = 'no_route'
     UNKNOWN_KEY = 'unknown_key'
     NO_TARGET = 'no_target'
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -18,6 +18,7 @@
 from . import dialect
 from . import directory
 from . import down_targets
+from . import gauges
 from . import http_server
 from . import layer_orders
 from . import live_streams
@@ -43,6 +44,8 @@
     ttl_s=3.0, margin_s=0.5, period_s=0.8, delivery_s=1.0
 )
 STOP_POLL_S = 0.05
+# After the begin of a planned stop new requests are taken for so long.
+LATEST_WORK_S = 2.5
 
 
 class RelaySettings(NamedTuple):
@@ -95,6 +98,7 @@
         self._given = given
         self._timer = timer
         self.is_stopping = False
+        self.refuses_work = False
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
         self._ledger = load_ledger.LoadLedger(timer)
@@ -159,6 +163,9 @@
             LEASE_SETTINGS,
             may_acquire=self._may_acquire_lease,
         )
+        self._gauges = gauges.Gauges(
+            self.in_force, self._book, self._mirror_by_prefix, timer, metric
+        )
         self._keeper = placement_keeper.PlacementKeeper(
             given.store,
             self.in_force,
@@ -212,6 +219,7 @@
             timer,
             metric,
             rng,
+            lambda: not self.refuses_work,
         )
 
     def _make_mirrors(self) -> dict[str, store_mirror.StoreMirror]:
@@ -245,6 +253,7 @@
         self._down.start()
         self._live.start()
         self._lease.start()
+        self._gauges.start()
         self._keeper.start()
 
     @property
@@ -264,6 +273,8 @@
         end_s = self._settings.stop_within_s
         while True:
             age_s = self._timer.now() - started_at
+            # A request begun later might not be done in time.
+            self.refuses_work = age_s >= LATEST_WORK_S
             callers_gone = age_s >= self._settings.callers_come_s
             if age_s >= end_s or (callers_gone and not self._entry.busy_count):
                 break
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -1,5 +1,6 @@
 """One request from its head to its answer, for whichever surface read it."""
 
+from collections.abc import Callable
 import random
 
 from cactusmux_base import events
@@ -26,7 +27,8 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_GATEWAY_TIMEOUT = 504
 NO_CONFIGURATION_RETRY_S = 0.5
-TIMED_OUT_RETRY_S = 1.0
+# Another instance takes the request at once.
+STOPPING_RETRY_S = 0.05
 
 
 class InForce:
@@ -71,7 +73,13 @@
         timer: timers.TimerService,
         metric: metrics.Metrics,
         rng: random.Random,
+        takes_work: Callable[[], bool],
     ) -> None:
+        """Prepares the core.
+
+        :param takes_work: whether a new request may still be begun.
+        """
+        self._takes_work = takes_work
         self._in_force = in_force
         self._spelling = spelling
         self._plain = plain
@@ -109,6 +117,10 @@
         facts: dialect.RequestFacts,
         answerer: http_server.Answerer,
     ) -> context.Exchange:
+        if not self._takes_work():
+            raise context.Refused(
+                outcomes.Refusal.STOPPING, False, STOPPING_RETRY_S
+            )
         state = self._in_force.state
         if state is None:
             raise context.Refused(
@@ -189,7 +201,10 @@
         if exchange.service.engine is not None:
             self._streams.serve(exchange)
             return
-        self._answer(exchange, self._plain.serve(exchange))
+        answer = self._plain.serve(exchange)
+        age_s = self._timer.now() - exchange.request.received_at
+        self._metric.timing(f'relay.plain.{exchange.route.kind}', age_s)
+        self._answer(exchange, answer)
 
     def _time_out(
         self, exchange: context.Exchange, progress: '_Progress'
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -50,6 +50,7 @@
         self.is_connected = False
         self.connected_at = 0.0
         self.failed_at = 0.0
+        self.heard_at = 0.0
 
     def start(self) -> None:
         """Begins to mirror, in a task of its own."""
@@ -161,6 +162,7 @@
         self._on_change()
 
     def _note_answer(self) -> None:
+        self.heard_at = self._timer.now()
         if self.is_connected:
             return
         self.is_connected = True
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -315,6 +315,10 @@
     def _log_served(self, live: live_streams.LiveStream) -> None:
         now = self._relay._timer.now()
         received_at = self._exchange.request.received_at
+        metric = self._relay._metric
+        metric.timing('relay.stream.first', live.first_at - received_at)
+        metric.timing('relay.stream.total', now - received_at)
+        metric.timing('relay.stream.longest_pause', live.longest_pause_s)
         events.info(
             'stream_served',
             id=self._exchange.facts.request_id,
