--- a/packages/cactusmux-fakes/src/cactusmux_fakes/memory_store.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/memory_store.py
@@ -14,7 +14,7 @@
         self.ends_at = ends_at
 
 
-class MemoryStore(stores.ConfigStore):
+class MemoryStore(stores.ConfigStore, stores.SnapshotReader):
     """Keeps entries, leases and a history of changes in memory.
 
     Leases end by the given timer service, checked at each call.
@@ -41,6 +41,13 @@
         keys = sorted(k for k in self._entry_by_key if k.startswith(prefix))
         return result.Success(tuple(self._entry_by_key[k] for k in keys))
 
+    def read_prefix(
+        self, prefix: str
+    ) -> result.Result[stores.Snapshot, stores.StoreError]:
+        return self.get_prefix(prefix).map(
+            lambda entries: stores.Snapshot(entries, self._revision)
+        )
+
     def compare_and_swap(
         self,
         key: str,
--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -0,0 +1,75 @@
+"""Headers under neutral names, for tests of the relay."""
+
+from cactusmux_relay import dialect
+from cactusmux_relay import http_server
+from cactusmux_relay import target_calls
+
+FRAMING = (b'connection', b'content-length', b'transfer-encoding')
+OWN = (b'key', b'wait-s', b'last-event', b'prompt', b'answer')
+
+
+class PlainDialect(dialect.Dialect):
+    """Spells facts as ``request-id``, ``key``, ``wait-s``, ``path`` …"""
+
+    def request_facts(
+        self, request: http_server.Request
+    ) -> dialect.RequestFacts:
+        last_event = request.header(b'last-event')
+        wait_s = request.header(b'wait-s')
+        return dialect.RequestFacts(
+            request_id=request.header(b'request-id') or '',
+            host=request.header(b'host') or '',
+            wait_s=float(wait_s) if wait_s else None,
+            key=request.header(b'key'),
+            prompt_tokens=float(request.header(b'prompt') or 0),
+            most_answer_tokens=float(request.header(b'answer') or 0),
+            hinted_answer_tokens=None,
+            last_event_id=int(last_event) if last_event else None,
+            passed_headers=[
+                each
+                for each in request.headers
+                if each[0] not in FRAMING + OWN
+            ],
+        )
+
+    def target_headers(
+        self, facts: dialect.RequestFacts, sending: dialect.Sending
+    ) -> http_server.Headers:
+        path = ','.join(
+            f'{stage.target.id}={stage.layers.first}-{stage.layers.end}'
+            for stage in sending.path
+        )
+        headers = list(facts.passed_headers)
+        headers.append((b'expected', sending.target_id.encode()))
+        headers.append((b'path', path.encode()))
+        if sending.organisation:
+            headers.append((b'organisation', sending.organisation.encode()))
+        if sending.last_event_id is not None:
+            last = str(sending.last_event_id).encode()
+            headers.append((b'last-event', last))
+        return headers
+
+    def answer_facts(
+        self, head: target_calls.AnswerHead
+    ) -> dialect.AnswerFacts:
+        return dialect.AnswerFacts(
+            request_id=head.header(b'request-id'),
+            is_signed=head.header(b'signature') is not None,
+            not_run=head.header(b'not-run') is not None,
+            at_fault=head.header(b'at-fault'),
+            is_encoded=head.header(b'content-encoding') is not None,
+        )
+
+    def caller_headers(
+        self, head: target_calls.AnswerHead
+    ) -> http_server.Headers:
+        return [each for each in head.headers if each[0] not in FRAMING]
+
+    def refusal_headers(
+        self,
+        facts: dialect.RequestFacts | None,
+        retry_after_s: float | None,
+    ) -> http_server.Headers:
+        if retry_after_s is None:
+            return []
+        return [(b'retry-after', str(retry_after_s).encode())]
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_path_choice.py
@@ -0,0 +1,82 @@
+from cactusmux_fakes import sample_engine
+from cactusmux_relay import path_choice
+from cactusmux_relay import segments
+from cactusmux_relay import targets
+
+ENGINE = sample_engine.ENGINE
+DEMAND = path_choice.Demand(800.0, 200.0, 0.25)
+
+
+def _graph():
+    return segments.SegmentGraph(
+        ENGINE,
+        [
+            _target('first', 0, 40, 'a100', 'a'),
+            _target('second', 40, 80, 'a100', 'a'),
+            _target('other', 40, 80, 'a100', 'b'),
+        ],
+    )
+
+
+def _target(name, first, end, card, zone):
+    layers = targets.LayerRange(first, end)
+    return sample_engine.target(name, card, zone, layers)
+
+
+def _load(tokens=None, requests=None, pipes=None, paces=None):
+    return path_choice.Load(
+        tokens or {}, requests or {}, pipes or {}, paces or {}
+    )
+
+
+def _ids(choice):
+    return [stage.target.id for stage in choice.path]
+
+
+def test_stays_in_the_zone_while_there_is_room():
+    choice = path_choice.choose(ENGINE, _graph(), DEMAND, _load())
+    assert _ids(choice) == ['first', 'second']
+
+
+def test_target_without_room_for_the_request_is_not_used():
+    load = _load(tokens={'second': 3000.0})
+    choice = path_choice.choose(ENGINE, _graph(), DEMAND, load)
+    assert _ids(choice) == ['first', 'other']
+
+
+def test_no_path_where_a_stage_has_no_room():
+    load = _load(tokens={'first': 3000.0})
+    choice = path_choice.choose(ENGINE, _graph(), DEMAND, load)
+    assert choice.path is None
+    assert choice.pause_ms == 0.0
+
+
+def test_full_pipe_is_not_used():
+    pipe = {('a', 'b'): ENGINE.pipe_tokens_per_s}
+    load = _load(tokens={'second': 3000.0}, pipes=pipe)
+    assert path_choice.choose(ENGINE, _graph(), DEMAND, load).path is None
+
+
+def test_path_whose_events_would_be_late_is_refused():
+    load = _load(paces={'first': 60.0})
+    choice = path_choice.choose(ENGINE, _graph(), DEMAND, load)
+    assert choice.path is None
+    assert choice.pause_ms > 250.0
+
+
+def test_slow_target_is_avoided():
+    load = _load(paces={'second': 20.0})
+    choice = path_choice.choose(ENGINE, _graph(), DEMAND, load)
+    assert _ids(choice) == ['first', 'other']
+
+
+def test_excluded_targets_are_counted_and_left_out():
+    choice = path_choice.choose(
+        ENGINE, _graph(), DEMAND, _load(), excluded=('second',)
+    )
+    assert _ids(choice) == ['first', 'other']
+    assert choice.excluded == 1
+
+
+def test_name_of_a_pipe_has_no_direction():
+    assert path_choice.pipe('b', 'a') == path_choice.pipe('a', 'b')
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_placing.py
@@ -0,0 +1,71 @@
+import random
+
+from cactusmux_fakes import sample_engine
+from cactusmux_relay import cost_model
+from cactusmux_relay import placing
+
+ENGINE = sample_engine.ENGINE
+
+
+def assert_sound(placement, target_by_id):
+    """Each chain runs all layers; no card holds more than fits."""
+    seen = set()
+    for chain in placement.chains:
+        boundary = 0
+        for placed in chain:
+            assert placed.layers.first == boundary
+            boundary = placed.layers.end
+            assert placed.target_id not in seen
+            seen.add(placed.target_id)
+            card = ENGINE.card_by_name[target_by_id[placed.target_id].card]
+            room = cost_model.room_tokens(ENGINE, card, placed.layers.size)
+            assert room > 0
+        assert boundary == ENGINE.layers
+    assert not seen & set(placement.spares)
+
+
+def _place(seed=1):
+    members = sample_engine.pool()
+    placement = placing.place(ENGINE, members, random.Random(seed))
+    return placement, {each.id: each for each in members}
+
+
+def test_chains_run_all_layers_and_no_card_is_over_its_memory():
+    placement, target_by_id = _place()
+    assert_sound(placement, target_by_id)
+
+
+def test_three_fast_chains_stay_within_a_zone_each():
+    placement, target_by_id = _place()
+    local = 0
+    for chain in placement.chains:
+        zones = {target_by_id[each.target_id].zone for each in chain}
+        local += len(zones) == 1
+    assert local >= 3
+
+
+def test_some_targets_stay_spare():
+    placement, _ = _place()
+    assert len(placement.spares) >= 3
+
+
+def test_pause_is_called_so_that_other_tasks_run():
+    calls = []
+    placing.place(
+        ENGINE,
+        sample_engine.pool(),
+        random.Random(1),
+        lambda: calls.append(1),
+    )
+    assert calls
+
+
+def test_no_targets_make_no_chains():
+    assert placing.place(ENGINE, [], random.Random(1)) == placing.EMPTY
+
+
+def test_too_few_targets_make_no_chains():
+    few = sample_engine.pool()[:1]
+    placement = placing.place(ENGINE, few, random.Random(1))
+    assert placement.chains == ()
+    assert placement.spares == (few[0].id,)
