Resume a stream that broke by itself elsewhere; bound whole headers too

Both found by tests on scripted targets: a stream whose first target broke it off was resumed at the same target, and a header over the limit that came in one piece was accepted.

--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -0,0 +1,228 @@
+"""One instance's request core between a caller and scripted targets."""
+
+import random
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_relay import desired
+from cactusmux_relay import down_targets
+from cactusmux_relay import http_server
+from cactusmux_relay import live_streams
+from cactusmux_relay import load_ledger
+from cactusmux_relay import pace_book
+from cactusmux_relay import plain_relay
+from cactusmux_relay import repeat_budget
+from cactusmux_relay import request_core
+from cactusmux_relay import sending
+from cactusmux_relay import stream_relay
+from cactusmux_relay import target_book
+from cactusmux_relay import target_calls
+from cactusmux_relay import targets
+from cactusmux_routing import breakers
+from gevent import socket
+
+from . import plain_dialect
+from . import sample_engine
+from . import silent_orders
+
+PLAIN_SERVICE = 'portal'
+HOST = 'example'
+RECEIVE_BYTES = 65536
+
+
+def route(
+    prefix: str,
+    kind: desired.RequestKind,
+    service: str,
+    can_resume: bool = False,
+    timeout_s: float = 5.0,
+) -> desired.Route:
+    """Returns a route of the rig's host with two attempts."""
+    return desired.Route(
+        name=prefix,
+        host=HOST,
+        prefix=prefix,
+        kind=kind,
+        services=(desired.WeightedService(service, 1.0),),
+        timeout_s=timeout_s,
+        objective_s=0.5,
+        gap_s=0.25,
+        urgency=1,
+        max_attempts=2,
+        is_open=False,
+        can_resume=can_resume,
+    )
+
+
+ROUTES = (
+    route('/safe/', desired.RequestKind.SAFE, PLAIN_SERVICE),
+    route('/unsafe/', desired.RequestKind.UNSAFE, PLAIN_SERVICE),
+    route('/brief/', desired.RequestKind.UNSAFE, PLAIN_SERVICE, False, 0.2),
+    route('/stream/', desired.RequestKind.STREAM, sample_engine.SERVICE, True),
+    route('/once/', desired.RequestKind.STREAM, sample_engine.SERVICE),
+)
+
+
+def desired_state(version: int = 1) -> desired.DesiredState:
+    """Returns the rig's routes, two services and one key, ``secret``."""
+    return desired.DesiredState(
+        version=version,
+        routes=ROUTES,
+        service_by_name={
+            PLAIN_SERVICE: desired.Service(PLAIN_SERVICE, '/health', 10, None),
+            sample_engine.SERVICE: desired.Service(
+                sample_engine.SERVICE, '/health', 10, sample_engine.ENGINE
+            ),
+        },
+        organisation_by_key={'secret': desired.Organisation('almaty', None)},
+        needs_keys=True,
+        limits=desired.Limits(),
+    )
+
+
+class RelayRig:
+    """The core behind a listening socket; targets are given by address."""
+
+    def __init__(self) -> None:
+        timer = timers.GeventTimers()
+        rng = random.Random(1)
+        self.metric = metrics.MemoryMetrics()
+        self.in_force = request_core.InForce()
+        self.in_force.replace(desired_state())
+        self.book = target_book.TargetBook()
+        self.down = down_targets.DownTargets(timer)
+        self.takes_work = True
+        spelling = plain_dialect.PlainDialect()
+        budget = repeat_budget.RepeatBudget(timer, 1.0, 100.0, 10.0)
+        ledger = load_ledger.LoadLedger(timer)
+        self.ledger = ledger
+        connections = target_calls.TargetConnections(timer)
+        sender = sending.Sender(connections, spelling, timer)
+        live = live_streams.LiveStreams(timer, self.down, self.down.probe)
+        live.start()
+        core = request_core.RequestCore(
+            self.in_force,
+            spelling,
+            plain_relay.PlainRelay(
+                self.book,
+                ledger,
+                sender,
+                budget,
+                breakers.Breakers(timer, rng, self.metric, lambda lost: True),
+                timer,
+                self.metric,
+                rng,
+                'a',
+            ),
+            stream_relay.StreamRelay(
+                self.book,
+                ledger,
+                sender,
+                spelling,
+                budget,
+                self.down,
+                live,
+                pace_book.PaceBook(silent_orders.SilentOrders(), timer),
+                timer,
+                self.metric,
+            ),
+            budget,
+            timer,
+            self.metric,
+            rng,
+            lambda: self.takes_work,
+        )
+        self.server = http_server.HttpServer(
+            '127.0.0.1:0', core.handle, timer, lambda: self.in_force.limits
+        )
+        self.server.start()
+
+    def use_plain(self, *addresses: str) -> None:
+        """Makes the plain service consist of targets at these addresses."""
+        self._use(
+            [
+                targets.Target(
+                    id=f'p{index}',
+                    service=PLAIN_SERVICE,
+                    address=address,
+                    zone='a',
+                    slots=6,
+                    is_leaving=False,
+                    born_ms=1,
+                )
+                for index, address in enumerate(addresses)
+            ]
+        )
+
+    def use_engines(self, *addresses: str) -> None:
+        """Makes each address hold all layers, the first one fastest."""
+        found = []
+        for index, address in enumerate(addresses):
+            found.append(
+                sample_engine.target(
+                    f'e{index}',
+                    'whole' if index == 0 else 'slow_whole',
+                    'a',
+                    targets.LayerRange(0, sample_engine.ENGINE.layers),
+                    address,
+                )
+            )
+        self._use(found)
+
+    def connect(self) -> socket.socket:
+        """Returns a connection to the core, for a caller."""
+        return socket.create_connection(
+            ('127.0.0.1', self.server.port), timeout=5.0
+        )
+
+    def ask(self, raw: bytes) -> bytes:
+        """Sends a request on a connection of its own, returns all bytes."""
+        sock = self.connect()
+        sock.sendall(raw)
+        received = b''
+        while True:
+            try:
+                data = sock.recv(RECEIVE_BYTES)
+            except ConnectionResetError:
+                break
+            if not data:
+                break
+            received += data
+        sock.close()
+        return received
+
+    def _use(self, found: list[targets.Target]) -> None:
+        state = self.in_force.state
+        assert state is not None
+        self.book.replace(found, _with_whole_cards(state).service_by_name)
+        self.in_force.state = _with_whole_cards(state)
+
+
+def _with_whole_cards(state: desired.DesiredState) -> desired.DesiredState:
+    """Adds cards that hold the whole model, for paths of one stage."""
+    engine = sample_engine.ENGINE._replace(
+        card_by_name={
+            'whole': desired.Card('whole', 200000.0, 1.0, 1.0),
+            'slow_whole': desired.Card('slow_whole', 200000.0, 2.0, 2.0),
+        }
+    )
+    drafts = state.service_by_name[sample_engine.SERVICE]
+    services = dict(state.service_by_name)
+    services[sample_engine.SERVICE] = drafts._replace(engine=engine)
+    return state._replace(service_by_name=services)
+
+
+def request(path: str, method: str = 'POST', **value_by_header: str) -> bytes:
+    """Returns the bytes of a request with an id and the rig's key."""
+    fields = {
+        'Host': HOST,
+        'Request-Id': 'r1',
+        'Key': 'secret',
+        'Connection': 'close',
+        'Content-Length': '0',
+    }
+    for name, value in value_by_header.items():
+        fields[name.replace('_', '-').title()] = value
+    lines = [f'{method} {path} HTTP/1.1']
+    lines.extend(f'{name}: {value}' for name, value in fields.items() if value)
+    return '\r\n'.join([*lines, '', '']).encode()
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/sample_engine.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/sample_engine.py
@@ -35,7 +35,7 @@
 
 def pool() -> list[targets.Target]:
     """Returns 38 targets in three zones that hold no layers."""
-    found = []
+    found: list[targets.Target] = []
     for zone, counts in CARDS_BY_ZONE.items():
         for card, count in zip(CARDS, counts, strict=True):
             for _ in range(count):
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/scripted_target.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/scripted_target.py
@@ -103,7 +103,10 @@
             return Received(
                 head.method.decode(),
                 head.target.decode(),
-                {name.decode(): value.decode() for name, value in head.headers},
+                {
+                    name.decode(): value.decode()
+                    for name, value in head.headers
+                },
                 body,
             )
         else:
--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/silent_orders.py
@@ -0,0 +1,19 @@
+"""Targets that answer no order and no question."""
+
+from cactusmux_relay import layer_orders
+from cactusmux_relay import targets
+from returns import result
+
+
+class SilentOrders(layer_orders.LayerOrders):
+    """Every call ends without an answer."""
+
+    def hold(
+        self, target: targets.Target, layers: targets.LayerRange, number: int
+    ) -> result.Result[None, layer_orders.OrderFailure]:
+        return result.Failure(layer_orders.OrderUnanswered(target.id))
+
+    def report(
+        self, target: targets.Target
+    ) -> result.Result[layer_orders.LayerReport, layer_orders.OrderFailure]:
+        return result.Failure(layer_orders.OrderUnanswered(target.id))
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -106,6 +106,11 @@
         """Begins to accept connections."""
         self._server.start()
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on, once started."""
+        return self._server.server_port
+
     @property
     def busy_count(self) -> int:
         """Requests under way."""
@@ -209,6 +214,7 @@
         received_at = self._timer.now()
         headers = tuple(head.headers)
         _check_framing(headers)
+        _check_size(head, self._limits().header_bytes)
         if self._h11.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         body = self._read_body()
@@ -335,6 +341,16 @@
             self._sock.sendall(data)
 
 
+def _check_size(head: h11.Request, most_bytes: int) -> None:
+    """Refuses a head that came whole but is over the limit."""
+    size = len(head.method) + len(head.target)
+    for name, value in head.headers:
+        # A colon, a space and the end of the line.
+        size += len(name) + len(value) + 4
+    if size > most_bytes:
+        raise _BadRequest(431)
+
+
 def _check_framing(headers: tuple[Header, ...]) -> None:
     """Refuses what two readers could frame differently."""
     names = [name for name, _ in headers]
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -33,6 +33,7 @@
         self.expected_pause_ms = expected_pause_ms
         self.target_ids = tuple(stage.target.id for stage in path)
         self.path = path
+        self.was_interrupted = False
         self.call: target_calls.TargetCall | None = None
         self.last_at = now
         self.first_at = now
@@ -120,4 +121,5 @@
     def _interrupt(self, target_id: str) -> None:
         for stream in list(self._streams):
             if target_id in stream.target_ids and stream.call is not None:
+                stream.was_interrupted = True
                 stream.call.cut()
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -236,9 +236,21 @@
                 self._runs += 1
                 try:
                     self._pass_on(head, call, live)
+                except _Broken:
+                    self._draw_conclusions(path, live)
+                    raise
                 finally:
                     call.close()
 
+    def _draw_conclusions(
+        self, path: cost_model.Path, live: live_streams.LiveStream
+    ) -> None:
+        """Avoids the first target of a stream that broke by itself."""
+        if live.was_interrupted:
+            return
+        self._avoided.add(path[0].target.id)
+        self._relay._down.probe(path[0].target)
+
     def _note_not_run(self, outcome: outcomes.NotRun) -> None:
         self._rejections += 1
         self._relay.note_not_run(self._exchange, outcome)
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -0,0 +1,157 @@
+import re
+
+from cactusmux_base import timers
+from cactusmux_relay import desired
+from cactusmux_relay import http_server
+import gevent
+from gevent import event
+from gevent import socket
+import pytest
+
+LIMITS = desired.Limits(
+    header_bytes=2000,
+    body_bytes=1000,
+    header_timeout_s=0.2,
+    idle_timeout_s=0.4,
+)
+HEAD = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+
+
+@pytest.fixture(name='server')
+def _server():
+    served = _Served()
+    yield served
+    served.server.stop()
+
+
+class _Served:
+    def __init__(self):
+        self.requests = []
+        self.gone = event.Event()
+        self.wait_s = 0.0
+        self.server = http_server.HttpServer(
+            '127.0.0.1:0',
+            self.handle,
+            timers.GeventTimers(),
+            lambda: LIMITS,
+        )
+        self.server.start()
+
+    def handle(self, request, answerer):
+        self.requests.append(request)
+        try:
+            gevent.sleep(self.wait_s)
+        except http_server.CallerGone:
+            self.gone.set()
+            raise
+        answerer.answer(200, [], request.body or b'-')
+
+    def connect(self):
+        return socket.create_connection(
+            ('127.0.0.1', self.server.port), timeout=5.0
+        )
+
+    def ask(self, raw):
+        sock = self.connect()
+        sock.sendall(raw)
+        return _read_all(sock)
+
+
+def _read_all(sock):
+    received = b''
+    while True:
+        try:
+            data = sock.recv(65536)
+        except ConnectionResetError:
+            return received
+        if not data:
+            return received
+        received += data
+
+
+def _statuses(received):
+    found = re.findall(rb'HTTP/1\.1 (\d{3})', received)
+    return [int(status) for status in found]
+
+
+def test_body_with_a_length_and_in_chunks_is_the_same(server):
+    close = b'Connection: close\r\n'
+    server.ask(HEAD + close + b'Content-Length: 3\r\n\r\nabc')
+    server.ask(
+        HEAD
+        + close
+        + b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\n0\r\n\r\n'
+    )
+    assert [request.body for request in server.requests] == [b'abc', b'abc']
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+        b'Content-Length: 3\r\nContent-Length: 4\r\n',
+        b'Content-Length: -1\r\n',
+        b'Content-Length: 3, 3\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n',
+        b'Host: other\r\nContent-Length: 3\r\n',
+        b'Content-Length : 3\r\n',
+        b'Bad Name: x\r\n',
+    ],
+)
+def test_framing_that_readers_could_differ_on_is_refused(server, framing):
+    smuggled = b'GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n'
+    received = server.ask(HEAD + framing + b'\r\nabc' + smuggled)
+    assert _statuses(received)[0] in (400, 501)
+    assert len(_statuses(received)) == 1
+    assert server.requests == []
+
+
+def test_kept_connection_serves_one_request_after_the_other(server):
+    sock = server.connect()
+    one = HEAD + b'Content-Length: 1\r\n\r\n1'
+    last = HEAD + b'Connection: close\r\nContent-Length: 1\r\n\r\n2'
+    sock.sendall(one + last)
+    assert _statuses(_read_all(sock)) == [200, 200]
+    assert [request.body for request in server.requests] == [b'1', b'2']
+
+
+def test_caller_that_leaves_ends_the_handler(server):
+    server.wait_s = 30.0
+    sock = server.connect()
+    sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+    while not server.requests:
+        gevent.sleep(0.001)
+    sock.close()
+    assert server.gone.wait(10.0)
+
+
+def test_header_over_the_limit_is_431_and_body_over_it_413(server):
+    long = b'X: ' + b'x' * 4000 + b'\r\n\r\n'
+    assert _statuses(server.ask(HEAD + long)) == [431]
+    large = b'Content-Length: 2000\r\n\r\n' + b'x' * 2000
+    assert _statuses(server.ask(HEAD + large)) == [413]
+    assert server.requests == []
+
+
+def test_unfinished_header_and_idle_connection_are_closed(server):
+    assert server.ask(HEAD) == b''
+    assert server.ask(b'') == b''
+
+
+def test_expectation_is_answered_before_the_body(server):
+    sock = server.connect()
+    sock.sendall(
+        HEAD + b'Expect: 100-continue\r\nConnection: close\r\n'
+        b'Content-Length: 1\r\n\r\n'
+    )
+    first = sock.recv(1000)
+    assert _statuses(first) == [100]
+    sock.sendall(b'x')
+    assert _statuses(_read_all(sock)) == [200]
+
+
+def test_answers_close_connections_while_stopping(server):
+    server.server.close_after_answers()
+    received = server.ask(HEAD + b'Content-Length: 0\r\n\r\n')
+    assert b'connection: close' in received.lower()
+    assert _statuses(received) == [200]
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -0,0 +1,168 @@
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import scripted_target
+import gevent
+import pytest
+
+SIGNED = {'Signature': 's'}
+
+
+@pytest.fixture(name='rig')
+def _rig():
+    rig = relay_rig.RelayRig()
+    yield rig
+    rig.server.stop()
+
+
+def _target(*writes):
+    """A target that gives its answers in turn, the last one for ever."""
+    left = list(writes)
+
+    def script(sock, _request):
+        sock.sendall(left.pop(0) if len(left) > 1 else left[0])
+        return False
+
+    return scripted_target.ScriptedTarget(script)
+
+
+def _ok(body=b'done', **headers):
+    return scripted_target.answer(body, 200, {**SIGNED, **headers})
+
+
+def _status(received):
+    return int(received.split()[1])
+
+
+def test_request_and_answer_pass_unchanged(rig):
+    target = _target(_ok(b'bytes', X_Other='1'))
+    rig.use_plain(target.address)
+    received = rig.ask(
+        relay_rig.request('/safe/a?b=c', content_length='3') + b'abc'
+    )
+    assert received.endswith(b'\r\n\r\nbytes')
+    request = target.received[0]
+    assert (request.method, request.path) == ('POST', '/safe/a?b=c')
+    assert request.body == b'abc'
+    assert request.value_by_header['expected'] == 'p0'
+    assert request.value_by_header['organisation'] == 'almaty'
+    assert 'key' not in request.value_by_header
+
+
+def test_unsafe_request_is_sent_once_and_its_loss_is_no_promise(rig):
+    broken = _target(b'')
+    other = _target(_ok())
+    rig.use_plain(broken.address, other.address)
+    statuses = set()
+    for _ in range(4):
+        received = rig.ask(relay_rig.request('/unsafe/'))
+        statuses.add(_status(received))
+    assert statuses <= {200, 502}
+    assert len(broken.received) + len(other.received) == 4
+
+
+def test_unsafe_request_that_was_not_run_goes_to_another_target(rig):
+    full = _target(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+    other = _target(_ok())
+    rig.use_plain(full.address, other.address)
+    for _ in range(4):
+        assert _status(rig.ask(relay_rig.request('/unsafe/'))) == 200
+    assert len(other.received) == 4
+
+
+def test_503_of_a_target_that_may_have_run_it_is_not_passed_on(rig):
+    target = _target(scripted_target.answer(b'', 503, SIGNED))
+    rig.use_plain(target.address)
+    assert _status(rig.ask(relay_rig.request('/unsafe/'))) == 502
+
+
+def test_safe_request_goes_on_after_a_failure(rig):
+    failing = _target(scripted_target.answer(b'', 500, SIGNED))
+    other = _target(_ok())
+    rig.use_plain(failing.address, other.address)
+    for _ in range(4):
+        assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
+
+
+def test_failure_of_the_last_target_is_passed_on_with_its_signature(rig):
+    failing = _target(scripted_target.answer(b'sorry', 500, SIGNED))
+    rig.use_plain(failing.address)
+    received = rig.ask(relay_rig.request('/safe/'))
+    assert _status(received) == 500
+    assert b'signature: s' in received.lower()
+    assert received.endswith(b'sorry')
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        scripted_target.answer(
+            b'x', 200, {'Signature': 's', 'Request-Id': 'z'}
+        ),
+        scripted_target.answer(b'x', 200),
+        scripted_target.answer(
+            b'x', 200, {'Signature': 's', 'Content-Encoding': 'gzip'}
+        ),
+        b'not an answer\r\n\r\n',
+    ],
+)
+def test_answer_that_is_not_ours_is_never_passed_on(rig, answer):
+    target = _target(answer)
+    rig.use_plain(target.address)
+    received = rig.ask(relay_rig.request('/unsafe/'))
+    assert _status(received) == 502
+
+
+def test_no_target_is_an_honest_refusal(rig):
+    rig.use_plain()
+    received = rig.ask(relay_rig.request('/unsafe/'))
+    assert _status(received) == 503
+    assert b'retry-after' in received.lower()
+
+
+def test_final_answer_comes_at_the_timeout_of_the_route(rig):
+    def script(_sock, _request):
+        gevent.sleep(30.0)
+        return False
+
+    target = scripted_target.ScriptedTarget(script)
+    rig.use_plain(target.address)
+    received = rig.ask(relay_rig.request('/brief/'))
+    assert _status(received) == 504
+
+
+@pytest.mark.parametrize(
+    'raw, status',
+    [
+        (relay_rig.request('/nowhere/'), 404),
+        (relay_rig.request('/safe/', key='unknown'), 401),
+        (relay_rig.request('/safe/', key=''), 401),
+    ],
+)
+def test_what_the_desired_state_does_not_allow(rig, raw, status):
+    target = _target(_ok())
+    rig.use_plain(target.address)
+    assert _status(rig.ask(raw)) == status
+    assert target.received == []
+
+
+def test_stopping_instance_refuses_new_work_as_not_run(rig):
+    target = _target(_ok())
+    rig.use_plain(target.address)
+    rig.takes_work = False
+    received = rig.ask(relay_rig.request('/unsafe/'))
+    assert _status(received) == 503
+    assert b'retry-after' in received.lower()
+    assert target.received == []
+
+
+def test_without_a_desired_state_requests_are_refused_not_denied(rig):
+    rig.in_force.state = None
+    assert _status(rig.ask(relay_rig.request('/safe/'))) == 503
+
+
+def test_large_body_passes_whole(rig):
+    target = _target(_ok())
+    rig.use_plain(target.address)
+    body = bytes(range(256)) * 16384
+    raw = relay_rig.request('/safe/', content_length=str(len(body)))
+    assert _status(rig.ask(raw + body)) == 200
+    assert target.received[0].body == body
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_stream_relay.py
@@ -0,0 +1,206 @@
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import scripted_target
+import gevent
+import h11
+import pytest
+
+HEAD = scripted_target.stream_head({'Signature': 'first'})
+EVENTS = [scripted_target.event(number) for number in range(1, 7)]
+END = scripted_target.chunk(b'')
+
+
+@pytest.fixture(name='rig')
+def _rig():
+    rig = relay_rig.RelayRig()
+    yield rig
+    rig.server.stop()
+
+
+def _chunks(events):
+    return b''.join(scripted_target.chunk(event) for event in events)
+
+
+def _target(*writes):
+    left = list(writes)
+
+    def script(sock, _request):
+        sock.sendall(left.pop(0) if len(left) > 1 else left[0])
+        return False
+
+    return scripted_target.ScriptedTarget(script)
+
+
+def _answer(received):
+    """Returns status, headers, body, and whether the answer is complete."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(
+        h11.Request(method='GET', target='/', headers=[('host', 'h')])
+    )
+    connection.send(h11.EndOfMessage())
+    connection.receive_data(received)
+    connection.receive_data(b'')
+    head, body = None, b''
+    while True:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return head, body, False
+        if isinstance(event, h11.Response):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return head, body, True
+        else:
+            return head, body, False
+
+
+def _ask(rig, path='/stream/', **headers):
+    return _answer(rig.ask(relay_rig.request(path, **headers)))
+
+
+def test_whole_stream_passes_with_its_signature(rig):
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(target.address)
+    head, body, complete = _ask(rig)
+    assert (head.status_code, complete) == (200, True)
+    assert dict(head.headers)[b'signature'] == b'first'
+    assert body == b''.join(EVENTS)
+    assert target.received[0].value_by_header['path'] == 'e0=0-80'
+
+
+def test_broken_stream_goes_on_elsewhere_within_one_answer(rig):
+    torn = HEAD + _chunks(EVENTS[:3]) + scripted_target.chunk(b'id: 4\nda')
+    first = _target(torn)
+    second = _target(
+        scripted_target.stream_head({'Signature': 'second'})
+        + _chunks(EVENTS[3:])
+        + END
+    )
+    rig.use_engines(first.address, second.address)
+    head, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+    assert dict(head.headers)[b'signature'] == b'first'
+    assert second.received[0].value_by_header['last-event'] == '3'
+
+
+def test_events_that_come_again_are_dropped(rig):
+    first = _target(HEAD + _chunks(EVENTS[:3]))
+    second = _target(HEAD + _chunks(EVENTS[1:]) + END)
+    rig.use_engines(first.address, second.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_gap_in_the_events_is_never_passed_on(rig):
+    first = _target(HEAD + _chunks(EVENTS[:2]))
+    second = _target(HEAD + _chunks(EVENTS[4:]) + END)
+    rig.use_engines(first.address, second.address)
+    _, body, complete = _ask(rig)
+    assert not complete
+    assert body == b''.join(EVENTS[:2])
+
+
+def test_stream_that_breaks_at_all_attempts_looks_broken(rig):
+    first = _target(HEAD + _chunks(EVENTS[:2]))
+    second = _target(HEAD + _chunks(EVENTS[2:4]))
+    rig.use_engines(first.address, second.address)
+    _, body, complete = _ask(rig)
+    assert not complete
+    assert body == b''.join(EVENTS[:4])
+    assert len(first.received) + len(second.received) == 2
+
+
+def test_stream_that_may_not_be_resumed_is_sent_once(rig):
+    first = _target(HEAD + _chunks(EVENTS[:2]))
+    second = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(first.address, second.address)
+    _, _, complete = _ask(rig, '/once/')
+    assert not complete
+    assert second.received == []
+
+
+def test_path_that_rejects_is_followed_by_another(rig):
+    full = _target(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(full.address, other.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_rejected_everywhere_is_refused_as_not_run(rig):
+    full = _target(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+    rig.use_engines(full.address)
+    head, _, _ = _ask(rig)
+    assert head.status_code == 503
+    assert b'retry-after' in dict(head.headers)
+
+
+def test_refused_connection_is_followed_by_another_path(rig):
+    dead = _target(b'')
+    dead.stop()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(dead.address, other.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_callers_last_event_is_passed_on(rig):
+    target = _target(HEAD + _chunks(EVENTS[3:]) + END)
+    rig.use_engines(target.address)
+    _, body, complete = _ask(rig, last_event='3')
+    assert complete
+    assert body == b''.join(EVENTS[3:])
+    assert target.received[0].value_by_header['last-event'] == '3'
+
+
+def test_stream_on_a_silent_dead_target_is_interrupted_and_resumed(rig):
+    """The first target stops accepting connections and falls silent."""
+    holder = []
+
+    def script(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:2]))
+        holder[0].stop()
+        gevent.sleep(30.0)
+        return False
+
+    silent = scripted_target.ScriptedTarget(script)
+    holder.append(silent)
+    other = _target(HEAD + _chunks(EVENTS[2:]) + END)
+    rig.use_engines(silent.address, other.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+    assert 'e0' in rig.down.ids
+
+
+def test_load_is_noted_while_a_stream_runs_and_gone_afterwards(rig):
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(target.address)
+    _ask(rig, prompt='700')
+    assert rig.ledger.own().tokens_by_target == {}
+
+
+def test_caller_that_leaves_cuts_the_stream_at_its_target(rig):
+    closed = []
+
+    def script(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:1]))
+        closed.append(sock.recv(100))
+        return False
+
+    target = scripted_target.ScriptedTarget(script)
+    rig.use_engines(target.address)
+    sock = rig.connect()
+    sock.sendall(relay_rig.request('/stream/', connection='keep-alive'))
+    sock.recv(1000)
+    sock.close()
+    for _ in range(1000):
+        if closed:
+            break
+        gevent.sleep(0.005)
+    assert closed == [b'']
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -0,0 +1,127 @@
+from cactusmux_base import timers
+from cactusmux_fakes import scripted_target
+from cactusmux_relay import target_calls
+import gevent
+import pytest
+
+REQUEST = target_calls.OutgoingRequest(
+    'POST', '/a', [(b'host', b'h'), (b'content-length', b'1')], b'x'
+)
+
+
+@pytest.fixture(name='connections')
+def _connections():
+    return target_calls.TargetConnections(timers.GeventTimers())
+
+
+def _target(*writes, keep=False):
+    def script(sock, _request):
+        for data in writes:
+            sock.sendall(data)
+        return keep
+
+    return scripted_target.ScriptedTarget(script)
+
+
+def _ask(connections, target, fresh=False):
+    call = connections.call(target.address, REQUEST, fresh)
+    try:
+        head = call.read_head()
+        return head.status, call.read_body(1000)
+    finally:
+        call.close()
+
+
+def test_connection_is_kept_after_a_whole_answer(connections):
+    target = _target(scripted_target.answer(b'ok'), keep=True)
+    for _ in range(3):
+        assert _ask(connections, target) == (200, b'ok')
+    assert target.connections == 1
+
+
+def test_fresh_call_uses_a_connection_of_its_own(connections):
+    target = _target(scripted_target.answer(b'ok'), keep=True)
+    _ask(connections, target)
+    _ask(connections, target, fresh=True)
+    assert target.connections == 2
+
+
+def test_connection_with_bytes_after_the_answer_is_not_used_again(
+    connections,
+):
+    twice = scripted_target.answer(b'ok') + scripted_target.answer(b'late')
+    target = _target(twice, keep=True)
+    assert _ask(connections, target) == (200, b'ok')
+    gevent.sleep(0.01)
+    assert _ask(connections, target) == (200, b'ok')
+    assert target.connections == 2
+
+
+def test_kept_connection_that_was_closed_is_replaced(connections):
+    target = _target(scripted_target.answer(b'ok'), keep=False)
+    assert _ask(connections, target) == (200, b'ok')
+    gevent.sleep(0.01)
+    assert _ask(connections, target) == (200, b'ok')
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'garbage that is no answer\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n',
+    ],
+)
+def test_answer_that_is_not_whole_is_broken(connections, data):
+    target = _target(data)
+    with pytest.raises(target_calls.AnswerBroken):
+        _ask(connections, target)
+
+
+def test_answer_without_a_length_ends_with_its_connection(connections):
+    target = _target(b'HTTP/1.1 200 OK\r\n\r\nall of it')
+    assert _ask(connections, target) == (200, b'all of it')
+
+
+def test_refused_connection_means_not_sent(connections):
+    target = _target(b'')
+    target.stop()
+    with pytest.raises(target_calls.NotSent):
+        connections.call(target.address, REQUEST, False)
+
+
+def test_cut_call_fails_and_is_not_taken_for_an_end(connections):
+    """An answer without a length would look complete when it is cut."""
+
+    def script(sock, _request):
+        sock.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+        gevent.sleep(30.0)
+        return False
+
+    target = scripted_target.ScriptedTarget(script)
+    call = connections.call(target.address, REQUEST, False)
+    call.read_head()
+    gevent.spawn_later(0.02, call.cut)
+    with pytest.raises(target_calls.AnswerBroken):
+        call.read_body(1000)
+    call.close()
+
+
+def test_early_answer_to_a_long_body_ends_the_connection(connections):
+    def script(sock, _request):
+        raise AssertionError('the body was never whole')
+
+    target = scripted_target.ScriptedTarget(script)
+    large = b'x' * (8 << 20)
+    request = REQUEST._replace(
+        headers=[
+            (b'host', b'h'),
+            (b'content-length', str(len(large)).encode()),
+        ],
+        body=large,
+    )
+    call = connections.call(target.address, request, False)
+    gevent.sleep(0.01)
+    call.close()
+    assert target.received == []
