--- a/packages/cactusmux-fakes/src/cactusmux_fakes/faulty_store.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/faulty_store.py
@@ -44,7 +44,7 @@
 _Write = Callable[[], result.Result[Any, stores.StoreError]]
 
 
-class FaultyStore(stores.ConfigStore):
+class FaultyStore(stores.ConfigStore, stores.SnapshotReader):
     """Adds faults to a store in memory; ``faults`` may change at any time.
 
     Which calls fail is drawn from ``rng``, so a seed repeats them.
@@ -91,6 +91,14 @@
         keys = sorted(k for k in entry_by_key if k.startswith(prefix))
         return result.Success(tuple(entry_by_key[k] for k in keys))
 
+    def read_prefix(
+        self, prefix: str
+    ) -> result.Result[stores.Snapshot, stores.StoreError]:
+        newest = self._history().revision
+        return self.get_prefix(prefix).map(
+            lambda entries: stores.Snapshot(entries, newest)
+        )
+
     def compare_and_swap(
         self,
         key: str,
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -47,6 +47,7 @@
         self._on_change = on_change
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
+        self._must_read = True
         self.is_connected = False
         self.connected_at = 0.0
         self.failed_at = 0.0
@@ -78,14 +79,17 @@
         return True
 
     def _run(self) -> None:
-        must_read = True
         while True:
-            if must_read:
-                must_read = not self._read()
-                if must_read:
-                    self._timer.sleep(BACKOFF_S)
-                continue
-            must_read = not self._watch()
+            self.step()
+
+    def step(self) -> None:
+        """Reads all entries, or waits for changes once they are read."""
+        if not self._must_read:
+            self._must_read = not self._watch()
+            return
+        self._must_read = not self._read()
+        if self._must_read:
+            self._timer.sleep(BACKOFF_S)
 
     def check(self) -> int:
         """Reads all entries and takes what the watch hasn't brought.
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -0,0 +1,284 @@
+import random
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_control import lease_types
+from cactusmux_fakes import memory_store
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import sample_engine
+from cactusmux_relay import down_targets
+from cactusmux_relay import layer_orders
+from cactusmux_relay import load_ledger
+from cactusmux_relay import membership
+from cactusmux_relay import pace_book
+from cactusmux_relay import placement_keeper
+from cactusmux_relay import repeat_budget
+from cactusmux_relay import request_core
+from cactusmux_relay import target_book
+from cactusmux_relay import target_roster
+from cactusmux_relay import targets
+import gevent
+import pytest
+from returns import result
+
+AUTHORITY = lease_types.Authority(7, 1e9, 0.0)
+
+
+class _Engines(layer_orders.LayerOrders):
+    """Targets that carry out orders at once, or not at all."""
+
+    def __init__(self):
+        self.layers_by_id = {}
+        self.number_by_id = {}
+        self.orders = []
+        self.is_silent = False
+
+    def hold(self, target, layers, number):
+        self.orders.append((target.id, layers, number))
+        if self.is_silent:
+            return result.Failure(layer_orders.OrderUnanswered(target.id))
+        if number != self.number_by_id.get(target.id, 0):
+            return result.Failure(layer_orders.OrderRefused(target.id, 409))
+        self.number_by_id[target.id] = number + 1
+        self.layers_by_id[target.id] = layers
+        return result.Success(None)
+
+    def report(self, target):
+        return result.Success(
+            layer_orders.LayerReport(
+                self.layers_by_id.get(target.id, targets.NO_LAYERS),
+                self.number_by_id.get(target.id, 0),
+                False,
+                1.0,
+            )
+        )
+
+
+class _Keeping:
+    """A keeper over a store in memory, its book fed by reports."""
+
+    def __init__(self, store=None, engines=None):
+        self.timer = timers.ManualTimers()
+        self.store = store or memory_store.MemoryStore(self.timer)
+        self.engines = engines or _Engines()
+        self.authority = AUTHORITY
+        self.book = target_book.TargetBook()
+        self.members = {each.id: each for each in sample_engine.pool()}
+        self.in_force = request_core.InForce()
+        self.in_force.replace(relay_rig.desired_state())
+        self.down = down_targets.DownTargets(self.timer)
+        self.keeper = placement_keeper.PlacementKeeper(
+            self.store,
+            self.in_force,
+            self.book,
+            self.engines,
+            lambda for_s: self.authority,
+            self.timer,
+            metrics.MemoryMetrics(),
+            random.Random(1),
+            self._note,
+            self.down,
+            pace_book.PaceBook(self.engines, self.timer),
+        )
+        self._publish()
+
+    def _note(self, target):
+        self.members[target.id] = target
+        self._publish()
+
+    def _publish(self):
+        state = self.in_force.state
+        self.book.replace(self.members.values(), state.service_by_name)
+
+    def step(self):
+        self.keeper.step()
+        gevent.idle()
+        gevent.sleep(0)
+        gevent.sleep(0.001)
+
+    def settle(self):
+        self.step()
+        self.timer.advance(placement_keeper.SETTLE_S + 0.1)
+        for _ in range(12):
+            self.step()
+            self.timer.advance(placement_keeper.ORDER_PATIENCE_S)
+
+    def lose(self, target_id):
+        del self.members[target_id]
+        self._publish()
+
+    def reborn(self, target_id):
+        old = self.members[target_id]
+        empty = old._replace(born_ms=old.born_ms + 1, layers=targets.NO_LAYERS)
+        self.members[target_id] = empty
+        self.engines.layers_by_id.pop(target_id, None)
+        self.engines.number_by_id.pop(target_id, None)
+        self._publish()
+
+
+@pytest.fixture(name='keeping')
+def _keeping():
+    return _Keeping()
+
+
+def test_first_placement_waits_until_no_target_comes_any_more(keeping):
+    keeping.step()
+    assert keeping.engines.orders == []
+    keeping.settle()
+    graph = keeping.book.graph(sample_engine.SERVICE)
+    path = graph.cheapest(lambda segment: 1.0, lambda zone, other: 0.0)
+    assert path is not None
+
+
+def test_without_authority_nothing_is_ordered(keeping):
+    keeping.authority = None
+    keeping.settle()
+    assert keeping.engines.orders == []
+
+
+def test_next_holder_goes_on_with_the_stored_placement(keeping):
+    keeping.settle()
+    orders = len(keeping.engines.orders)
+    following = _Keeping(keeping.store, keeping.engines)
+    following.members = keeping.members
+    following._publish()
+    following.settle()
+    assert len(keeping.engines.orders) == orders
+
+
+def test_target_that_started_anew_is_ordered_again_or_replaced(keeping):
+    keeping.settle()
+    lost = keeping.engines.orders[0][0]
+    keeping.reborn(lost)
+    keeping.settle()
+    graph = keeping.book.graph(sample_engine.SERVICE)
+    assert graph.cheapest(lambda segment: 1.0, lambda zone, other: 0.0)
+
+
+def test_lost_target_is_replaced(keeping):
+    keeping.settle()
+    before = len(keeping.engines.orders)
+    keeping.lose(keeping.engines.orders[3][0])
+    keeping.settle()
+    assert len(keeping.engines.orders) > before
+
+
+def test_orders_are_bound_to_the_number_that_was_reported(keeping):
+    keeping.settle()
+    for target_id, _, number in keeping.engines.orders:
+        assert number < keeping.engines.number_by_id[target_id]
+
+
+def test_unreadable_placement_is_made_anew(keeping):
+    key = placement_keeper.PREFIX + sample_engine.SERVICE
+    keeping.store.compare_and_swap(key, b'torn', 0)
+    keeping.settle()
+    assert keeping.engines.orders
+
+
+def test_repeat_budget_of_all_instances_stays_in_its_bound():
+    timer = timers.ManualTimers()
+    budgets = [
+        repeat_budget.RepeatBudget(timer, 0.2, 200.0, 10.0) for _ in range(8)
+    ]
+    repeats = 0
+    for budget in budgets:
+        budget.set_instances(8)
+        for _ in range(50):
+            budget.note_request('s')
+        while budget.take('s'):
+            repeats += 1
+    assert 0.5 * (0.2 * 400 + 200) < repeats <= 0.2 * 400 + 200
+
+
+def test_repeat_budget_comes_back_with_the_window():
+    timer = timers.ManualTimers()
+    budget = repeat_budget.RepeatBudget(timer, 0.0, 10.0, 10.0)
+    while budget.take('s'):
+        pass
+    timer.advance(10.1)
+    assert budget.take('s')
+
+
+def test_loads_of_an_instance_that_fell_silent_age_out():
+    timer = timers.ManualTimers()
+    ledger = load_ledger.LoadLedger(timer)
+    ledger.add(['t'], 100.0)
+    told = load_ledger.OwnLoads({'t': 50.0}, {'t': 1}, {'a b': 10.0})
+    ledger.note_peer('other', told)
+    loads = ledger.all_loads({})
+    assert loads.tokens_by_target == {'t': 150.0}
+    assert loads.requests_by_target == {'t': 2}
+    assert loads.pipe_tokens == {('a', 'b'): 10.0}
+    timer.advance(load_ledger.PEER_LOAD_AGE_S + 0.1)
+    assert ledger.all_loads({}).tokens_by_target == {'t': 100.0}
+    ledger.remove(['t'], 100.0)
+    assert ledger.all_loads({}).tokens_by_target == {}
+
+
+def test_registration_lasts_as_long_as_its_lease():
+    timer = timers.ManualTimers()
+    store = memory_store.MemoryStore(timer)
+    own = membership.Instance('i', 'a', 'r', '10.0.0.1:80', '10.0.0.1:81')
+    registration = membership.Registration(store, timer, own)
+    assert registration._register()
+    entries = list(store.get_prefix(membership.PREFIX).unwrap())
+    assert membership.decode_instances(entries) == [own]
+    timer.advance(membership.LEASE_TTL_S + 0.1)
+    assert store.get_prefix(membership.PREFIX).unwrap() == ()
+    assert not registration._renew(registration._registered)
+    assert registration._register()
+
+
+def test_unreadable_instance_entry_is_left_out():
+    timer = timers.ManualTimers()
+    store = memory_store.MemoryStore(timer)
+    store.compare_and_swap(membership.PREFIX + 'x', b'torn', 0)
+    entries = list(store.get_prefix(membership.PREFIX).unwrap())
+    assert membership.decode_instances(entries) == []
+
+
+class _Mirror:
+    def __init__(self):
+        self.entry_by_key = {}
+        self.is_settled = True
+
+
+def test_target_whose_entry_lapsed_is_kept_until_the_store_is_settled():
+    timer = timers.ManualTimers()
+    book = target_book.TargetBook()
+    in_force = request_core.InForce()
+    in_force.replace(relay_rig.desired_state())
+    roster = target_roster.TargetRoster(
+        book,
+        down_targets.DownTargets(timer),
+        in_force,
+        timer,
+        lambda entry: entry,
+    )
+    mirror = _Mirror()
+    roster.follow(mirror)
+    mirror.entry_by_key = {'x': sample_engine.target('x')}
+    roster.update()
+    mirror.is_settled = False
+    mirror.entry_by_key = {}
+    roster.update()
+    assert set(book.target_by_id) == {'x'}
+    mirror.is_settled = True
+    timer.advance(target_roster.REVIEW_PERIOD_S + 0.1)
+    assert set(book.target_by_id) == set()
+
+
+def test_leaving_target_gets_no_new_work():
+    book = target_book.TargetBook()
+    leaving = sample_engine.target('x')._replace(is_leaving=True)
+    book.replace([leaving], {})
+    assert book.ready(sample_engine.SERVICE) == []
+    assert set(book.target_by_id) == {'x'}
+
+
+def test_older_desired_state_is_never_put_in_force():
+    in_force = request_core.InForce()
+    in_force.replace(relay_rig.desired_state(5))
+    in_force.replace(relay_rig.desired_state(4))
+    assert in_force.state.version == 5
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_store_mirror.py
@@ -0,0 +1,214 @@
+import random
+
+from cactusmux_base import timers
+from cactusmux_fakes import faulty_store
+from cactusmux_fakes import memory_store
+from cactusmux_relay import mirror_checks
+from cactusmux_relay import store_mirror
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+PREFIX = 'p/'
+
+
+class _World:
+    def __init__(self):
+        self.timer = timers.ManualTimers()
+        self.memory = memory_store.MemoryStore(self.timer)
+        self.store = faulty_store.FaultyStore(
+            self.memory, self.timer, random.Random(1)
+        )
+        self.changes = 0
+        self.mirror = self.new_mirror()
+
+    def new_mirror(self, prefix=PREFIX):
+        return store_mirror.StoreMirror(
+            self.store, self.store, prefix, self.timer, self._note
+        )
+
+    def _note(self):
+        self.changes += 1
+
+    def write(self, key, value, prefix=PREFIX):
+        found = self.memory.get(prefix + key).unwrap()
+        revision = found.revision if found else 0
+        return self.memory.compare_and_swap(
+            prefix + key, value, revision
+        ).unwrap()
+
+    def values(self, mirror=None):
+        entries = (mirror or self.mirror).entry_by_key
+        return {key: entry.value for key, entry in entries.items()}
+
+
+@pytest.fixture(name='world')
+def _world():
+    return _World()
+
+
+def test_reads_then_watches(world):
+    world.write('a', b'1')
+    world.mirror.step()
+    assert world.values() == {'p/a': b'1'}
+    world.write('a', b'2')
+    world.write('b', b'3')
+    world.mirror.step()
+    assert world.values() == {'p/a': b'2', 'p/b': b'3'}
+
+
+def test_removed_key_goes(world):
+    entry = world.write('a', b'1')
+    world.mirror.step()
+    world.memory.delete('p/a', entry.revision)
+    world.mirror.step()
+    assert world.values() == {}
+
+
+def test_copy_is_kept_while_the_store_is_away(world):
+    world.write('a', b'1')
+    world.mirror.step()
+    world.store.faults = faulty_store.Faults(down=True)
+    world.mirror.step()
+    world.mirror.step()
+    assert world.values() == {'p/a': b'1'}
+    assert not world.mirror.is_connected
+    assert not world.mirror.is_settled
+
+
+def test_missing_entries_count_only_some_time_after_an_outage(world):
+    world.mirror.step()
+    assert world.mirror.is_settled
+    world.store.faults = faulty_store.Faults(down=True)
+    world.mirror.step()
+    world.store.faults = faulty_store.NO_FAULTS
+    world.mirror.step()
+    assert world.mirror.is_connected
+    assert not world.mirror.is_settled
+    world.timer.advance(store_mirror.SETTLE_S + 0.1)
+    assert world.mirror.is_settled
+
+
+def test_compacted_watch_leads_to_reading_anew(world):
+    world.mirror.step()
+    world.write('a', b'1')
+    world.store.faults = faulty_store.Faults(watch_compacted=True)
+    world.mirror.step()
+    world.mirror.step()
+    assert world.values() == {'p/a': b'1'}
+
+
+def test_newer_copy_of_another_instance_is_taken_an_older_one_is_not(world):
+    other = world.new_mirror()
+    world.write('a', b'old')
+    world.mirror.step()
+    old = world.mirror.copy()
+    world.write('a', b'new')
+    other.step()
+    assert world.mirror.take(other.copy())
+    assert world.values() == {'p/a': b'new'}
+    assert not world.mirror.take(old)
+    assert world.values() == {'p/a': b'new'}
+
+
+def test_watch_answer_from_before_a_taken_copy_is_ignored(world):
+    world.mirror.step()
+    world.write('a', b'1')
+    late = world.memory.watch(PREFIX, 0, 0.0).unwrap()
+    world.write('a', b'2')
+    other = world.new_mirror()
+    other.step()
+    world.mirror.take(other.copy())
+    world.mirror._apply(late)
+    assert world.values() == {'p/a': b'2'}
+
+
+def test_check_finds_what_a_deaf_watch_has_missed(world):
+    """A watch during a compaction hears nothing and doesn't fail."""
+    sample = world.new_mirror('s/')
+    sample.step()
+    world.mirror.step()
+    world.store.faults = faulty_store.Faults(watch_skips=1.0)
+    world.write('a', b'1')
+    world.mirror.step()
+    assert world.values() == {}
+    world.mirror.revision = 0
+    checks = mirror_checks.MirrorChecks(
+        [sample, world.mirror], lambda: 1, world.timer, random.Random(1)
+    )
+    checks.check()
+    assert world.values() == {'p/a': b'1'}
+
+
+def test_check_of_what_is_known_reads_only_the_sample(world):
+    sample = world.new_mirror('s/')
+    sample.step()
+    world.mirror.step()
+    world.write('a', b'1')
+    world.mirror.step()
+    before = world.store.calls_by_kind['get_prefix']
+    checks = mirror_checks.MirrorChecks(
+        [sample, world.mirror], lambda: 1, world.timer, random.Random(1)
+    )
+    checks.check()
+    assert world.store.calls_by_kind['get_prefix'] == before + 1
+
+
+class Mirrors(stateful.RuleBasedStateMachine):
+    """Two mirrors of a store that fails; none ever goes back."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = _World()
+        self.mirrors = [self.world.mirror, self.world.new_mirror()]
+        self.newest = [0, 0]
+
+    @stateful.rule(key=strategies.sampled_from('ab'))
+    def write(self, key):
+        self.world.write(key, b'x')
+
+    @stateful.rule(key=strategies.sampled_from('ab'))
+    def remove(self, key):
+        found = self.world.memory.get(PREFIX + key).unwrap()
+        if found is not None:
+            self.world.memory.delete(PREFIX + key, found.revision)
+
+    @stateful.rule(index=strategies.integers(0, 1))
+    def step(self, index):
+        self.mirrors[index].step()
+
+    @stateful.rule(index=strategies.integers(0, 1))
+    def take(self, index):
+        self.mirrors[index].take(self.mirrors[1 - index].copy())
+
+    @stateful.rule(
+        down=strategies.booleans(),
+        broken=strategies.booleans(),
+        compacted=strategies.booleans(),
+    )
+    def break_store(self, down, broken, compacted):
+        self.world.store.faults = faulty_store.Faults(
+            down=down, watch_broken=broken, watch_compacted=compacted
+        )
+
+    @stateful.invariant()
+    def revisions_never_fall(self):
+        for index, mirror in enumerate(self.mirrors):
+            assert mirror.revision >= self.newest[index]
+            self.newest[index] = mirror.revision
+
+    def teardown(self):
+        self.world.store.faults = faulty_store.NO_FAULTS
+        for mirror in self.mirrors:
+            for _ in range(4):
+                mirror.step()
+            entries = self.world.memory.get_prefix(PREFIX).unwrap()
+            expected = {entry.key: entry for entry in entries}
+            assert mirror.entry_by_key == expected
+
+
+TestMirrors = Mirrors.TestCase
+TestMirrors.settings = settings(
+    max_examples=60, deadline=None, derandomize=True
+)
