--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -69,6 +69,11 @@
         self._server.start()
         self._timer.every(PERIOD_S, self.send)
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on, once started."""
+        return self._server.server_port
+
     def send(self) -> None:
         """Sends our news if they changed or it is time for a sign of life."""
         now = self._timer.now()
--- /dev/null
+++ b/tests/adapter/test_headers.py
@@ -0,0 +1,151 @@
+from adapter import headers
+from cactusmux_fakes import sample_engine
+from cactusmux_relay import cost_model
+from cactusmux_relay import dialect
+from cactusmux_relay import http_server
+from cactusmux_relay import target_calls
+from cactusmux_relay import targets
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+DIALECT = headers.HeaderDialect()
+ID = (b'x-cactusmux-request-id', b'9c41')
+
+
+def _facts(*found):
+    request = http_server.Request('POST', '/a', (ID, *found), b'', 0.0)
+    return DIALECT.request_facts(request)
+
+
+def _sending(**changes):
+    sending = dialect.Sending('i-1', 'almaty', 1.5, (), None, None)
+    return sending._replace(**changes)
+
+
+def test_facts_of_a_stream_request():
+    facts = _facts(
+        (b'host', b'h.example'),
+        (b'x-cactusmux-token-counts', b'1460,80'),
+        (b'x-cactusmux-length-hint', b'64'),
+        (b'x-cactusmux-deadline-milliseconds', b'20000'),
+        (b'last-event-id', b'12'),
+        (b'authorization', b'Bearer k1'),
+    )
+    assert facts.request_id == '9c41'
+    assert facts.host == 'h.example'
+    assert (facts.prompt_tokens, facts.most_answer_tokens) == (1460.0, 80.0)
+    assert facts.hinted_answer_tokens == 64.0
+    assert facts.wait_s == 20.0
+    assert facts.last_event_id == 12
+    assert facts.key == 'k1'
+
+
+@pytest.mark.parametrize(
+    'name, value',
+    [
+        (b'x-cactusmux-deadline-milliseconds', b'soon'),
+        (b'x-cactusmux-deadline-milliseconds', b'-1'),
+        (b'x-cactusmux-deadline-milliseconds', b'inf'),
+        (b'x-cactusmux-token-counts', b'a,b'),
+        (b'last-event-id', b'x'),
+    ],
+)
+def test_header_that_cannot_be_understood_is_named(name, value):
+    with pytest.raises(dialect.MalformedRequest) as raised:
+        _facts((name, value))
+    assert raised.value.name == name.decode()
+
+
+def test_only_own_words_reach_the_target():
+    facts = _facts(
+        (b'authorization', b'Bearer k1'),
+        (b'x-cactusmux-tenant', b'forged'),
+        (b'x-cactusmux-expected-instance', b'forged'),
+        (b'x-cactusmux-hop-count', b'forged'),
+        (b'x-cactusmux-request-urgency', b'0'),
+        (b'connection', b'close, x-hop'),
+        (b'x-hop', b'1'),
+        (b'content-length', b'3'),
+        (b'transfer-encoding', b'chunked'),
+        (b'x-other', b'kept'),
+    )
+    sent = dict(DIALECT.target_headers(facts, _sending()))
+    assert sent == {
+        b'x-cactusmux-request-id': b'9c41',
+        b'x-other': b'kept',
+        b'x-cactusmux-deadline-milliseconds': b'1500',
+        b'x-cactusmux-expected-instance': b'i-1',
+        b'x-cactusmux-tenant': b'almaty',
+    }
+
+
+def test_path_and_last_event_of_a_resumed_stream():
+    stages = tuple(
+        cost_model.Stage(
+            sample_engine.target(f'i-{first}', address=f'10.0.0.{first}:80'),
+            targets.LayerRange(first, end),
+        )
+        for first, end in ((0, 20), (20, 80))
+    )
+    sent = dict(
+        DIALECT.target_headers(
+            _facts(), _sending(path=stages, last_event_id=7)
+        )
+    )
+    assert sent[b'x-cactusmux-hop-count'] == (
+        b'10.0.0.0:80=0-20,10.0.0.20:80=20-80'
+    )
+    assert sent[b'last-event-id'] == b'7'
+
+
+def test_answer_facts():
+    head = target_calls.AnswerHead(
+        503,
+        (
+            ID,
+            (b'x-cactusmux-not-executed', b'1'),
+            (b'at-server', b'10.0.0.1:80'),
+        ),
+    )
+    facts = DIALECT.answer_facts(head)
+    assert facts == ('9c41', False, True, '10.0.0.1:80', False)
+
+
+def test_seal_passes_to_the_caller_and_connection_headers_do_not():
+    head = target_calls.AnswerHead(
+        200,
+        (
+            (b'x-cactusmux-response-seal', b's'),
+            (b'connection', b'close'),
+            (b'keep-alive', b'timeout=5'),
+            (b'transfer-encoding', b'chunked'),
+        ),
+    )
+    assert DIALECT.caller_headers(head) == [
+        (b'x-cactusmux-response-seal', b's')
+    ]
+
+
+def test_refusal_says_when_to_come_back():
+    sent = dict(DIALECT.refusal_headers(_facts(), 0.5))
+    assert sent[b'retry-after'] == b'0.50'
+    assert sent[b'x-cactusmux-request-id'] == b'9c41'
+    assert DIALECT.refusal_headers(None, None) == []
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                [b'authorization', b'x-cactusmux-tenant', b'x-y']
+            ),
+            strategies.binary(max_size=8),
+        )
+    )
+)
+def test_key_and_claimed_organisation_never_reach_a_target(found):
+    sent = DIALECT.target_headers(_facts(*found), _sending())
+    names = [name for name, _ in sent]
+    assert b'authorization' not in names
+    assert names.count(b'x-cactusmux-tenant') == 1
--- /dev/null
+++ b/tests/adapter/test_kv_store.py
@@ -0,0 +1,228 @@
+"""The store's client against scripted answers, wire in and wire out."""
+
+import base64
+
+from adapter import engines
+from adapter import kv_store
+from cactusmux_fakes import sample_engine
+from cactusmux_fakes import scripted_target
+from cactusmux_platform import stores
+from cactusmux_relay import layer_orders
+from cactusmux_relay import targets
+import msgspec
+import pytest
+from returns import result
+
+JSON = {'Content-Type': 'application/json'}
+VALUE = base64.b64encode(b'node-0').decode()
+ITEM = {
+    'key': 'my/leader',
+    'value': VALUE,
+    'revision': 412,
+    'created_rev': 400,
+    'lease': 77120,
+}
+ENTRY = stores.Entry('my/leader', b'node-0', 412, 77120)
+
+
+class _Server:
+    """Answers in turn; an answer of ``None`` closes the connection."""
+
+    def __init__(self, *answers):
+        self.left = list(answers)
+        self.target = scripted_target.ScriptedTarget(self._script)
+
+    def _script(self, sock, _request):
+        status, body = self.left.pop(0)
+        if status == 0:
+            return False
+        data = msgspec.json.encode(body)
+        sock.sendall(scripted_target.answer(data, status, JSON))
+        return True
+
+    @property
+    def asked(self):
+        return [
+            (each.method, each.path, msgspec.json.decode(each.body or b'null'))
+            for each in self.target.received
+        ]
+
+
+def _store(*answers):
+    server = _Server(*answers)
+    return kv_store.KvStore(server.target.address), server
+
+
+def test_get():
+    store, server = _store(
+        (200, {**ITEM, 'current_rev': 530}), (404, {'current_rev': 530})
+    )
+    assert store.get('my/leader') == result.Success(ENTRY)
+    assert store.get('my/leader') == result.Success(None)
+    assert server.asked[0] == ('GET', '/kv-key?key=my%2Fleader', None)
+
+
+def test_range_follows_its_pages():
+    second = {**ITEM, 'key': 'my/second'}
+    store, server = _store(
+        (200, {'items': [ITEM], 'more_pages': True, 'current_rev': 530}),
+        (200, {'items': [second], 'more_pages': False, 'current_rev': 540}),
+    )
+    snapshot = store.read_prefix('my/').unwrap()
+    assert [entry.key for entry in snapshot.entries] == [
+        'my/leader',
+        'my/second',
+    ]
+    assert snapshot.revision == 530
+    assert server.asked[1][1] == (
+        '/kv-range?path_prefix=my%2F&after=my%2Fleader'
+    )
+
+
+def test_write_under_a_condition():
+    store, server = _store((200, {'revision': 412}))
+    written = store.compare_and_swap('my/leader', b'node-0', 0, 77120)
+    assert written == result.Success(ENTRY)
+    assert server.asked == [
+        (
+            'POST',
+            '/kv-txn',
+            {
+                'expected': [{'key': 'my/leader', 'revision': 0}],
+                'writes': [
+                    {'key': 'my/leader', 'value': VALUE, 'lease': 77120}
+                ],
+                'deletes': [],
+            },
+        )
+    ]
+
+
+@pytest.mark.parametrize(
+    'answer, failure',
+    [
+        ((412, {'items': [ITEM]}), stores.Conflict('my/leader', 0, ENTRY)),
+        ((404, {}), stores.LeaseLost(5)),
+        ((503, {}), stores.StoreUnavailable('/kv-txn')),
+        ((429, {}), stores.StoreUnavailable('/kv-txn')),
+        ((0, {}), stores.OutcomeUnknown('my/leader')),
+    ],
+)
+def test_write_that_fails(answer, failure):
+    store, _ = _store(answer)
+    written = store.compare_and_swap('my/leader', b'x', 0, 5)
+    assert written == result.Failure(failure)
+
+
+def test_watch():
+    store, server = _store(
+        (
+            200,
+            {
+                'events': [
+                    ITEM,
+                    {'key': 'my/old', 'revision': 413, 'tombstone': True},
+                ],
+                'current_rev': 413,
+            },
+        ),
+        (410, {}),
+        (503, {}),
+    )
+    watched = store.watch('my/', 411, 20.0).unwrap()
+    assert watched.revision == 413
+    assert watched.changes == (
+        stores.Change('my/leader', 412, ENTRY),
+        stores.Change('my/old', 413, None),
+    )
+    assert server.asked[0][1] == (
+        '/kv-watch?path_prefix=my%2F&after=411&wait_ms=20000'
+    )
+    compacted = result.Failure(stores.WatchCompacted(413))
+    assert store.watch('my/', 413, 1.0) == compacted
+    assert isinstance(
+        store.watch('my/', 413, 1.0).failure(), stores.StoreUnavailable
+    )
+
+
+def test_leases():
+    store, server = _store(
+        (200, {'lease': 77120, 'ttl_ms': 3000}),
+        (200, {'ttl_ms': 3000}),
+        (404, {}),
+        (200, {}),
+    )
+    assert store.grant_lease(3.0) == result.Success(77120)
+    assert store.renew_lease(77120) == result.Success(None)
+    lost = result.Failure(stores.LeaseLost(77120))
+    assert store.renew_lease(77120) == lost
+    assert store.revoke_lease(77120) == result.Success(None)
+    assert [each[:2] for each in server.asked] == [
+        ('POST', '/kv-lease'),
+        ('POST', '/kv-keep/77120'),
+        ('POST', '/kv-keep/77120'),
+        ('DELETE', '/kv-lease-end/77120'),
+    ]
+
+
+def test_store_that_is_down_ran_nothing():
+    store, server = _store()
+    server.target.stop()
+    refused = result.Failure(stores.StoreUnavailable('/kv-txn'))
+    assert store.compare_and_swap('k', b'x', 0) == refused
+
+
+def test_unreadable_item_is_left_out():
+    broken = {**ITEM, 'value': '***'}
+    body = {'items': [broken, ITEM], 'more_pages': False, 'current_rev': 5}
+    store, _ = _store((200, body))
+    assert store.get_prefix('my/') == result.Success((ENTRY,))
+
+
+def _ordered(*answers):
+    server = _Server(*answers)
+    target = sample_engine.target('i-1', address=server.target.address)
+    return engines.EngineOrders(), target, server
+
+
+def test_order_is_absolute_and_bound_to_the_order_number():
+    orders, target, server = _ordered((202, {}), (200, {}))
+    layers = targets.LayerRange(20, 31)
+    assert orders.hold(target, layers, 4) == result.Success(None)
+    assert orders.hold(target, layers, 4) == result.Success(None)
+    assert server.asked[0] == (
+        'POST',
+        '/order',
+        {
+            'operation': 'place',
+            'from': 20,
+            'target': 31,
+            'strategy': 'wait',
+            'expected': 4,
+        },
+    )
+
+
+def test_order_that_fails():
+    orders, target, _ = _ordered((409, {}), (0, {}))
+    layers = targets.LayerRange(20, 31)
+    refused = result.Failure(layer_orders.OrderRefused('i-1', 409))
+    assert orders.hold(target, layers, 4) == refused
+    unanswered = result.Failure(layer_orders.OrderUnanswered('i-1'))
+    assert orders.hold(target, layers, 4) == unanswered
+
+
+def test_report():
+    body = {
+        'stage': 'both',
+        'busy': True,
+        'sequence_number': 2,
+        'pace': 3.0,
+        'layers': {'from': 0, 'target': 8, 'version': 1},
+    }
+    orders, target, _ = _ordered((200, body), (200, {'busy': 'yes'}))
+    assert orders.report(target) == result.Success(
+        layer_orders.LayerReport(targets.LayerRange(0, 8), 2, True, 3.0)
+    )
+    unanswered = result.Failure(layer_orders.OrderUnanswered('i-1'))
+    assert orders.report(target) == unanswered
