--- /dev/null
+++ b/tests/adapter/test_session.py
@@ -0,0 +1,298 @@
+"""Whole sessions on the platform's wire: store, servers, callers."""
+
+import functools
+import random
+
+from adapter import documents
+from adapter import engines
+from adapter import entries
+from adapter import headers
+from adapter import kv_store
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_fakes import scripted_target
+from cactusmux_relay import relay_instance
+import gevent
+from gevent import socket
+import msgspec
+import pytest
+
+from . import kv_server
+
+LOOPBACK = '127.0.0.1'
+WAIT_S = 20.0
+CONFIG = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'plain',
+            'host_name': 'h.example',
+            'path_prefix': '/plain/',
+            'route_kind': 'unsafe',
+            'timeout_ms': 3000,
+            'service_name': 'portal',
+        },
+        {
+            'name': 'drafts',
+            'host_name': 'h.example',
+            'path_prefix': '/drafts/',
+            'route_kind': 'stream',
+            'timeout_ms': 20000,
+            'service_name': 'drafters',
+            'max_attempts': 2,
+            'stream_resumption': True,
+        },
+    ],
+    'services': [
+        {'name': 'portal'},
+        {
+            'name': 'drafters',
+            'engine': {
+                'kv_token_bytes': 1180000,
+                'stride': 4,
+                'models': [{'name': 'm', 'load_s': 0.01}],
+                'layers': 8,
+                'layer_mb': 100.0,
+                'kinds': [
+                    {'name': 'small', 'size_mb': 20000.0},
+                    {'name': 'large', 'size_mb': 60000.0},
+                ],
+            },
+        },
+    ],
+    'tenants': [{'name': 'hule930', 'api_keys': ['k1']}],
+}
+
+
+class _Engine:
+    """A model server: takes orders at once and writes six events."""
+
+    def __init__(self, card):
+        self.layers = {'from': 0, 'target': 0, 'version': 1}
+        self.card = card
+        self.orders = 0
+        self.streams = []
+        self.target = scripted_target.ScriptedTarget(self._script)
+
+    def _script(self, sock, request):
+        if request.path == '/order':
+            order = msgspec.json.decode(request.body)
+            assert order['expected'] == self.orders
+            self.orders += 1
+            self.layers = {**self.layers, 'from': order['from']}
+            self.layers['target'] = order['target']
+            sock.sendall(scripted_target.answer(b'{}', 202))
+            return True
+        if request.path == '/report':
+            report = {
+                'busy': False,
+                'sequence_number': self.orders,
+                'pace': 1.0,
+                'layers': self.layers,
+            }
+            sock.sendall(scripted_target.answer(msgspec.json.encode(report)))
+            return True
+        self.streams.append(request)
+        seal = {
+            'X-Cactusmux-Response-Seal': 'seal',
+            'X-Cactusmux-Request-Id': request.value_by_header[
+                'x-cactusmux-request-id'
+            ],
+        }
+        sock.sendall(scripted_target.stream_head(seal))
+        for number in range(1, 7):
+            event = scripted_target.event(number)
+            sock.sendall(scripted_target.chunk(event))
+        sock.sendall(scripted_target.chunk(b''))
+        return True
+
+    def entry(self, service):
+        return {
+            'service_name': service,
+            'address': self.target.address,
+            'availability_zone': 'a',
+            'concurrency_slots': 96,
+            'state': 'ready',
+            'sequence_number': self.orders,
+            'born': 1790228837515,
+            'route_kind': self.card,
+            'layers': self.layers,
+        }
+
+
+class _World:
+    def __init__(self):
+        self.store = kv_server.KvServer()
+        self.engines = [_Engine('small'), _Engine('large'), _Engine('small')]
+        self.portal = scripted_target.ScriptedTarget(self._portal)
+        self.instances = []
+
+    def _portal(self, sock, request):
+        seal = {'X-Cactusmux-Response-Seal': 'seal'}
+        sock.sendall(scripted_target.answer(b'bought', 200, seal))
+        return True
+
+    def configure(self):
+        self.store.put('op/config', CONFIG)
+        self.store.put(
+            'servers/i-portal',
+            {
+                'service_name': 'portal',
+                'address': self.portal.address,
+                'availability_zone': 'a',
+                'concurrency_slots': 6,
+                'state': 'ready',
+            },
+        )
+        self.store.put('servers/i-torn', 'no server')
+        for index, engine in enumerate(self.engines):
+            self.store.put(f'servers/i-{index}', engine.entry('drafters'))
+
+    def start(self, name):
+        store = kv_store.KvStore(self.store.address)
+        settings = relay_instance.RelaySettings(
+            name=name,
+            zone='a',
+            region='r',
+            entry_address=f'{LOOPBACK}:{_free_port()}',
+            exchange_address=f'{LOOPBACK}:{_free_port()}',
+            state_prefix=documents.PREFIX,
+            target_prefix=entries.PREFIX,
+            repeat_ratio=0.2,
+            repeat_allowance=200.0,
+            repeat_window_s=10.0,
+            callers_come_s=0.1,
+            stop_within_s=5.0,
+        )
+        given = relay_instance.Translations(
+            store=store,
+            reader=store,
+            spelling=headers.HeaderDialect(),
+            decode_state=documents.decode_state,
+            decode_target=entries.decode_target,
+            orders=engines.EngineOrders(),
+        )
+        instance = relay_instance.RelayInstance(
+            settings,
+            given,
+            timers.GeventTimers(),
+            metrics.MemoryMetrics(),
+            random.Random(1),
+        )
+        instance.start()
+        self.instances.append((instance, settings))
+        return instance, settings
+
+
+@pytest.fixture(name='world')
+def _world():
+    world = _World()
+    yield world
+    for instance, _ in world.instances:
+        instance._entry.stop()
+    world.store.stop()
+
+
+def _free_port():
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return sock.getsockname()[1]
+
+
+def _until(condition):
+    with gevent.Timeout(WAIT_S):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def _ask(settings, path, key='k1', request_id='9c41'):
+    host, _, port = settings.entry_address.rpartition(':')
+    sock = socket.create_connection((host, int(port)), timeout=10.0)
+    lines = [
+        f'POST {path} HTTP/1.1',
+        'Host: h.example',
+        f'X-Cactusmux-Request-Id: {request_id}',
+        f'Authorization: Bearer {key}',
+        'X-Cactusmux-Token-Counts: 774,210',
+        'X-Cactusmux-Deadline-Milliseconds: 3000',
+        'Connection: close',
+        'Content-Length: 2',
+    ]
+    sock.sendall('\r\n'.join([*lines, '', 'hi']).encode())
+    received = b''
+    while data := sock.recv(65536):
+        received += data
+    sock.close()
+    return received
+
+
+def _is_denied(settings):
+    return b' 401 ' in _ask(settings, '/plain/x')[:20]
+
+
+def _layers_are_there(world):
+    return lambda: sum(each.layers['target'] for each in world.engines) > 0
+
+
+def test_from_an_empty_store_to_a_served_stream(world):
+    world.configure()
+    instance, settings = world.start('front-a-1')
+    _until(lambda: instance.is_ready)
+    _until(_layers_are_there(world))
+    _until(lambda: b'200 ' in _ask(settings, '/drafts/x')[:20])
+    received = _ask(settings, '/drafts/x')
+    for number in range(1, 7):
+        assert scripted_target.event(number) in received
+    stream = next(each.streams[-1] for each in world.engines if each.streams)
+    passed = stream.value_by_header
+    assert passed['x-cactusmux-tenant'] == 'hule930'
+    assert 'authorization' not in passed
+    assert passed['x-cactusmux-hop-count'].endswith('-8')
+    assert stream.body == b'hi'
+
+
+def test_unsafe_request_denied_and_served(world):
+    world.configure()
+    instance, settings = world.start('front-a-1')
+    _until(lambda: instance.is_ready and instance._book.ready('portal'))
+    served = _ask(settings, '/plain/x')
+    assert served.startswith(b'HTTP/1.1 200')
+    assert served.endswith(b'bought')
+    assert _ask(settings, '/plain/x', 'other').startswith(b'HTTP/1.1 401')
+    assert _ask(settings, '/none/x').startswith(b'HTTP/1.1 404')
+    assert len(world.portal.received) == 1
+
+
+def test_second_instance_learns_from_the_first_when_the_store_is_away(world):
+    world.configure()
+    first, _ = world.start('front-a-1')
+    second, _ = world.start('front-a-2')
+    _until(lambda: first.is_ready and second.is_ready)
+    _until(lambda: len(second.directory.addresses('a')) == 2)
+    # The second one hears of a version that its own watch doesn't bring.
+    prefix = documents.PREFIX
+    mirror = second._mirror_by_prefix[prefix]
+    mirror._watch = lambda: gevent.sleep(WAIT_S) or True
+    world.store.put('op/config', {**CONFIG, 'version': 9})
+    _until(lambda: second.in_force.state.version == 9)
+
+
+def test_revoked_key_is_refused_by_all_instances(world):
+    world.configure()
+    pair = [world.start('front-a-1'), world.start('front-a-2')]
+    _until(lambda: all(instance.is_ready for instance, _ in pair))
+    without = {**CONFIG, 'version': 4, 'tenants': []}
+    world.store.put('op/config', without)
+    for _, settings in pair:
+        _until(functools.partial(_is_denied, settings))
+
+
+def test_stopping_instance_leaves_the_directory(world):
+    world.configure()
+    first, _ = world.start('front-a-1')
+    second, settings = world.start('front-a-2')
+    _until(lambda: len(first.directory.addresses('a')) == 2)
+    gevent.spawn(second.stop)
+    left = [first._settings.entry_address]
+    _until(lambda: first.directory.addresses('a') == left)
+    assert not second.is_ready
