--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -24,7 +24,7 @@
 # A crossing on an idle pipe, and behind a prompt's part in a busy one.
 CROSSING_MS = 1.5
 CROSSING_WAIT_MS = 12.0
-PIPE_LIMIT = 0.7
+PIPE_LIMIT = 0.5
 
 
 class Demand(NamedTuple):
