--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -26,6 +26,7 @@
 # Sends after which a request that no target ran is refused.
 MAX_REJECTIONS = 3
 RETRY_AFTER_S = 0.5
+MS_PER_S = 1000.0
 FIRST_SERVER_ERROR = 500
 # Failures that may pass elsewhere; the rest is the caller's own.
 FAILED_STATUSES = range(500, 600)
@@ -126,6 +127,14 @@
     ) -> outcomes.SendOutcome:
         left_s = exchange.ends_at - self._timer.now()
         wait_s = left_s / 2 if may_go_on else left_s
+        events.info(
+            'target_chosen',
+            id=exchange.facts.request_id,
+            route=exchange.route.name,
+            target=target.id,
+            busy=self._ledger.all_requests(target.id),
+            wait_ms=round(wait_s * MS_PER_S),
+        )
         self._ledger.add((target.id,), 0.0)
         self._health.note_started(target.address)
         outcome: outcomes.SendOutcome = outcomes.MaybeRun(
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -204,6 +204,13 @@
         answer = self._plain.serve(exchange)
         age_s = self._timer.now() - exchange.request.received_at
         self._metric.timing(f'relay.plain.{exchange.route.kind}', age_s)
+        events.info(
+            'plain_served',
+            id=exchange.facts.request_id,
+            route=exchange.route.name,
+            status=answer.head.status,
+            after_s=round(age_s, 3),
+        )
         self._answer(exchange, answer)
 
     def _time_out(
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -204,6 +204,7 @@
             path, expected_pause_ms, relay._timer.now()
         )
         self._sends += 1
+        self._log_path(path, expected_pause_ms)
         relay._ledger.add(ids, tokens)
         relay._ledger.note_crossings(path, tokens)
         relay._live.add(live)
@@ -324,6 +325,23 @@
         retry_after_s = None if has_run else RETRY_AFTER_S
         raise context.Refused(refusal, has_run, retry_after_s)
 
+    def _log_path(
+        self, path: cost_model.Path, expected_pause_ms: float
+    ) -> None:
+        exchange = self._exchange
+        left_s = exchange.ends_at - self._relay._timer.now()
+        events.info(
+            'path_chosen',
+            id=exchange.facts.request_id,
+            route=exchange.route.name,
+            path=','.join(stage.target.id for stage in path),
+            tokens=int(self._demand.tokens),
+            expected_pause_ms=int(expected_pause_ms),
+            send=self._sends,
+            after_event=self._last_id,
+            left_ms=_ms(left_s),
+        )
+
     def _log_served(self, live: live_streams.LiveStream) -> None:
         now = self._relay._timer.now()
         received_at = self._exchange.request.received_at
--- a/packages/cactusmux/src/cactusmux/commands.py
+++ b/packages/cactusmux/src/cactusmux/commands.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns import result
 
+from . import log_story
 from . import operator_client
 from . import serving
 from . import settings
@@ -96,9 +97,19 @@
         _print_answer(instance, 'GET', '/state')
 
     def explain(
-        self, request_id: str, instance: str = DEFAULT_INSTANCE
+        self,
+        request_id: str,
+        instance: str = DEFAULT_INSTANCE,
+        log: str = '',
     ) -> None:
-        """Prints what an instance decided for one of its requests."""
+        """Prints what an instance decided for one of its requests.
+
+        With LOG, a file of lines that instances logged, the story is told
+        from there.
+        """
+        if log:
+            _tell_from_log(str(request_id), log)
+            return
         _print_answer(instance, 'GET', f'/explain/{_quote(request_id)}')
 
     def version(self) -> None:
@@ -106,6 +117,14 @@
         print(f'cactusmux {metadata.version("cactusmux")}')
 
 
+def _tell_from_log(request_id: str, file: str) -> None:
+    text = _read(file).decode('utf-8', 'replace')
+    story = log_story.tell(request_id, log_story.parse(text.splitlines()))
+    if not story:
+        raise CommandFailed(f'{file}: no line of request {request_id!r}')
+    print('\n'.join(story))
+
+
 def _load_settings(file: str) -> settings.Settings:
     text = _read(file)
     return _checked(settings_check.check_settings(text), file)
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/log_story.py
@@ -0,0 +1,163 @@
+"""Tells from logs what happened to one request, and what was believed then."""
+
+from collections.abc import Iterable
+import datetime
+import re
+from typing import NamedTuple
+
+# Lines about the request's targets and the store are shown from so long
+# before its first line until so long after its last one.
+BEFORE_S = 5.0
+AFTER_S = 1.0
+MAX_AROUND = 40
+
+_LINE = re.compile(
+    r'(?P<level>[IWEF])(?P<day>\d{4}) (?P<time>\d\d:\d\d:\d\d\.\d+)'
+    r'.*? (?P<fields>event=.*)'
+)
+_FIELD = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)')
+_DAY_S = 86400.0
+
+# Events that change what an instance believes, whatever request is served.
+_STATE_EVENTS = frozenset(
+    (
+        'configuration_in_force',
+        'copy_taken',
+        'lease_gained',
+        'lease_lost',
+        'placement_changed',
+        'stop_begun',
+        'store_lost',
+        'store_regained',
+        'watch_missed_change',
+    )
+)
+
+_CAUSE_BY_REASON = {
+    'no_configuration': 'the instance knew no desired state yet',
+    'stopping': 'the instance was being stopped and took no new work',
+    'malformed': 'a header of the request could not be understood',
+    'no_route': 'no route of the version in force fits its host and path',
+    'unknown_key': 'its key belongs to no organisation in that version',
+    'no_target': 'no target of the service could take it',
+    'no_room': 'no path had room, or all would have been too slow',
+    'rejected': 'the targets asked said that they did not run it',
+    'target_failed': 'the target failed and no further attempt was allowed',
+    'timed_out': "the caller's or the route's time was over",
+    'repeats_spent': 'the budget of repeats was spent',
+}
+
+
+class LogLine(NamedTuple):
+    """A line of an instance's log; ``at_s`` is seconds of its day."""
+
+    at_s: float
+    event: str
+    value_by_key: dict[str, str]
+
+
+def parse(lines: Iterable[str]) -> list[LogLine]:
+    """Returns the event lines; others are left out."""
+    found = []
+    for line in lines:
+        match = _LINE.search(line)
+        if match is None:
+            continue
+        values = {
+            key: value.strip('"')
+            for key, value in _FIELD.findall(match['fields'])
+        }
+        at = datetime.time.fromisoformat(match['time'])
+        at_s = (
+            at.hour * 3600 + at.minute * 60 + at.second + at.microsecond / 1e6
+        )
+        found.append(LogLine(at_s, values.pop('event', ''), values))
+    return found
+
+
+def tell(request_id: str, lines: list[LogLine]) -> list[str]:
+    """Returns the story of a request, a line a step; empty if unknown."""
+    own = [each for each in lines if each.value_by_key.get('id') == request_id]
+    if not own:
+        return []
+    start = own[0].at_s
+    story = [f'request {request_id}']
+    story.extend(_format(each, start) for each in own)
+    around = _around(own, lines)
+    if around:
+        story.append('what changed meanwhile')
+        story.extend(_format(each, start) for each in around[:MAX_AROUND])
+    story.append(f'cause: {_cause(own)}')
+    return story
+
+
+def _around(own: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
+    """Returns lines on the request's targets and on the instance's state."""
+    names: set[str] = set()
+    for line in own:
+        for key in ('path', 'target', 'at_fault'):
+            names.update(line.value_by_key.get(key, '').split(','))
+    names.discard('')
+    found = []
+    seen = set()
+    for line in lines:
+        since_s = _difference(line.at_s, own[0].at_s)
+        until_s = _difference(line.at_s, own[-1].at_s)
+        if since_s < -BEFORE_S or until_s > AFTER_S:
+            continue
+        if 'id' in line.value_by_key:
+            continue
+        of_target = line.value_by_key.get('target') in names
+        if not of_target and line.event not in _STATE_EVENTS:
+            continue
+        told = (line.event, tuple(sorted(line.value_by_key.items())))
+        if told not in seen:
+            seen.add(told)
+            found.append(line)
+    return sorted(found, key=lambda each: each.at_s)
+
+
+def _cause(own: list[LogLine]) -> str:
+    last = own[-1]
+    reason = last.value_by_key.get('reason', '')
+    if last.event == 'request_refused':
+        cause = _CAUSE_BY_REASON.get(reason, reason)
+        broken = [each for each in own if each.event == 'stream_broken']
+        if broken:
+            detail = broken[-1].value_by_key.get('detail', '')
+            cause = f'{cause}; its stream broke: {detail}'
+        return cause
+    if last.event == 'stream_served':
+        values = last.value_by_key
+        return (
+            f'served after {values.get("sends")} sends: first event after '
+            f'{values.get("first_ms")} ms, longest pause '
+            f'{values.get("longest_pause_ms")} ms'
+        )
+    if last.event == 'caller_gone':
+        return 'the caller closed its connection'
+    if last.event == 'plain_served':
+        return f'answered with status {last.value_by_key.get("status")}'
+    return (
+        f'the log ends with {last.event}: the instance stopped or was killed'
+    )
+
+
+def _format(line: LogLine, start: float) -> str:
+    fields = ' '.join(
+        f'{key}={value}'
+        for key, value in line.value_by_key.items()
+        if key != 'id'
+    )
+    offset_s = _difference(line.at_s, start)
+    return f'  {offset_s:+8.3f} s  {line.event} {fields}'
+
+
+def _difference(at_s: float, other_s: float) -> float:
+    """Returns seconds between two times of day, also across midnight."""
+    difference = at_s - other_s
+    if difference > _DAY_S / 2:
+        return difference - _DAY_S
+    if difference < -_DAY_S / 2:
+        return difference + _DAY_S
+    return difference
