--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -98,7 +98,9 @@
         self.ledger = ledger
         connections = target_calls.TargetConnections(timer)
         sender = sending.Sender(connections, spelling, timer)
-        live = live_streams.LiveStreams(timer, self.down, self.down.probe)
+        live = live_streams.LiveStreams(
+            timer, self.down, self.down.probe, lambda target: None
+        )
         live.start()
         core = request_core.RequestCore(
             self.in_force,
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -16,8 +16,11 @@
 from . import targets
 
 CHECK_PERIOD_S = 0.03
-# A stream is silent after this many of its usual pauses.
-SILENT_PAUSES = 2.5
+# A stream is silent after this many of its usual pauses: early enough for
+# its next event to come from another path within the longest pause allowed.
+SILENT_PAUSES = 1.6
+# A target that holds up a stream for so long may be slow rather than down.
+SLOW_SILENCE_S = 0.25
 MIN_SILENCE_S = 0.08
 # Before its first event a request may wait for others' prompts.
 FIRST_EVENT_SILENCE_S = 0.2
@@ -38,7 +41,6 @@
         self.last_at = now
         self.first_at = now
         self.pause_s = 0.0
-        self.longest_pause_s = 0.0
         self.events = 0
         self.has_started = False
 
@@ -47,7 +49,6 @@
         if self.has_started:
             pause_s = now - self.last_at
             self.pause_s += PAUSE_SMOOTHING * (pause_s - self.pause_s)
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
         else:
             self.first_at = now
         self.has_started = True
@@ -74,16 +75,19 @@
         self,
         timer: timers.TimerService,
         down: down_targets.DownTargets,
-        suspect: Callable[[targets.Target], None],
+        suspect_down: Callable[[targets.Target], None],
+        suspect_slow: Callable[[targets.Target], None],
     ) -> None:
         """Prepares the watch.
 
-        :param suspect: starts finding out whether a target is down or slow;
+        :param suspect_down: starts finding out whether a target is down;
             must not block, and may be called often.
+        :param suspect_slow: likewise whether it is slow.
         """
         self._timer = timer
         self._down = down
-        self._suspect = suspect
+        self._suspect_down = suspect_down
+        self._suspect_slow = suspect_slow
         self._streams: set[LiveStream] = set()
         down.subscribe(self._interrupt)
 
@@ -115,8 +119,11 @@
         for stream in silent:
             for stage in stream.path:
                 heard_at = last_at_by_target.get(stage.target.id, 0.0)
-                if now - heard_at > MIN_SILENCE_S:
-                    self._suspect(stage.target)
+                if now - heard_at <= MIN_SILENCE_S:
+                    continue
+                self._suspect_down(stage.target)
+                if now - stream.last_at > SLOW_SILENCE_S:
+                    self._suspect_slow(stage.target)
 
     def _interrupt(self, target_id: str) -> None:
         for stream in list(self._streams):
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -113,7 +113,9 @@
             settings.repeat_window_s,
         )
         self._paces = pace_book.PaceBook(given.orders, timer)
-        self._live = live_streams.LiveStreams(timer, self._down, self._suspect)
+        self._live = live_streams.LiveStreams(
+            timer, self._down, self._down.probe, self._paces.ask
+        )
         core = self._make_core(metric, rng)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -286,10 +288,6 @@
         """Lets the other instances probe a target at once."""
         gevent.spawn(self._exchange.send)
 
-    def _suspect(self, target: targets.Target) -> None:
-        self._down.probe(target)
-        self._paces.ask(target)
-
     def _take_state(self) -> None:
         prefix = self._settings.state_prefix
         for entry in self._mirror_by_prefix[prefix].entry_by_key.values():
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -182,6 +182,11 @@
                 raise
             self._time_out(exchange, progress)
         except context.Answered as answered:
+            events.info(
+                'failure_passed_on',
+                id=exchange.facts.request_id,
+                status=answered.answer.head.status,
+            )
             self._answer(exchange, answered.answer)
         except context.BrokenOff as broken:
             self._log_refusal(exchange.facts, broken.refusal, True, 0)
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
@@ -165,6 +165,9 @@
         self._sends = 0
         self._last_id: int | None = None
         self._has_begun = False
+        self._first_at = 0.0
+        self._passed_at = 0.0
+        self._longest_pause_s = 0.0
 
     def serve(self) -> None:
         while True:
@@ -275,10 +278,21 @@
                 continue
             self._begin(head)
             self._exchange.answerer.send(event.data)
+            self._note_passed()
         self._begin(head)
         self._exchange.answerer.finish()
         self._log_served(live)
 
+    def _note_passed(self) -> None:
+        """Notes that the caller has got an event, on whichever path."""
+        now = self._relay._timer.now()
+        if not self._first_at:
+            self._first_at = now
+        else:
+            pause_s = now - self._passed_at
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._passed_at = now
+
     def _events(
         self, call: target_calls.TargetCall
     ) -> Iterator[event_stream.Event]:
@@ -346,19 +360,20 @@
         now = self._relay._timer.now()
         received_at = self._exchange.request.received_at
         metric = self._relay._metric
-        metric.timing('relay.stream.first', live.first_at - received_at)
+        first_s = max(0.0, self._first_at - received_at)
+        metric.timing('relay.stream.first', first_s)
         metric.timing('relay.stream.total', now - received_at)
-        metric.timing('relay.stream.longest_pause', live.longest_pause_s)
+        metric.timing('relay.stream.longest_pause', self._longest_pause_s)
         events.info(
             'stream_served',
             id=self._exchange.facts.request_id,
             path=','.join(live.target_ids),
             tokens=int(self._demand.tokens),
-            first_ms=_ms(live.first_at - received_at),
+            first_ms=_ms(first_s),
             total_ms=_ms(now - received_at),
             expected_pause_ms=int(live.expected_pause_ms),
             mean_pause_ms=_ms(live.mean_pause_s),
-            longest_pause_ms=_ms(live.longest_pause_s),
+            longest_pause_ms=_ms(self._longest_pause_s),
             sends=self._sends,
         )
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -202,7 +202,8 @@
         except h11.RemoteProtocolError as error:
             raise AnswerBroken(self._address, str(error)) from error
         except OSError as error:
-            raise AnswerBroken(self._address, 'reset') from error
+            detail = 'cut by us' if self._is_cut else 'reset'
+            raise AnswerBroken(self._address, detail) from error
 
     def _note_keep_alive(self, head: AnswerHead) -> None:
         announced = head.header(b'keep-alive') or ''
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -28,7 +28,10 @@
         self.down = down_targets.DownTargets(self.timer)
         self.suspected = []
         self.live = live_streams.LiveStreams(
-            self.timer, self.down, lambda each: self.suspected.append(each.id)
+            self.timer,
+            self.down,
+            lambda each: self.suspected.append(each.id),
+            lambda each: None,
         )
 
     def add(self, *ids):
--- a/packages/cactusmux/src/cactusmux/log_story.py
+++ b/packages/cactusmux/src/cactusmux/log_story.py
@@ -134,6 +134,9 @@
             f'{values.get("first_ms")} ms, longest pause '
             f'{values.get("longest_pause_ms")} ms'
         )
+    if last.event == 'failure_passed_on':
+        status = last.value_by_key.get('status')
+        return f'the last target asked answered with status {status} itself'
     if last.event == 'caller_gone':
         return 'the caller closed its connection'
     if last.event == 'plain_served':
