--- a/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
@@ -10,7 +10,7 @@
 from cactusmux_base import timers
 
 # Kept free for instances that restart and forget what they have spent.
-SAFETY = 0.7
+SAFETY = 0.85
 
 
 class RepeatBudget:
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -27,6 +27,9 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_GATEWAY_TIMEOUT = 504
 NO_CONFIGURATION_RETRY_S = 0.5
+# A new instance waits so long for the desired state before it refuses.
+STATE_WAIT_S = 0.3
+STATE_POLL_S = 0.01
 # Another instance takes the request at once.
 STOPPING_RETRY_S = 0.05
 
@@ -121,7 +124,7 @@
             raise context.Refused(
                 outcomes.Refusal.STOPPING, False, STOPPING_RETRY_S
             )
-        state = self._in_force.state
+        state = self._await_state()
         if state is None:
             raise context.Refused(
                 outcomes.Refusal.NO_CONFIGURATION,
@@ -152,6 +155,13 @@
             ends_at=request.received_at + wait_s,
         )
 
+    def _await_state(self) -> desired.DesiredState | None:
+        """Returns the state in force; just after a start it is on its way."""
+        until = self._timer.now() + STATE_WAIT_S
+        while self._in_force.state is None and self._timer.now() < until:
+            self._timer.sleep(STATE_POLL_S)
+        return self._in_force.state
+
     def _pick_service(
         self, state: desired.DesiredState, route: desired.Route
     ) -> desired.Service:
--- a/packages/cactusmux-relay/tests/test_plain_relay.py
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -166,3 +166,12 @@
     raw = relay_rig.request('/safe/', content_length=str(len(body)))
     assert _status(rig.ask(raw + body)) == 200
     assert target.received[0].body == body
+
+
+def test_request_just_after_a_start_waits_for_the_desired_state(rig):
+    target = _target(_ok())
+    rig.use_plain(target.address)
+    state = rig.in_force.state
+    rig.in_force.state = None
+    gevent.spawn_later(0.05, setattr, rig.in_force, 'state', state)
+    assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
