--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -155,3 +155,12 @@
     received = server.ask(HEAD + b'Content-Length: 0\r\n\r\n')
     assert b'connection: close' in received.lower()
     assert _statuses(received) == [200]
+
+
+def test_length_beside_valid_chunks_is_refused(server):
+    """A reader that goes by the length would see another request."""
+    smuggled = b'GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n'
+    both = b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n'
+    received = server.ask(HEAD + both + b'0\r\n\r\n' + smuggled)
+    assert _statuses(received) == [400]
+    assert server.requests == []
--- a/packages/cactusmux-relay/tests/test_stream_relay.py
+++ b/packages/cactusmux-relay/tests/test_stream_relay.py
@@ -204,3 +204,14 @@
             break
         gevent.sleep(0.005)
     assert closed == [b'']
+
+
+def test_stream_that_ends_within_an_event_is_resumed_not_completed(rig):
+    """The framing is complete, the last event is not."""
+    torn = _chunks(EVENTS[:3]) + scripted_target.chunk(b'id: 4\nda') + END
+    first = _target(HEAD + torn)
+    second = _target(HEAD + _chunks(EVENTS[3:]) + END)
+    rig.use_engines(first.address, second.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
