Shorten the lease of placement to 2 s; sharpen three tests

Breaks of the code that survived: the stored placement was not used, a target took part in a path twice, the repeat budget never ended (its test hung).

--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -34,7 +34,7 @@
 # An order is not repeated before its effect can be seen.
 ORDER_PATIENCE_S = 1.5
 REPORT_PERIOD_S = 0.25
-ORDER_DELIVERY_S = 1.0
+ORDER_DELIVERY_S = 0.8
 # Most of them wait for requests that pass through; loads share their rate.
 MAX_ORDERS_AT_ONCE = 24
 # How often the targets are asked for their pace.
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -41,7 +41,7 @@
 
 LEASE_NAME = 'placement'
 LEASE_SETTINGS = lease_types.LeaseSettings(
-    ttl_s=3.0, margin_s=0.5, period_s=0.8, delivery_s=1.0
+    ttl_s=2.0, margin_s=0.4, period_s=0.5, delivery_s=0.8
 )
 STOP_POLL_S = 0.05
 # After the begin of a planned stop new requests are taken for so long.
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -18,6 +18,7 @@
 from cactusmux_relay import target_roster
 from cactusmux_relay import targets
 import gevent
+import msgspec
 import pytest
 from returns import result
 
@@ -146,6 +147,20 @@
     assert len(keeping.engines.orders) == orders
 
 
+def test_stored_placement_is_kept_also_where_another_would_be_better(keeping):
+    large = [each for each in sample_engine.pool() if each.card == 'a100']
+    rows = [
+        (target.id, first, first + 20)
+        for target, first in zip(large, range(0, 80, 20), strict=True)
+    ]
+    stored = placement_keeper.StoredPlacement([rows])
+    key = placement_keeper.PREFIX + sample_engine.SERVICE
+    keeping.store.compare_and_swap(key, msgspec.json.encode(stored), 0)
+    keeping.settle()
+    ordered = {target_id for target_id, _, _ in keeping.engines.orders}
+    assert ordered == {target.id for target in large}
+
+
 def test_target_that_started_anew_is_ordered_again_or_replaced(keeping):
     keeping.settle()
     lost = keeping.engines.orders[0][0]
@@ -186,16 +201,14 @@
         budget.set_instances(8)
         for _ in range(50):
             budget.note_request('s')
-        while budget.take('s'):
-            repeats += 1
+        repeats += sum(budget.take('s') for _ in range(1000))
     assert 0.5 * (0.2 * 400 + 200) < repeats <= 0.2 * 400 + 200
 
 
 def test_repeat_budget_comes_back_with_the_window():
     timer = timers.ManualTimers()
     budget = repeat_budget.RepeatBudget(timer, 0.0, 10.0, 10.0)
-    while budget.take('s'):
-        pass
+    assert sum(budget.take('s') for _ in range(1000)) < 1000
     timer.advance(10.1)
     assert budget.take('s')
 
--- a/packages/cactusmux-relay/tests/test_segments.py
+++ b/packages/cactusmux-relay/tests/test_segments.py
@@ -64,10 +64,11 @@
         whole = segment.layers.size == segment.target.layers.size
         if segment.target.id == 'x':
             return None if whole else 0.1
-        return 1.0
+        return 1.0 if segment.target.id == 'z' else 0.1
 
     path = _cheapest(members, price)
     _assert_runs_every_layer_once(path)
+    assert [stage.target.id for stage in path] == ['x', 'z']
 
 
 def test_crossing_is_paid_for():
