--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -91,7 +91,7 @@
         self.in_force.replace(desired_state())
         self.book = target_book.TargetBook()
         self.down = down_targets.DownTargets(timer)
-        self.takes_work = True
+        self.most_work_s = float('inf')
         spelling = plain_dialect.PlainDialect()
         budget = repeat_budget.RepeatBudget(timer, 1.0, 100.0, 10.0)
         ledger = load_ledger.LoadLedger(timer)
@@ -132,7 +132,7 @@
             timer,
             self.metric,
             rng,
-            lambda: self.takes_work,
+            lambda longest_s: longest_s < self.most_work_s,
         )
         self.server = http_server.HttpServer(
             '127.0.0.1:0', core.handle, timer, lambda: self.in_force.limits
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -44,8 +44,8 @@
     ttl_s=2.0, margin_s=0.4, period_s=0.5, delivery_s=0.8
 )
 STOP_POLL_S = 0.05
-# After the begin of a planned stop new requests are taken for so long.
-LATEST_WORK_S = 2.5
+# After the begin of a planned stop long requests are taken for so long.
+LATEST_LONG_WORK_S = 2.8
 
 
 class RelaySettings(NamedTuple):
@@ -98,7 +98,7 @@
         self._given = given
         self._timer = timer
         self.is_stopping = False
-        self.refuses_work = False
+        self._stop_begun_at = 0.0
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
         self._ledger = load_ledger.LoadLedger(timer)
@@ -221,7 +221,7 @@
             timer,
             metric,
             rng,
-            lambda: not self.refuses_work,
+            self._takes_work,
         )
 
     def _make_mirrors(self) -> dict[str, store_mirror.StoreMirror]:
@@ -266,6 +266,7 @@
     def stop(self) -> None:
         """Ends without cutting a request; returns when all are answered."""
         started_at = self._timer.now()
+        self._stop_begun_at = started_at
         self.is_stopping = True
         events.info('stop_begun', busy=self._entry.busy_count)
         self._registration.stop()
@@ -275,8 +276,6 @@
         end_s = self._settings.stop_within_s
         while True:
             age_s = self._timer.now() - started_at
-            # A request begun later might not be done in time.
-            self.refuses_work = age_s >= LATEST_WORK_S
             callers_gone = age_s >= self._settings.callers_come_s
             if age_s >= end_s or (callers_gone and not self._entry.busy_count):
                 break
@@ -288,6 +287,15 @@
         """Lets the other instances probe a target at once."""
         gevent.spawn(self._exchange.send)
 
+    def _takes_work(self, longest_s: float) -> bool:
+        """Whether a request of that length ends before a planned stop."""
+        if not self.is_stopping:
+            return True
+        age_s = self._timer.now() - self._stop_begun_at
+        if age_s < LATEST_LONG_WORK_S:
+            return True
+        return age_s + longest_s < self._settings.stop_within_s
+
     def _take_state(self) -> None:
         prefix = self._settings.state_prefix
         for entry in self._mirror_by_prefix[prefix].entry_by_key.values():
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -76,11 +76,12 @@
         timer: timers.TimerService,
         metric: metrics.Metrics,
         rng: random.Random,
-        takes_work: Callable[[], bool],
+        takes_work: Callable[[float], bool],
     ) -> None:
         """Prepares the core.
 
-        :param takes_work: whether a new request may still be begun.
+        :param takes_work: whether a new request that may last so many
+            seconds may still be begun.
         """
         self._takes_work = takes_work
         self._in_force = in_force
@@ -120,10 +121,6 @@
         facts: dialect.RequestFacts,
         answerer: http_server.Answerer,
     ) -> context.Exchange:
-        if not self._takes_work():
-            raise context.Refused(
-                outcomes.Refusal.STOPPING, False, STOPPING_RETRY_S
-            )
         state = self._await_state()
         if state is None:
             raise context.Refused(
@@ -140,10 +137,14 @@
         needs_key = state.needs_keys and not route.is_open
         if needs_key and organisation is None:
             raise context.Refused(outcomes.Refusal.UNKNOWN_KEY, False)
-        service = self._pick_service(state, route)
         wait_s = route.timeout_s
         if facts.wait_s is not None:
             wait_s = min(wait_s, facts.wait_s)
+        if not self._takes_work(wait_s):
+            raise context.Refused(
+                outcomes.Refusal.STOPPING, False, STOPPING_RETRY_S
+            )
+        service = self._pick_service(state, route)
         self._budget.note_request(service.name)
         return context.Exchange(
             request=request,
--- a/packages/cactusmux-relay/tests/test_plain_relay.py
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -147,11 +147,12 @@
 def test_stopping_instance_refuses_new_work_as_not_run(rig):
     target = _target(_ok())
     rig.use_plain(target.address)
-    rig.takes_work = False
+    rig.most_work_s = 1.0
     received = rig.ask(relay_rig.request('/unsafe/'))
     assert _status(received) == 503
     assert b'retry-after' in received.lower()
     assert target.received == []
+    assert _status(rig.ask(relay_rig.request('/brief/'))) == 200
 
 
 def test_without_a_desired_state_requests_are_refused_not_denied(rig):
