--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -10,11 +10,12 @@
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
+from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import request_core
 from cactusmux_relay import sending
-from cactusmux_relay import stream_relay
+from cactusmux_relay import stream_run
 from cactusmux_relay import target_book
 from cactusmux_relay import target_calls
 from cactusmux_relay import targets
@@ -116,17 +117,23 @@
                 rng,
                 'a',
             ),
-            stream_relay.StreamRelay(
-                self.book,
-                ledger,
-                sender,
-                spelling,
-                budget,
-                self.down,
-                live,
-                pace_book.PaceBook(silent_orders.SilentOrders(), timer),
-                timer,
-                self.metric,
+            stream_run.StreamParts(
+                finder=path_finder.PathFinder(
+                    self.book,
+                    ledger,
+                    self.down,
+                    pace_book.PaceBook(silent_orders.SilentOrders(), timer),
+                    timer,
+                    self.metric,
+                ),
+                ledger=ledger,
+                sender=sender,
+                spelling=spelling,
+                budget=budget,
+                down=self.down,
+                live=live,
+                timer=timer,
+                metric=self.metric,
             ),
             budget,
             timer,
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chain_pool.py
@@ -0,0 +1,82 @@
+"""The targets of one model's service, and what chains of them serve."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from . import chains
+from . import cost_model
+from . import desired
+from . import placing
+from . import targets
+
+
+class Pool(NamedTuple):
+    """Targets of one model's service.
+
+    :ivar usable: may get new work and aren't down.
+    :ivar returning: ids of targets that are down but may come back.
+    :ivar pace_by_target: of slow targets, 2 is twice as slow.
+    """
+
+    engine: desired.Engine
+    usable: dict[str, targets.Target]
+    returning: frozenset[str]
+    pace_by_target: Mapping[str, float]
+
+
+def pool_of(
+    engine: desired.Engine,
+    members: Iterable[targets.Target],
+    down: frozenset[str],
+    pace_by_target: Mapping[str, float],
+) -> Pool:
+    """Returns the pool of targets that aren't leaving."""
+    known = [each for each in members if each.card in engine.card_by_name]
+    usable = {each.id: each for each in known if each.id not in down}
+    returning = frozenset(each.id for each in known if each.id in down)
+    return Pool(engine, usable, returning, pace_by_target)
+
+
+def chain_rate(pool: Pool, chain: placing.Chain) -> float:
+    """Returns what a chain serves a second, 0 for a broken one."""
+    stages = []
+    for placed in chain:
+        target = pool.usable.get(placed.target_id)
+        if target is None:
+            return 0.0
+        stages.append(cost_model.Stage(target, placed.layers))
+    return chains.path_rate(pool.engine, tuple(stages), pool.pace_by_target)
+
+
+def own_targets(pool: Pool, chain: placing.Chain) -> list[targets.Target]:
+    """Returns the usable targets of a chain, in its order."""
+    return [
+        pool.usable[each.target_id]
+        for each in chain
+        if each.target_id in pool.usable
+    ]
+
+
+def most_layers(pool: Pool, target: targets.Target, room: float) -> int:
+    """Returns how many layers a target holds beside ``room`` tokens."""
+    card = pool.engine.card_by_name[target.card]
+    return cost_model.most_layers(pool.engine, card, room)
+
+
+def least_room(pool: Pool, chain: placing.Chain) -> float:
+    """Returns the tokens that fit at the chain's fullest usable target."""
+    rooms = []
+    for placed in chain:
+        target = pool.usable.get(placed.target_id)
+        if target is not None:
+            card = pool.engine.card_by_name[target.card]
+            rooms.append(
+                cost_model.room_tokens(pool.engine, card, placed.layers.size)
+            )
+    return min(rooms, default=0.0)
+
+
+def main_zone(members: list[targets.Target]) -> str:
+    """Returns the zone of most members, empty without members."""
+    zones = [each.zone for each in members]
+    return max(sorted(set(zones)), key=zones.count, default='')
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -0,0 +1,111 @@
+"""Finds a path for a request, and learns from targets that reject one."""
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+
+from . import context
+from . import down_targets
+from . import load_ledger
+from . import outcomes
+from . import pace_book
+from . import path_choice
+from . import target_book
+
+ROOM_POLL_S = 0.01
+# A target that was short of memory is left out for so long.
+FULL_S = 0.3
+
+
+class PathFinder:
+    """Chooses paths by what is known of targets and loads."""
+
+    def __init__(
+        self,
+        book: target_book.TargetBook,
+        ledger: load_ledger.LoadLedger,
+        down: down_targets.DownTargets,
+        paces: pace_book.PaceBook,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+    ) -> None:
+        self._book = book
+        self._ledger = ledger
+        self._down = down
+        self._paces = paces
+        self._timer = timer
+        self._metric = metric
+        self._full_until_by_id: dict[str, float] = {}
+
+    def choose(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        avoided: set[str],
+        wait_s: float,
+    ) -> path_choice.Choice:
+        """Returns a path with room, waiting up to ``wait_s`` for one."""
+        until = min(self._timer.now() + wait_s, exchange.ends_at)
+        choice = path_choice.Choice(None, 0.0, 0, 0.0)
+        while True:
+            graph = self._book.graph(exchange.service.name)
+            engine = exchange.service.engine
+            if graph is not None and engine is not None:
+                choice = path_choice.choose(
+                    engine,
+                    graph,
+                    demand,
+                    self._ledger.all_loads(self._paces.slow()),
+                    self._down.ids | self._full() | avoided,
+                )
+                if choice.path is not None:
+                    return choice
+            if self._timer.now() >= until:
+                self._log_no_path(exchange, demand, choice)
+                return choice
+            self._timer.sleep(ROOM_POLL_S)
+
+    def _log_no_path(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        choice: path_choice.Choice,
+    ) -> None:
+        events.info(
+            'no_path',
+            id=exchange.facts.request_id,
+            tokens=int(demand.tokens),
+            pause_ms=int(choice.pause_ms),
+            excluded=choice.excluded,
+            fullest_pipe=round(choice.fullest_pipe, 2),
+        )
+
+    def note_not_run(
+        self, exchange: context.Exchange, outcome: outcomes.NotRun
+    ) -> str | None:
+        """Draws conclusions on the target that kept a request from running.
+
+        Returns its id, ``None`` for an unknown one.
+        """
+        target = self._book.target_by_address.get(outcome.at_fault)
+        events.info(
+            'path_rejected',
+            id=exchange.facts.request_id,
+            at_fault=outcome.at_fault,
+            target=target.id if target else 'unknown',
+            status=outcome.status,
+        )
+        self._metric.count(f'relay.path_rejected.{outcome.status}')
+        if target is None:
+            return None
+        if outcome.status == 0:
+            self._down.probe(target)
+        self._full_until_by_id[target.id] = self._timer.now() + FULL_S
+        return target.id
+
+    def _full(self) -> set[str]:
+        now = self._timer.now()
+        for target_id, until in list(self._full_until_by_id.items()):
+            if until <= now:
+                del self._full_until_by_id[target_id]
+        return set(self._full_until_by_id)
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -14,9 +14,9 @@
 from cactusmux_control import lease_types
 from cactusmux_platform import stores
 import gevent
-import msgspec
 from returns import result
 
+from . import chain_pool
 from . import desired
 from . import down_targets
 from . import layer_orders
@@ -24,6 +24,8 @@
 from . import placing
 from . import repairing
 from . import request_core
+from . import stored_placement
+from . import take_overs
 from . import target_book
 from . import targets
 
@@ -45,12 +47,6 @@
 Authority = Callable[[float], lease_types.Authority | None]
 
 
-class StoredPlacement(msgspec.Struct, frozen=True):
-    """A placement as it lies in the store."""
-
-    chains: list[list[tuple[str, int, int]]]
-
-
 class PlacementKeeper:
     """Places models, repairs placements and sends the orders."""
 
@@ -134,7 +130,7 @@
                 case result.Success(entry):
                     revisions[name] = entry.revision if entry else 0
                     if entry is not None:
-                        found[name] = _decode(entry)
+                        found[name] = stored_placement.decode(entry)
                 case result.Failure(_):
                     return False
         self._placement_by_service = found
@@ -152,7 +148,7 @@
             changed = placing.place(engine, members, self._rng, self._pause)
         else:
             self._ask_paces(members)
-            pool = repairing.pool_of(
+            pool = chain_pool.pool_of(
                 engine, members, self._down.ids, self._paces.slow()
             )
             changed = self._repair(name, pool, placement)
@@ -165,13 +161,13 @@
         self._send_orders(name, engine, changed)
 
     def _repair(
-        self, name: str, pool: repairing.Pool, placement: placing.Placement
+        self, name: str, pool: chain_pool.Pool, placement: placing.Placement
     ) -> placing.Placement:
         """Repairs a placement, once for the same state of the pool."""
         slow = frozenset(
             target_id
             for target_id, pace in pool.pace_by_target.items()
-            if pace >= repairing.SLOW_PACE
+            if pace >= take_overs.SLOW_PACE
         )
         state = (frozenset(pool.usable), slow, placement.chains)
         if self._sound_by_service.get(name) == state:
@@ -194,7 +190,7 @@
     def _save(self, name: str, placement: placing.Placement) -> bool:
         expected = self._revision_by_service.get(name, stores.ABSENT)
         written = self._store.compare_and_swap(
-            PREFIX + name, _encode(placement), expected
+            PREFIX + name, stored_placement.encode(placement), expected
         )
         match written:
             case result.Success(entry):
@@ -211,14 +207,14 @@
     def _log_changed(
         self, name: str, engine: desired.Engine, placement: placing.Placement
     ) -> None:
-        pool = repairing.pool_of(
+        pool = chain_pool.pool_of(
             engine,
             self._book.ready(name),
             self._down.ids,
             self._paces.slow(),
         )
         rates = [
-            round(repairing.chain_rate(pool, chain), 1)
+            round(chain_pool.chain_rate(pool, chain), 1)
             for chain in placement.chains
         ]
         events.info(
@@ -325,30 +321,3 @@
                     'report_not_had', target=target.id, reason=failure.reason
                 )
         return None
-
-
-def _encode(placement: placing.Placement) -> bytes:
-    rows = [
-        [(each.target_id, *each.layers) for each in chain]
-        for chain in placement.chains
-    ]
-    return msgspec.json.encode(StoredPlacement(rows))
-
-
-def _decode(entry: stores.Entry) -> placing.Placement:
-    """Reads a stored placement; one that can't be read is placed anew."""
-    try:
-        stored = msgspec.json.decode(entry.value, type=StoredPlacement)
-    except msgspec.MsgspecError:
-        events.error('placement_unreadable', key=entry.key)
-        return placing.EMPTY
-    return placing.Placement(
-        tuple(
-            tuple(
-                placing.Placed(row[0], targets.LayerRange(row[1], row[2]))
-                for row in chain
-            )
-            for chain in stored.chains
-        ),
-        (),
-    )
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -26,6 +26,7 @@
 from . import membership
 from . import mirror_checks
 from . import pace_book
+from . import path_finder
 from . import placement_keeper
 from . import plain_relay
 from . import repeat_budget
@@ -33,7 +34,7 @@
 from . import sending
 from . import soft_exchange
 from . import store_mirror
-from . import stream_relay
+from . import stream_run
 from . import target_book
 from . import target_calls
 from . import target_roster
@@ -200,17 +201,19 @@
             rng,
             self._settings.zone,
         )
-        streams = stream_relay.StreamRelay(
-            self._book,
-            self._ledger,
-            sender,
-            self._given.spelling,
-            self._budget,
-            self._down,
-            self._live,
-            self._paces,
-            timer,
-            metric,
+        finder = path_finder.PathFinder(
+            self._book, self._ledger, self._down, self._paces, timer, metric
+        )
+        streams = stream_run.StreamParts(
+            finder=finder,
+            ledger=self._ledger,
+            sender=sender,
+            spelling=self._given.spelling,
+            budget=self._budget,
+            down=self._down,
+            live=self._live,
+            timer=timer,
+            metric=metric,
         )
         return request_core.RequestCore(
             self.in_force,
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -16,7 +16,7 @@
 from . import plain_relay
 from . import repeat_budget
 from . import route_table
-from . import stream_relay
+from . import stream_run
 
 STATUS_BY_REFUSAL = {
     outcomes.Refusal.MALFORMED: 400,
@@ -71,7 +71,7 @@
         in_force: InForce,
         spelling: dialect.Dialect,
         plain: plain_relay.PlainRelay,
-        streams: stream_relay.StreamRelay,
+        streams: stream_run.StreamParts,
         budget: repeat_budget.RepeatBudget,
         timer: timers.TimerService,
         metric: metrics.Metrics,
@@ -215,7 +215,7 @@
 
     def _relay(self, exchange: context.Exchange) -> None:
         if exchange.service.engine is not None:
-            self._streams.serve(exchange)
+            stream_run.StreamRun(self._streams, exchange).serve()
             return
         answer = self._plain.serve(exchange)
         age_s = self._timer.now() - exchange.request.received_at
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stored_placement.py
@@ -0,0 +1,42 @@
+"""A placement as it lies in the store."""
+
+from cactusmux_base import events
+from cactusmux_platform import stores
+import msgspec
+
+from . import placing
+from . import targets
+
+
+class StoredPlacement(msgspec.Struct, frozen=True):
+    """A placement as it lies in the store."""
+
+    chains: list[list[tuple[str, int, int]]]
+
+
+def encode(placement: placing.Placement) -> bytes:
+    """Returns a placement as the value of its key; spares are left out."""
+    rows = [
+        [(each.target_id, *each.layers) for each in chain]
+        for chain in placement.chains
+    ]
+    return msgspec.json.encode(StoredPlacement(rows))
+
+
+def decode(entry: stores.Entry) -> placing.Placement:
+    """Reads a stored placement; one that can't be read is placed anew."""
+    try:
+        stored = msgspec.json.decode(entry.value, type=StoredPlacement)
+    except msgspec.MsgspecError:
+        events.error('placement_unreadable', key=entry.key)
+        return placing.EMPTY
+    return placing.Placement(
+        tuple(
+            tuple(
+                placing.Placed(row[0], targets.LayerRange(row[1], row[2]))
+                for row in chain
+            )
+            for chain in stored.chains
+        ),
+        (),
+    )
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -1,11 +1,7 @@
-"""Relays streams of models whose layers are split over targets.
-
-A stream that breaks or whose path is interrupted goes on at another path
-after the last event that the caller got, within the same answer.
-"""
+"""One stream from its request to its end, over one path after another."""
 
 from collections.abc import Iterator
-from typing import NoReturn
+from typing import NamedTuple, NoReturn
 
 from cactusmux_base import events
 from cactusmux_base import metrics
@@ -19,24 +15,33 @@
 from . import live_streams
 from . import load_ledger
 from . import outcomes
-from . import pace_book
 from . import path_choice
+from . import path_finder
 from . import repeat_budget
 from . import sending
-from . import target_book
 from . import target_calls
 
 # Sends after which a request that no path took is refused.
 MAX_REJECTIONS = 4
 RETRY_AFTER_S = 1.0
-# A path that was full is looked for again this often, for this long.
+# A path is looked for so long.
 ROOM_WAIT_S = 0.05
-ROOM_POLL_S = 0.01
 # A resumed stream may wait longer: its caller has waited already.
 RESUME_ROOM_WAIT_S = 1.0
-# A target that was short of memory is left out for so long.
-FULL_S = 0.3
-STATUS_UNAVAILABLE = 503
+
+
+class StreamParts(NamedTuple):
+    """What all streams of an instance share."""
+
+    finder: path_finder.PathFinder
+    ledger: load_ledger.LoadLedger
+    sender: sending.Sender
+    spelling: dialect.Dialect
+    budget: repeat_budget.RepeatBudget
+    down: down_targets.DownTargets
+    live: live_streams.LiveStreams
+    timer: timers.TimerService
+    metric: metrics.Metrics
 
 
 class _Broken(Exception):
@@ -47,116 +52,15 @@
         self.detail = detail
 
 
-class StreamRelay:
-    """Serves requests of stream routes."""
-
-    def __init__(
-        self,
-        book: target_book.TargetBook,
-        ledger: load_ledger.LoadLedger,
-        sender: sending.Sender,
-        spelling: dialect.Dialect,
-        budget: repeat_budget.RepeatBudget,
-        down: down_targets.DownTargets,
-        live: live_streams.LiveStreams,
-        paces: pace_book.PaceBook,
-        timer: timers.TimerService,
-        metric: metrics.Metrics,
-    ) -> None:
-        self._book = book
-        self._ledger = ledger
-        self._sender = sender
-        self._spelling = spelling
-        self._budget = budget
-        self._down = down
-        self._live = live
-        self._paces = paces
-        self._timer = timer
-        self._metric = metric
-        self._full_until_by_id: dict[str, float] = {}
-
-    def serve(self, exchange: context.Exchange) -> None:
-        """Streams the answer; raises :class:`context.Refused`.
-
-        Once the answer has begun, a failure breaks it off.
-        """
-        _Run(self, exchange).serve()
-
-    def choose(
-        self,
-        exchange: context.Exchange,
-        demand: path_choice.Demand,
-        avoided: set[str],
-        wait_s: float,
-    ) -> path_choice.Choice:
-        """Returns a path with room, waiting up to ``wait_s`` for one."""
-        until = min(self._timer.now() + wait_s, exchange.ends_at)
-        choice = path_choice.Choice(None, 0.0, 0, 0.0)
-        while True:
-            graph = self._book.graph(exchange.service.name)
-            engine = exchange.service.engine
-            if graph is not None and engine is not None:
-                choice = path_choice.choose(
-                    engine,
-                    graph,
-                    demand,
-                    self._ledger.all_loads(self._paces.slow()),
-                    self._down.ids | self._full() | avoided,
-                )
-                if choice.path is not None:
-                    return choice
-            if self._timer.now() >= until:
-                self._log_no_path(exchange, demand, choice)
-                return choice
-            self._timer.sleep(ROOM_POLL_S)
-
-    def _log_no_path(
-        self,
-        exchange: context.Exchange,
-        demand: path_choice.Demand,
-        choice: path_choice.Choice,
-    ) -> None:
-        events.info(
-            'no_path',
-            id=exchange.facts.request_id,
-            tokens=int(demand.tokens),
-            pause_ms=int(choice.pause_ms),
-            excluded=choice.excluded,
-            fullest_pipe=round(choice.fullest_pipe, 2),
-        )
-
-    def note_not_run(
-        self, exchange: context.Exchange, outcome: outcomes.NotRun
-    ) -> None:
-        """Draws conclusions on the target that kept a request from running."""
-        target = self._book.target_by_address.get(outcome.at_fault)
-        events.info(
-            'path_rejected',
-            id=exchange.facts.request_id,
-            at_fault=outcome.at_fault,
-            target=target.id if target else 'unknown',
-            status=outcome.status,
-        )
-        self._metric.count(f'relay.path_rejected.{outcome.status}')
-        if target is None:
-            return
-        if outcome.status == 0:
-            self._down.probe(target)
-        self._full_until_by_id[target.id] = self._timer.now() + FULL_S
-
-    def _full(self) -> set[str]:
-        now = self._timer.now()
-        for target_id, until in list(self._full_until_by_id.items()):
-            if until <= now:
-                del self._full_until_by_id[target_id]
-        return set(self._full_until_by_id)
+class _Rejected(_Broken):
+    """No target ran the request; another path may."""
 
 
-class _Run:
+class StreamRun:
     """One request: its attempts, and what the caller has got so far."""
 
-    def __init__(self, relay: StreamRelay, exchange: context.Exchange) -> None:
-        self._relay = relay
+    def __init__(self, parts: StreamParts, exchange: context.Exchange) -> None:
+        self._parts = parts
         self._exchange = exchange
         self._demand = demand_of(exchange)
         self._avoided: set[str] = set()
@@ -170,6 +74,10 @@
         self._longest_pause_s = 0.0
 
     def serve(self) -> None:
+        """Streams the answer; raises :class:`context.Refused`.
+
+        Once the answer has begun, a failure breaks it off.
+        """
         while True:
             path, expected_pause_ms = self._next_path()
             try:
@@ -183,44 +91,44 @@
     def _next_path(self) -> tuple[cost_model.Path, float]:
         service = self._exchange.service.name
         wait_s = RESUME_ROOM_WAIT_S if self._runs else ROOM_WAIT_S
-        choice = self._relay.choose(
+        choice = self._parts.finder.choose(
             self._exchange, self._demand, self._avoided, wait_s
         )
         if choice.path is None and self._avoided:
             self._avoided = set()
-            choice = self._relay.choose(
+            choice = self._parts.finder.choose(
                 self._exchange, self._demand, self._avoided, 0.0
             )
         if choice.path is None:
             self._give_up(outcomes.Refusal.NO_ROOM)
-        if self._sends and not self._relay._budget.take(service):
+        if self._sends and not self._parts.budget.take(service):
             self._give_up(outcomes.Refusal.REPEATS_SPENT)
         return choice.path, choice.pause_ms
 
     def _attempt(
         self, path: cost_model.Path, expected_pause_ms: float
     ) -> None:
-        relay = self._relay
+        parts = self._parts
         ids = [stage.target.id for stage in path]
         tokens = self._demand.tokens
         live = live_streams.LiveStream(
-            path, expected_pause_ms, relay._timer.now()
+            path, expected_pause_ms, parts.timer.now()
         )
         self._sends += 1
         self._log_path(path, expected_pause_ms)
-        relay._ledger.add(ids, tokens)
-        relay._ledger.note_crossings(path, tokens)
-        relay._live.add(live)
+        parts.ledger.add(ids, tokens)
+        parts.ledger.note_crossings(path, tokens)
+        parts.live.add(live)
         try:
             self._send_on(path, live)
         finally:
-            relay._live.remove(live)
-            relay._ledger.remove(ids, tokens)
+            parts.live.remove(live)
+            parts.ledger.remove(ids, tokens)
 
     def _send_on(
         self, path: cost_model.Path, live: live_streams.LiveStream
     ) -> None:
-        outcome = self._relay._sender.send(
+        outcome = self._parts.sender.send(
             self._exchange, path[0].target, path, self._last_id, live
         )
         match outcome:
@@ -229,7 +137,7 @@
             case outcomes.MaybeRun(_, detail):
                 self._runs += 1
                 self._avoided.add(path[0].target.id)
-                self._relay._down.probe(path[0].target)
+                self._parts.down.probe(path[0].target)
                 raise _Broken(detail)
             case outcomes.Whole() as whole:
                 self._runs += 1
@@ -253,14 +161,13 @@
         if live.was_interrupted:
             return
         self._avoided.add(path[0].target.id)
-        self._relay._down.probe(path[0].target)
+        self._parts.down.probe(path[0].target)
 
     def _note_not_run(self, outcome: outcomes.NotRun) -> None:
         self._rejections += 1
-        self._relay.note_not_run(self._exchange, outcome)
-        target = self._relay._book.target_by_address.get(outcome.at_fault)
-        if target is not None:
-            self._avoided.add(target.id)
+        at_fault = self._parts.finder.note_not_run(self._exchange, outcome)
+        if at_fault is not None:
+            self._avoided.add(at_fault)
         if self._rejections >= MAX_REJECTIONS:
             self._give_up(outcomes.Refusal.REJECTED)
         raise _Rejected('not run')
@@ -273,7 +180,7 @@
     ) -> None:
         """Passes events on as they arrive, each at most once."""
         for event in self._events(call):
-            live.note_event(self._relay._timer.now())
+            live.note_event(self._parts.timer.now())
             if not self._is_next(event):
                 continue
             self._begin(head)
@@ -285,7 +192,7 @@
 
     def _note_passed(self) -> None:
         """Notes that the caller has got an event, on whichever path."""
-        now = self._relay._timer.now()
+        now = self._parts.timer.now()
         if not self._first_at:
             self._first_at = now
         else:
@@ -321,7 +228,7 @@
         if self._has_begun:
             return
         self._has_begun = True
-        headers = self._relay._spelling.caller_headers(head)
+        headers = self._parts.spelling.caller_headers(head)
         kept = [each for each in headers if each[0] != b'content-length']
         self._exchange.answerer.start(head.status, kept)
 
@@ -343,7 +250,7 @@
         self, path: cost_model.Path, expected_pause_ms: float
     ) -> None:
         exchange = self._exchange
-        left_s = exchange.ends_at - self._relay._timer.now()
+        left_s = exchange.ends_at - self._parts.timer.now()
         events.info(
             'path_chosen',
             id=exchange.facts.request_id,
@@ -357,9 +264,9 @@
         )
 
     def _log_served(self, live: live_streams.LiveStream) -> None:
-        now = self._relay._timer.now()
+        now = self._parts.timer.now()
         received_at = self._exchange.request.received_at
-        metric = self._relay._metric
+        metric = self._parts.metric
         first_s = max(0.0, self._first_at - received_at)
         metric.timing('relay.stream.first', first_s)
         metric.timing('relay.stream.total', now - received_at)
@@ -380,7 +287,7 @@
     def _log_broken(self, path: cost_model.Path, broken: _Broken) -> None:
         if isinstance(broken, _Rejected):
             return
-        self._relay._metric.count('relay.stream_broken')
+        self._parts.metric.count('relay.stream_broken')
         events.info(
             'stream_broken',
             id=self._exchange.facts.request_id,
@@ -395,10 +302,6 @@
     return round(seconds * cost_model.MS_PER_S)
 
 
-class _Rejected(_Broken):
-    """No target ran the request; another path may."""
-
-
 def demand_of(exchange: context.Exchange) -> path_choice.Demand:
     """Returns what a request will need, as far as it is known."""
     facts = exchange.facts
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -14,6 +14,7 @@
 from cactusmux_relay import placement_keeper
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import request_core
+from cactusmux_relay import stored_placement
 from cactusmux_relay import target_book
 from cactusmux_relay import target_roster
 from cactusmux_relay import targets
@@ -153,7 +154,7 @@
         (target.id, first, first + 20)
         for target, first in zip(large, range(0, 80, 20), strict=True)
     ]
-    stored = placement_keeper.StoredPlacement([rows])
+    stored = stored_placement.StoredPlacement([rows])
     key = placement_keeper.PREFIX + sample_engine.SERVICE
     keeping.store.compare_and_swap(key, msgspec.json.encode(stored), 0)
     keeping.settle()
--- a/packages/cactusmux-relay/tests/test_repairing.py
+++ b/packages/cactusmux-relay/tests/test_repairing.py
@@ -1,6 +1,7 @@
 import random
 
 from cactusmux_fakes import sample_engine
+from cactusmux_relay import chain_pool
 from cactusmux_relay import cost_model
 from cactusmux_relay import placing
 from cactusmux_relay import repairing
@@ -18,11 +19,11 @@
 
 
 def _rates(pool, placement):
-    return [repairing.chain_rate(pool, each) for each in placement.chains]
+    return [chain_pool.chain_rate(pool, each) for each in placement.chains]
 
 
 def _pool(members, down=NOBODY, paces=None):
-    return repairing.pool_of(ENGINE, members, down, paces or {})
+    return chain_pool.pool_of(ENGINE, members, down, paces or {})
 
 
 def test_sound_placement_stays_as_it_is():
