Tell news to a sample of a large fleet

Cause: with 300 instances each told 299 others four times a second. Beyond 12 others, 8 drawn anew are told twice a second; what a sample has stands for all. At the present size nothing changes.

--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -8,6 +8,7 @@
 
 from . import cost_model
 from . import path_choice
+from . import soft_exchange
 
 # What another instance told is believed for so long after it was told.
 PEER_LOAD_AGE_S = 2.0
@@ -50,6 +51,7 @@
         self._requests_by_target: dict[str, int] = {}
         self._rate_by_pipe: dict[tuple[str, str], _PipeRate] = {}
         self._told_by_peer: dict[str, tuple[float, OwnLoads]] = {}
+        self._instances = 1
 
     def add(self, target_ids: Iterable[str], tokens: float) -> None:
         """Notes a request that is sent through targets."""
@@ -93,6 +95,10 @@
             },
         )
 
+    def set_instances(self, count: int) -> None:
+        """Sets how many instances there are, ourselves included."""
+        self._instances = count
+
     def note_peer(self, peer: str, loads: OwnLoads) -> None:
         """Takes what another instance says of its own load."""
         self._told_by_peer[peer] = (self._timer.now(), loads)
@@ -102,6 +108,9 @@
     ) -> path_choice.Load:
         """Returns what all instances have under way.
 
+        In a large fleet only a sample of the others is heard of; what it
+        has stands for all of them.
+
         :param pace_by_target: of slow targets, to go with the loads.
         """
         tokens = dict(self._tokens_by_target)
@@ -110,22 +119,33 @@
         pipes = {
             name: rate.rate(now) for name, rate in self._rate_by_pipe.items()
         }
-        for loads in self._fresh():
-            _add(tokens, loads.tokens_by_target)
-            _add(requests, loads.requests_by_target)
+        fresh = self._fresh()
+        share = self._represented(len(fresh))
+        for loads in fresh:
+            _add(tokens, loads.tokens_by_target, share)
+            _add(requests, loads.requests_by_target, share)
             for joined, rate in loads.pipe_tokens.items():
                 zone, _, other = joined.partition(' ')
                 name = (zone, other)
-                pipes[name] = pipes.get(name, 0.0) + rate
+                pipes[name] = pipes.get(name, 0.0) + rate * share
         return path_choice.Load(tokens, requests, pipes, pace_by_target)
 
     def all_requests(self, target_id: str) -> int:
         """Returns requests under way at a target, of all instances."""
         total = self._requests_by_target.get(target_id, 0)
-        for loads in self._fresh():
-            total += loads.requests_by_target.get(target_id, 0)
+        fresh = self._fresh()
+        share = self._represented(len(fresh))
+        for loads in fresh:
+            total += round(loads.requests_by_target.get(target_id, 0) * share)
         return total
 
+    def _represented(self, heard: int) -> float:
+        """Returns for how many instances each one heard of stands."""
+        others = self._instances - 1
+        if not heard or others <= soft_exchange.MAX_TOLD_ALL:
+            return 1.0
+        return max(1.0, others / heard)
+
     def _fresh(self) -> list[OwnLoads]:
         oldest = self._timer.now() - PEER_LOAD_AGE_S
         for peer, (told_at, _) in list(self._told_by_peer.items()):
@@ -134,6 +154,6 @@
         return [loads for _, loads in self._told_by_peer.values()]
 
 
-def _add(total: dict, told: Mapping) -> None:
+def _add(total: dict, told: Mapping, share: float) -> None:
     for name, amount in told.items():
-        total[name] = total.get(name, 0) + amount
+        total[name] = total.get(name, 0) + amount * share
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -69,7 +69,7 @@
     """
 
     tokens_by_target: Mapping[str, float]
-    requests_by_target: Mapping[str, int]
+    requests_by_target: Mapping[str, float]
     pipe_tokens: Mapping[tuple[str, str], float]
     pace_by_target: Mapping[str, float]
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -147,6 +147,7 @@
             self._own_news,
             self._peer_addresses,
             self._take_news,
+            rng,
         )
         self._copy_server = http_server.HttpServer(
             settings.exchange_address,
@@ -322,6 +323,7 @@
         instances = membership.decode_instances(list(entries.values()))
         self._instance_by_name = {each.name: each for each in instances}
         self._budget.set_instances(len(instances))
+        self._ledger.set_instances(len(instances))
         self.directory.update(instances)
 
     def _peer_addresses(self) -> list[str]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -1,10 +1,13 @@
 """Soft news between instances, as datagrams: loads, revisions, suspicion.
 
 Losing a datagram costs nothing but age. A revision that is ahead of ours
-tells whom to ask for a copy while the store doesn't answer us.
+tells whom to ask for a copy while the store doesn't answer us. In a large
+fleet each sending goes to a few instances drawn anew, so that an instance's
+cost doesn't grow with the fleet.
 """
 
 from collections.abc import Callable
+import random
 
 from cactusmux_base import events
 from cactusmux_base import timers
@@ -16,6 +19,10 @@
 # Unchanged news are repeated this seldom, as a sign of life.
 QUIET_PERIOD_S = 0.5
 MAX_DATAGRAM_BYTES = 60000
+# With more other instances than this, news go to a sample of them.
+MAX_TOLD_ALL = 12
+SAMPLE = 8
+SAMPLE_PERIOD_S = 0.5
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
@@ -51,12 +58,14 @@
         own_news: Callable[[], News],
         peers: Callable[[], list[str]],
         on_news: Callable[[News], None],
+        rng: random.Random,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._timer = timer
         self._own_news = own_news
         self._peers = peers
         self._on_news = on_news
+        self._rng = rng
         self._server = server.DatagramServer((host, int(port)), self._receive)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(News)
@@ -77,6 +86,11 @@
     def send(self) -> None:
         """Sends our news if they changed or it is time for a sign of life."""
         now = self._timer.now()
+        peers = self._peers()
+        if len(peers) > MAX_TOLD_ALL:
+            if now - self._sent_at < SAMPLE_PERIOD_S:
+                return
+            peers = self._rng.sample(peers, SAMPLE)
         news = self._own_news()
         data = self._encoder.encode(news)
         if data == self._last_sent and now - self._sent_at < QUIET_PERIOD_S:
@@ -87,7 +101,7 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             events.warning('news_too_long', size=len(data))
             return
-        for address in self._peers():
+        for address in peers:
             host, _, port = address.rpartition(':')
             self._send_to(data, (host, int(port)))
 
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -296,3 +296,17 @@
     in_force.replace(relay_rig.desired_state(5))
     in_force.replace(relay_rig.desired_state(4))
     assert in_force.state.version == 5
+
+
+def test_sample_of_a_large_fleet_stands_for_all_of_it():
+    timer = timers.ManualTimers()
+    ledger = load_ledger.LoadLedger(timer)
+    ledger.set_instances(41)
+    for peer in ('a', 'b'):
+        told = load_ledger.OwnLoads({'t': 10.0}, {'t': 1}, {})
+        ledger.note_peer(peer, told)
+    loads = ledger.all_loads({})
+    assert loads.tokens_by_target == {'t': 400.0}
+    assert loads.requests_by_target == {'t': 40.0}
+    ledger.set_instances(3)
+    assert ledger.all_loads({}).tokens_by_target == {'t': 20.0}
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -1,3 +1,5 @@
+import random
+
 from cactusmux_base import timers
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
@@ -222,7 +224,12 @@
     heard = []
     timer = timers.GeventTimers()
     receiver = soft_exchange.SoftExchange(
-        '127.0.0.1:0', timer, lambda: _news('b'), lambda: [], heard.append
+        '127.0.0.1:0',
+        timer,
+        lambda: _news('b'),
+        lambda: [],
+        heard.append,
+        random.Random(1),
     )
     receiver.start()
     news = _news('a', down=['x'], tokens_by_target={'t': 5})
@@ -232,6 +239,7 @@
         lambda: news,
         lambda: [f'127.0.0.1:{receiver.port}'],
         heard.append,
+        random.Random(1),
     )
     sender.start()
     sender.send()
@@ -243,3 +251,32 @@
     assert 'a' in receiver.heard_at_by_name
     receiver._receive(b'garbage', None)
     assert heard[-1] == news
+
+
+def test_large_fleet_is_told_by_samples():
+    timer = timers.ManualTimers()
+    asked = []
+    peers = [f'127.0.0.1:{port}' for port in range(20001, 20101)]
+    exchange = soft_exchange.SoftExchange(
+        '127.0.0.1:0',
+        timer,
+        lambda: _news('a'),
+        lambda: peers,
+        lambda news: None,
+        random.Random(1),
+    )
+    exchange._send_to = lambda data, peer: asked.append(peer)
+    for _ in range(40):
+        timer.advance(soft_exchange.PERIOD_S)
+        exchange.send()
+    sendings = 40 * soft_exchange.PERIOD_S / soft_exchange.SAMPLE_PERIOD_S
+    assert len(asked) == sendings * soft_exchange.SAMPLE
+    assert len(set(asked)) > 60
+
+
+def test_in_a_large_fleet_directories_go_by_leases():
+    instances = [_instance(f'i{n}', 'a', n) for n in range(1, 41)]
+    found, _, timer = _directory(*instances)
+    timer.advance(directory.SILENT_S + 0.1)
+    found.note_stopping('i1', True)
+    assert len(found.addresses('a')) == 39
