--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import math
 import random
 
 from cactusmux_base import events
@@ -38,9 +39,11 @@
 REPORT_PERIOD_S = 0.25
 ORDER_DELIVERY_S = 0.8
 # Most of them wait for requests that pass through; loads share their rate.
-MAX_ORDERS_AT_ONCE = 24
+MAX_ORDERS_AT_ONCE = 48
 # How often the targets are asked for their pace.
 ASK_PERIOD_S = 1.5
+# In a large pool all take longer: so many are asked at a step.
+MAX_ASKED = 10
 # Between two steps of a search, for the requests of this instance.
 SEARCH_PAUSE_S = 0.002
 
@@ -80,7 +83,7 @@
         self._on_report = on_report
         self._down = down
         self._paces = paces
-        self._asked_at = 0.0
+        self._asked = 0
         self._placement_by_service: dict[str, placing.Placement] = {}
         self._revision_by_service: dict[str, int] = {}
         self._loaded_fencing = 0
@@ -177,12 +180,11 @@
         return repaired
 
     def _ask_paces(self, members: list[targets.Target]) -> None:
-        now = self._timer.now()
-        if now - self._asked_at < ASK_PERIOD_S:
-            return
-        self._asked_at = now
-        for target in members:
-            self._paces.ask(target)
+        """Asks some targets at each step, so that all are asked in turn."""
+        share = math.ceil(len(members) * PERIOD_S / ASK_PERIOD_S)
+        for _ in range(min(share, MAX_ASKED)):
+            self._asked += 1
+            self._paces.ask(members[self._asked % len(members)])
 
     def _pause(self) -> None:
         self._timer.sleep(SEARCH_PAUSE_S)
--- a/packages/cactusmux-relay/src/cactusmux_relay/placing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placing.py
@@ -17,6 +17,10 @@
 from . import segments
 from . import targets
 
+# A larger pool is placed in cells of about so many cards.
+CELL_CARDS = 42
+ZONES_OF_CELL = 3
+# Chains of a cell.
 MAX_CHAINS = 6
 RESTARTS = 3
 # Share of the rate of the best chain that counts as lost.
@@ -69,28 +73,105 @@
     :param pause: lets other tasks run; called often.
     """
     known = [each for each in members if each.card in engine.card_by_name]
+    cells = cells_of(known)
+    search = _Search(engine, rng, pause)
+    placed: list[Chain] = []
+    for cell in cells:
+        placed.extend(search.place(cell, len(cells) == 1))
+    used = {each.target_id for chain in placed for each in chain}
+    spares = sorted(each.id for each in known if each.id not in used)
+    return Placement(tuple(placed), tuple(spares))
+
+
+def cells_of(members: list[targets.Target]) -> list[list[targets.Target]]:
+    """Splits a large pool into like cells, which are searched once.
+
+    What doesn't divide evenly stays spare.
+    """
+    zones = sorted({each.zone for each in members})
+    cells: list[list[targets.Target]] = []
+    for start in range(0, len(zones), ZONES_OF_CELL):
+        near = zones[start : start + ZONES_OF_CELL]
+        of_zones = [each for each in members if each.zone in near]
+        cells.extend(_equal_cells(of_zones))
+    return cells
+
+
+def _equal_cells(
+    members: list[targets.Target],
+) -> list[list[targets.Target]]:
+    count = max(1, round(len(members) / CELL_CARDS))
+    if count == 1:
+        return [members]
+    cells: list[list[targets.Target]] = [[] for _ in range(count)]
+    for group in _by_group(members).values():
+        share = len(group) // count
+        for index, cell in enumerate(cells):
+            cell.extend(group[index * share : (index + 1) * share])
+    return cells
+
+
+def _by_group(
+    members: list[targets.Target],
+) -> dict[chains.Group, list[targets.Target]]:
     targets_by_group: dict[chains.Group, list[targets.Target]] = {}
-    for target in sorted(known, key=lambda each: each.id):
+    for target in sorted(members, key=lambda each: each.id):
         group = chains.Group(target.card, target.zone)
         targets_by_group.setdefault(group, []).append(target)
-    groups = tuple(sorted(targets_by_group))
-    if not groups:
-        return EMPTY
-    rater = chains.ChainRater(engine, groups)
-    counts = [len(targets_by_group[group]) for group in groups]
-    reserve_spares(engine, groups, counts)
-    best: list[chains.Composition] = []
-    best_value = 0.0
-    for chain_count in range(1, MAX_CHAINS + 1):
-        starts = [_start_by_zone(groups, counts, chain_count)]
-        for _ in range(RESTARTS):
-            starts.append(_start_at_random(counts, chain_count, rng))
-        for start in starts:
-            found = _climb(rater, start, pause)
-            value = _value(rater, found)
-            if value > best_value * 1.001:
-                best, best_value = found, value
-    return _assign(engine, rater, groups, targets_by_group, best)
+    return targets_by_group
+
+
+class _Search:
+    """Searches the chains of a cell; like cells are searched once."""
+
+    def __init__(
+        self,
+        engine: desired.Engine,
+        rng: random.Random,
+        pause: Callable[[], None],
+    ) -> None:
+        self._engine = engine
+        self._rng = rng
+        self._pause = pause
+        self._found: dict[object, list[chains.Composition]] = {}
+
+    def place(
+        self, cell: list[targets.Target], keeps_spares: bool
+    ) -> list[Chain]:
+        """Returns the chains of a cell."""
+        targets_by_group = _by_group(cell)
+        groups = tuple(sorted(targets_by_group))
+        if not groups:
+            return []
+        rater = chains.ChainRater(self._engine, groups)
+        counts = [len(targets_by_group[group]) for group in groups]
+        if keeps_spares:
+            reserve_spares(self._engine, groups, counts)
+        key = (groups, tuple(counts))
+        if key not in self._found:
+            self._found[key] = self._best(rater, groups, counts)
+        return _assign(
+            self._engine, rater, groups, targets_by_group, self._found[key]
+        )
+
+    def _best(
+        self,
+        rater: chains.ChainRater,
+        groups: tuple[chains.Group, ...],
+        counts: list[int],
+    ) -> list[chains.Composition]:
+        best: list[chains.Composition] = []
+        best_value = 0.0
+        for chain_count in range(1, MAX_CHAINS + 1):
+            starts = [_start_by_zone(groups, counts, chain_count)]
+            for _ in range(RESTARTS):
+                starts.append(_start_at_random(counts, chain_count, self._rng))
+            for start in starts:
+                found = _climb(rater, start, self._pause)
+                value = _value(rater, found)
+                if value > best_value * 1.001:
+                    best, best_value = found, value
+        return best
 
 
 def reserve_spares(
@@ -220,7 +301,7 @@
     groups: tuple[chains.Group, ...],
     targets_by_group: dict[chains.Group, list[targets.Target]],
     compositions: list[chains.Composition],
-) -> Placement:
+) -> list[Chain]:
     """Gives the layers of each chain to targets, zone by zone."""
     free = {group: list(each) for group, each in targets_by_group.items()}
     placed: list[Chain] = []
@@ -235,14 +316,7 @@
         if len(members) > segments.MAX_STAGES:
             members = _fewer(engine, members, room)
         placed.append(share_layers(engine, members, room))
-    used = {each.target_id for chain in placed for each in chain}
-    spares = [
-        target.id
-        for each in targets_by_group.values()
-        for target in each
-        if target.id not in used
-    ]
-    return Placement(tuple(placed), tuple(sorted(spares)))
+    return placed
 
 
 def best_part(
--- a/packages/cactusmux-relay/src/cactusmux_relay/segments.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/segments.py
@@ -10,6 +10,8 @@
 MAX_STAGES = 32
 # Each search bans the segments by which a target would take part twice.
 MAX_SEARCHES = 8
+# With more targets, only whole ranges are segments.
+MOST_WITH_PARTS = 64
 # A token that goes on within a zone.
 HOP_MS = 0.1
 
@@ -53,9 +55,11 @@
         boundaries = {0, engine.layers}
         for each in known:
             boundaries.update(each.layers)
+        # Many targets with like ranges replace each other as they are.
+        parts = len(known) <= MOST_WITH_PARTS
         found: list[Segment] = []
         for each in known:
-            found.extend(_segments_of(engine, each, sorted(boundaries)))
+            found.extend(_segments_of(engine, each, sorted(boundaries), parts))
         # In the order of their first layer one pass finds all paths.
         found.sort(key=lambda each: (each.layers, each.target.id))
         self.segments = tuple(found)
@@ -149,12 +153,17 @@
 
 
 def _segments_of(
-    engine: desired.Engine, target: targets.Target, boundaries: list[int]
+    engine: desired.Engine,
+    target: targets.Target,
+    boundaries: list[int],
+    parts: bool,
 ) -> Iterable[Segment]:
     first, end = target.layers
     card = engine.card_by_name[target.card]
     room = cost_model.room_tokens(engine, card, target.layers.size)
-    inner = [each for each in boundaries if first < each < end]
+    inner: list[int] = []
+    if parts:
+        inner = [each for each in boundaries if first < each < end]
     ranges = [(first, end)]
     ranges.extend((first, each) for each in inner)
     ranges.extend((each, end) for each in inner)
--- a/packages/cactusmux-relay/src/cactusmux_relay/take_overs.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/take_overs.py
@@ -83,7 +83,7 @@
         rate = chain_pool.chain_rate(pool, chain)
         if rate <= 0:
             continue
-        for target in free:
+        for target in _representatives(pool, free):
             for changed in _with_spare(pool, chain, target):
                 gain = chain_pool.chain_rate(pool, changed) - rate
                 if gain > max(best_gain, rate * (TAKE_OVER_GAIN - 1.0)):
@@ -101,12 +101,21 @@
     return True
 
 
+def _representatives(
+    pool: chain_pool.Pool, free: list[targets.Target]
+) -> list[targets.Target]:
+    """Returns one sound spare of each card and zone for all like it."""
+    by_group: dict[tuple[str, str], targets.Target] = {}
+    for each in free:
+        if pool.pace_by_target.get(each.id, 1.0) < SLOW_PACE:
+            by_group.setdefault((each.card, each.zone), each)
+    return list(by_group.values())
+
+
 def _with_spare(
     pool: chain_pool.Pool, chain: placing.Chain, target: targets.Target
 ) -> Iterable[placing.Chain]:
     """Yields the chain with each run of parts that a spare could hold."""
-    if pool.pace_by_target.get(target.id, 1.0) >= SLOW_PACE:
-        return
     engine = pool.engine
     room = chain_pool.least_room(pool, chain) * hole_filling.ROOM_SHARE
     most = cost_model.most_layers(
--- a/packages/cactusmux-relay/tests/test_placing.py
+++ b/packages/cactusmux-relay/tests/test_placing.py
@@ -69,3 +69,40 @@
     placement = placing.place(ENGINE, few, random.Random(1))
     assert placement.chains == ()
     assert placement.spares == (few[0].id,)
+
+
+def _large_pool(times):
+    found = []
+    for number in range(times):
+        for each in sample_engine.pool():
+            found.append(each._replace(id=f'{each.id}-{number:02}'))
+    return found
+
+
+def test_large_pool_is_placed_in_cells():
+    members = _large_pool(8)
+    placement = placing.place(ENGINE, members, random.Random(1))
+    target_by_id = {each.id: each for each in members}
+    assert_sound(placement, target_by_id)
+    assert len(placement.chains) >= 20
+    assert len(placement.spares) < len(members) / 4
+
+
+def test_cells_are_alike():
+    cells = placing.cells_of(_large_pool(5))
+    kinds = {
+        tuple(sorted((each.card, each.zone) for each in cell))
+        for cell in cells
+    }
+    assert len(kinds) == 1
+    assert len(cells) > 1
+
+
+def test_pool_of_many_zones_is_cut_by_zones():
+    members = [
+        each._replace(id=f'{each.id}-{zone}', zone=zone)
+        for zone in 'abcdefg'
+        for each in sample_engine.pool()[:13]
+    ]
+    for cell in placing.cells_of(members):
+        assert len({each.zone for each in cell}) <= placing.ZONES_OF_CELL
