--- a/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
@@ -13,6 +13,7 @@
 import gevent
 
 from . import store_mirror
+from . import tasks
 
 # All instances together check so often.
 PERIOD_S = 0.35
@@ -48,7 +49,7 @@
         while True:
             jitter = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
             self._timer.sleep(PERIOD_S * max(1, self._instances()) * jitter)
-            self.check()
+            tasks.run_step('checks', self.check, self._timer)
 
     def check(self) -> None:
         """Reads the sample, and the rest if something was missed."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -29,6 +29,7 @@
 from . import take_overs
 from . import target_book
 from . import targets
+from . import tasks
 
 PREFIX = 'cactusmux/placement/'
 PERIOD_S = 0.25
@@ -100,7 +101,7 @@
     def _run(self) -> None:
         while True:
             self._timer.sleep(PERIOD_S)
-            self.step()
+            tasks.run_step(PREFIX, self.step, self._timer)
 
     def step(self) -> None:
         """Places, repairs and orders, if this instance may."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -27,7 +27,6 @@
 MAX_REJECTIONS = 3
 RETRY_AFTER_S = 0.5
 MS_PER_S = 1000.0
-FIRST_SERVER_ERROR = 500
 # Failures that may pass elsewhere; the rest is the caller's own.
 FAILED_STATUSES = range(500, 600)
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -14,6 +14,8 @@
 import gevent
 from returns import result
 
+from . import tasks
+
 WATCH_S = 20.0
 BACKOFF_S = 0.25
 # After a change, further ones are waited for, to bring them in one call.
@@ -80,7 +82,7 @@
 
     def _run(self) -> None:
         while True:
-            self.step()
+            tasks.run_step(self._prefix, self.step, self._timer)
 
     def step(self) -> None:
         """Reads all entries, or waits for changes once they are read."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -67,7 +67,7 @@
         self._runs = 0
         self._rejections = 0
         self._sends = 0
-        self._last_id: int | None = None
+        self._last_id = exchange.facts.last_event_id
         self._has_begun = False
         self._first_at = 0.0
         self._passed_at = 0.0
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/tasks.py
@@ -0,0 +1,19 @@
+"""Tasks that go on after a failure nobody foresaw."""
+
+from collections.abc import Callable
+
+from cactusmux_base import events
+from cactusmux_base import timers
+
+PAUSE_S = 0.5
+
+
+def run_step(
+    name: str, step: Callable[[], None], timer: timers.TimerService
+) -> None:
+    """Runs one step; a failure is logged and followed by a pause."""
+    try:
+        step()
+    except Exception as error:
+        events.error('task_failed', task=name, cause=repr(error))
+        timer.sleep(PAUSE_S)
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -215,3 +215,12 @@
     _, body, complete = _ask(rig)
     assert complete
     assert body == b''.join(EVENTS)
+
+
+def test_stream_that_skips_after_the_callers_last_event_is_not_passed_on(rig):
+    """The caller has event 3; a target that begins at 5 leaves a gap."""
+    target = _target(HEAD + _chunks(EVENTS[4:]) + END)
+    rig.use_engines(target.address)
+    _, body, complete = _ask(rig, last_event='3')
+    assert body == b''
+    assert not complete or EVENTS[4] not in body
