Close expired connections to targets; go on after a failed timer callback

Kept connections were closed only when the same target was called again (forget had no caller), so up to 32 sockets a gone target stayed open. A periodic subscriber of the timer service (live streams' check, news, roster's review, lease) ended at the first exception. And no test noticed TargetCall without its check of _is_cut.

Ruled out: forgetting by the list of targets (a call under way gives its connection back after the list changed); guarding each subscriber (one more would be forgotten). On the flag: gevent fails a read that waits when the socket is shut down, so only a cut between two reads needs it; the older test cut a waiting read.

After: 894 passed.

--- a/packages/cactusmux-base/src/cactusmux_base/timers.py
+++ b/packages/cactusmux-base/src/cactusmux_base/timers.py
@@ -9,6 +9,8 @@
 
 import gevent
 
+from . import events
+
 Callback = Callable[[], None]
 
 
@@ -56,7 +58,10 @@
 
 
 class GeventTimers(TimerService):
-    """Real time, one greenlet a subscription."""
+    """Real time, one greenlet a subscription.
+
+    A callback that fails is logged; a periodic one is called again.
+    """
 
     def now(self) -> float:
         return time.monotonic()
@@ -68,7 +73,9 @@
         gevent.sleep(seconds)
 
     def after(self, seconds: float, callback: Callback) -> Subscription:
-        return _GreenletSubscription(gevent.spawn_later(seconds, callback))
+        return _GreenletSubscription(
+            gevent.spawn_later(seconds, _call, callback)
+        )
 
     def every(self, seconds: float, callback: Callback) -> Subscription:
         return _GreenletSubscription(
@@ -80,11 +87,19 @@
         due = self.now() + seconds
         while not getattr(current, 'cancelled', False):
             gevent.sleep(max(0.0, due - self.now()))
-            callback()
+            _call(callback)
             # A callback that ran late does not cause a burst of calls.
             due = max(due + seconds, self.now())
 
 
+def _call(callback: Callback) -> None:
+    try:
+        callback()
+    except Exception as error:
+        name = getattr(callback, '__qualname__', repr(callback))
+        events.error('callback_failed', callback=name, cause=repr(error))
+
+
 class _Due(NamedTuple):
     at: float
     sequence: int
--- a/packages/cactusmux-base/tests/test_timers.py
+++ b/packages/cactusmux-base/tests/test_timers.py
@@ -1,6 +1,7 @@
 """Tests of the timer service that tests elsewhere rely on."""
 
 from cactusmux_base import timers
+import gevent
 
 
 def test_manual_timers_call_in_order_of_due_time() -> None:
@@ -20,3 +21,32 @@
     subscription.cancel()
     clock.advance(5.0)
     assert calls == ['periodic']
+
+
+def test_periodic_callback_goes_on_after_a_failure() -> None:
+    calls: list[int] = []
+
+    def fail_once() -> None:
+        calls.append(len(calls))
+        if len(calls) == 1:
+            raise KeyError('unforeseen')
+
+    subscription = timers.GeventTimers().every(0.001, fail_once)
+    with gevent.Timeout(5.0):
+        while len(calls) < 3:
+            gevent.sleep(0.001)
+    subscription.cancel()
+
+
+def test_failure_of_a_callback_is_logged_with_its_name(caplog) -> None:
+    def fail_always() -> None:
+        raise KeyError('unforeseen')
+
+    with gevent.Timeout(5.0):
+        timers.GeventTimers().after(0.0, fail_always)
+        while not caplog.records:
+            gevent.sleep(0.001)
+    line = caplog.records[0].getMessage()
+    assert line.startswith('event=callback_failed')
+    assert 'fail_always' in line
+    assert 'unforeseen' in line
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -189,6 +189,7 @@
     ) -> request_core.RequestCore:
         timer = self._timer
         connections = target_calls.TargetConnections(timer)
+        connections.start()
         sender = sending.Sender(connections, self._given.spelling, timer)
         health = breakers.Breakers(timer, rng, metric, lambda lost: True)
         plain = plain_relay.PlainRelay(
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -28,6 +28,9 @@
 # Kept shorter than what a target announces, for what is on its way.
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_KEEP_ALIVE_S = 4.0
+# Bounds how long connections of targets that are gone stay open.
+MAX_KEEP_ALIVE_S = 30.0
+SWEEP_PERIOD_S = 2.0
 # Unacknowledged bytes for so long mean that the target is cut off.
 USER_TIMEOUT_MS = 2000
 
@@ -210,7 +213,8 @@
         for part in announced.split(','):
             name, _, value = part.strip().partition('=')
             if name.lower() == 'timeout' and value.isdigit():
-                self._keep_alive_s = int(value) - KEEP_ALIVE_MARGIN_S
+                announced_s = int(value) - KEEP_ALIVE_MARGIN_S
+                self._keep_alive_s = min(announced_s, MAX_KEEP_ALIVE_S)
 
 
 class TargetConnections:
@@ -220,6 +224,15 @@
         self._timer = timer
         self._idle_by_address: dict[str, collections.deque[_Idle]] = {}
 
+    def start(self) -> None:
+        """Begins to close connections that are kept for too long."""
+        self._timer.every(SWEEP_PERIOD_S, self._close_expired)
+
+    @property
+    def idle_count(self) -> int:
+        """Returns the number of kept connections."""
+        return sum(len(idle) for idle in self._idle_by_address.values())
+
     def call(
         self, address: str, request: OutgoingRequest, fresh: bool
     ) -> TargetCall:
@@ -243,10 +256,19 @@
             return
         idle.append(_Idle(sock, self._timer.now() + keep_alive_s))
 
-    def forget(self, address: str) -> None:
-        """Closes the kept connections of a target that is gone."""
-        for idle in self._idle_by_address.pop(address, ()):
-            idle.sock.close()
+    def _close_expired(self) -> None:
+        now = self._timer.now()
+        kept_by_address = {}
+        for address, all_idle in self._idle_by_address.items():
+            kept: collections.deque[_Idle] = collections.deque()
+            for idle in all_idle:
+                if idle.expires_at <= now:
+                    idle.sock.close()
+                else:
+                    kept.append(idle)
+            if kept:
+                kept_by_address[address] = kept
+        self._idle_by_address = kept_by_address
 
     def _take(self, address: str) -> socket.socket | None:
         idle = self._idle_by_address.get(address)
--- a/packages/cactusmux-relay/tests/test_target_calls.py
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -91,9 +91,7 @@
         connections.call(target.address, REQUEST, False)
 
 
-def test_cut_call_fails_and_is_not_taken_for_an_end(connections):
-    """An answer without a length would look complete when it is cut."""
-
+def _call_without_an_end(connections):
     def script(sock, _request):
         sock.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
         gevent.sleep(30.0)
@@ -102,12 +100,57 @@
     target = scripted_target.ScriptedTarget(script)
     call = connections.call(target.address, REQUEST, False)
     call.read_head()
+    return call
+
+
+def test_cut_call_fails_and_is_not_taken_for_an_end(connections):
+    """An answer without a length would look complete when it is cut."""
+    call = _call_without_an_end(connections)
     gevent.spawn_later(0.02, call.cut)
     with pytest.raises(target_calls.AnswerBroken):
         call.read_body(1000)
     call.close()
 
 
+def test_call_cut_between_two_reads_is_not_taken_for_an_end(connections):
+    """The socket then reports an end instead of a failure."""
+    call = _call_without_an_end(connections)
+    call.cut()
+    with pytest.raises(target_calls.AnswerBroken):
+        call.read_body(1000)
+    call.close()
+
+
+def test_expired_connections_are_closed_without_another_call():
+    clock = timers.ManualTimers()
+    connections = target_calls.TargetConnections(clock)
+    connections.start()
+    target = _target(scripted_target.answer(b'ok'), keep=True)
+    for _ in range(2):
+        call = connections.call(target.address, REQUEST, True)
+        call.read_head()
+        call.read_body(1000)
+        call.close()
+    assert connections.idle_count == 2
+    clock.advance(target_calls.DEFAULT_KEEP_ALIVE_S)
+    clock.advance(target_calls.SWEEP_PERIOD_S)
+    assert connections.idle_count == 0
+
+
+def test_a_long_keep_alive_does_not_keep_connections_of_gone_targets():
+    clock = timers.ManualTimers()
+    connections = target_calls.TargetConnections(clock)
+    connections.start()
+    data = (
+        b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=86400\r\n'
+        b'Content-Length: 2\r\n\r\nok'
+    )
+    assert _ask(connections, _target(data, keep=True)) == (200, b'ok')
+    clock.advance(target_calls.MAX_KEEP_ALIVE_S)
+    clock.advance(target_calls.SWEEP_PERIOD_S)
+    assert connections.idle_count == 0
+
+
 def test_early_answer_to_a_long_body_ends_the_connection(connections):
     def script(sock, _request):
         raise AssertionError('the body was never whole')
