Serve refused callers first when they return; spread when they do

Cause: a request that found no path was refused after 50 ms, came back a second later and was looked for as shortly as any new one; all callers refused in the same moment were told the same second.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -5,7 +5,7 @@
 from cactusmux_relay import target_calls
 
 FRAMING = (b'connection', b'content-length', b'transfer-encoding')
-OWN = (b'key', b'wait-s', b'last-event', b'prompt', b'answer')
+OWN = (b'key', b'wait-s', b'last-event', b'prompt', b'answer', b'prompt-id')
 
 
 class PlainDialect(dialect.Dialect):
@@ -21,6 +21,7 @@
             host=request.header(b'host') or '',
             wait_s=float(wait_s) if wait_s else None,
             key=request.header(b'key'),
+            prompt_id=request.header(b'prompt-id') or '',
             prompt_tokens=float(request.header(b'prompt') or 0),
             most_answer_tokens=float(request.header(b'answer') or 0),
             hinted_answer_tokens=None,
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -12,6 +12,7 @@
 from cactusmux_relay import pace_book
 from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
+from cactusmux_relay import refused_callers
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import request_core
 from cactusmux_relay import sending
@@ -95,6 +96,7 @@
         self.most_work_s = float('inf')
         spelling = plain_dialect.PlainDialect()
         budget = repeat_budget.RepeatBudget(timer, 1.0, 100.0, 10.0)
+        self.refused = refused_callers.RefusedCallers(timer, rng)
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
         connections = target_calls.TargetConnections(timer)
@@ -118,6 +120,7 @@
                 'a',
             ),
             stream_run.StreamParts(
+                refused=self.refused,
                 finder=path_finder.PathFinder(
                     self.book,
                     ledger,
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -27,6 +27,7 @@
     :ivar request_id: unique a try of a caller.
     :ivar wait_s: how long the caller waits, ``None`` if it doesn't say.
     :ivar key: of its organisation, ``None`` without one.
+    :ivar prompt_id: the same at each try of one request, empty without one.
     :ivar prompt_tokens: in the prompt, 0 where the request has none.
     :ivar most_answer_tokens: bound on the answer.
     :ivar hinted_answer_tokens: the caller's estimate, ``None`` without one.
@@ -38,6 +39,7 @@
     host: str
     wait_s: float | None
     key: str | None
+    prompt_id: str
     prompt_tokens: float
     most_answer_tokens: float
     hinted_answer_tokens: float | None
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -29,6 +29,7 @@
 from . import path_finder
 from . import placement_keeper
 from . import plain_relay
+from . import refused_callers
 from . import repeat_budget
 from . import request_core
 from . import sending
@@ -117,6 +118,7 @@
         self._live = live_streams.LiveStreams(
             timer, self._down, self._down.probe, self._paces.ask
         )
+        self._refused = refused_callers.RefusedCallers(timer, rng)
         core = self._make_core(metric, rng)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -213,6 +215,7 @@
             spelling=self._given.spelling,
             budget=self._budget,
             down=self._down,
+            refused=self._refused,
             live=self._live,
             timer=timer,
             metric=metric,
@@ -353,6 +356,7 @@
             },
             down=sorted(self._down.ids),
             pace_by_target=self._paces.own(),
+            refused=self._refused.own(),
         )
 
     def _take_news(self, news: soft_exchange.News) -> None:
@@ -365,6 +369,7 @@
             ),
         )
         self._paces.note_told(news.pace_by_target)
+        self._refused.note_told(news.refused)
         self.directory.note_stopping(news.name, news.is_stopping)
         for target_id in news.down:
             target = self._book.target_by_id.get(target_id)
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -32,6 +32,7 @@
     :ivar tokens_by_target: in flight from this instance, likewise requests.
     :ivar down: ids of targets that it found down.
     :ivar pace_by_target: of the targets that it found slow.
+    :ivar refused: keys of requests that it has just refused.
     """
 
     name: str
@@ -42,6 +43,7 @@
     pipe_tokens: dict[str, int]
     down: list[str]
     pace_by_target: dict[str, float]
+    refused: list[int] = []
 
 
 class SoftExchange:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -17,15 +17,17 @@
 from . import outcomes
 from . import path_choice
 from . import path_finder
+from . import refused_callers
 from . import repeat_budget
 from . import sending
 from . import target_calls
 
 # Sends after which a request that no path took is refused.
 MAX_REJECTIONS = 4
-RETRY_AFTER_S = 1.0
 # A path is looked for so long.
 ROOM_WAIT_S = 0.05
+# A caller that was refused before is late in any case.
+RETURNING_ROOM_WAIT_S = 1.0
 # A resumed stream may wait longer: its caller has waited already.
 RESUME_ROOM_WAIT_S = 1.0
 
@@ -39,6 +41,7 @@
     spelling: dialect.Dialect
     budget: repeat_budget.RepeatBudget
     down: down_targets.DownTargets
+    refused: refused_callers.RefusedCallers
     live: live_streams.LiveStreams
     timer: timers.TimerService
     metric: metrics.Metrics
@@ -63,6 +66,7 @@
         self._parts = parts
         self._exchange = exchange
         self._demand = demand_of(exchange)
+        self._caller = caller_of(exchange)
         self._avoided: set[str] = set()
         self._runs = 0
         self._rejections = 0
@@ -90,9 +94,8 @@
 
     def _next_path(self) -> tuple[cost_model.Path, float]:
         service = self._exchange.service.name
-        wait_s = RESUME_ROOM_WAIT_S if self._runs else ROOM_WAIT_S
         choice = self._parts.finder.choose(
-            self._exchange, self._demand, self._avoided, wait_s
+            self._exchange, self._demand, self._avoided, self._room_wait_s()
         )
         if choice.path is None and self._avoided:
             self._avoided = set()
@@ -105,6 +108,13 @@
             self._give_up(outcomes.Refusal.REPEATS_SPENT)
         return choice.path, choice.pause_ms
 
+    def _room_wait_s(self) -> float:
+        if self._runs:
+            return RESUME_ROOM_WAIT_S
+        if self._parts.refused.is_returning(self._caller):
+            return RETURNING_ROOM_WAIT_S
+        return ROOM_WAIT_S
+
     def _attempt(
         self, path: cost_model.Path, expected_pause_ms: float
     ) -> None:
@@ -243,7 +253,9 @@
         if self._has_begun:
             raise context.BrokenOff(refusal)
         has_run = self._runs > 0
-        retry_after_s = None if has_run else RETRY_AFTER_S
+        retry_after_s = None
+        if not has_run:
+            retry_after_s = self._parts.refused.note_refused(self._caller)
         raise context.Refused(refusal, has_run, retry_after_s)
 
     def _log_path(
@@ -302,6 +314,13 @@
     return round(seconds * cost_model.MS_PER_S)
 
 
+def caller_of(exchange: context.Exchange) -> int | None:
+    """Returns by what a refused request is recognised when it returns."""
+    organisation = exchange.organisation
+    name = organisation.name if organisation else ''
+    return refused_callers.key_of(name, exchange.facts.prompt_id)
+
+
 def demand_of(exchange: context.Exchange) -> path_choice.Demand:
     """Returns what a request will need, as far as it is known."""
     facts = exchange.facts
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -1,5 +1,7 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import refused_callers
+from cactusmux_relay import stream_run
 import gevent
 import h11
 import pytest
@@ -224,3 +226,36 @@
     _, body, complete = _ask(rig, last_event='3')
     assert body == b''
     assert not complete or EVENTS[4] not in body
+
+
+def _refused_for_want_of_a_path(rig, prompt_id):
+    rig.use_engines()
+    head, _, _ = _ask(rig, prompt_id=prompt_id)
+    assert head.status_code == 503
+    return float(dict(head.headers)[b'retry-after'])
+
+
+def test_refused_caller_is_served_first_when_it_returns(rig):
+    """It waits for room where a new caller is refused."""
+    retry_after_s = _refused_for_want_of_a_path(rig, '5c1e07a2:800')
+    assert retry_after_s >= refused_callers.LEAST_RETRY_S
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    returning = gevent.spawn(_ask, rig, prompt_id='5c1e07a2:800')
+    gevent.sleep(2 * stream_run.ROOM_WAIT_S)
+    new_head, _, _ = _ask(rig, prompt_id='e4402b7d:250')
+    rig.use_engines(target.address)
+    head, _, complete = returning.get(timeout=5.0)
+    assert new_head.status_code == 503
+    assert (head.status_code, complete) == (200, True)
+
+
+def test_caller_refused_by_another_instance_is_served_first(rig):
+    key = refused_callers.key_of('almaty', '5c1e07a2:800')
+    rig.refused.note_told([key])
+    rig.use_engines()
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    returning = gevent.spawn(_ask, rig, prompt_id='5c1e07a2:800')
+    gevent.sleep(2 * stream_run.ROOM_WAIT_S)
+    rig.use_engines(target.address)
+    head, _, complete = returning.get(timeout=5.0)
+    assert (head.status_code, complete) == (200, True)
