Model of the served engines and an experiment command; count second refusals

Change: cactusmux-model plays the router's own placing, repair, ledger and choice of paths on simpy; `cactusmux experiment` compares policies seed by seed with confidence intervals, writes JSON and a plot. Nothing that serves depends on it. path_chosen says whether the caller returned, and relay.refused_again counts those refused twice.

--- /dev/null
+++ b/packages/cactusmux-model/src/cactusmux_model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the served engines, and experiments on it."""
--- /dev/null
+++ b/packages/cactusmux-model/src/cactusmux_model/callers.py
@@ -0,0 +1,285 @@
+"""Callers and the router between them and the pool."""
+
+from collections.abc import Generator
+import random
+from typing import NamedTuple
+
+from cactusmux_base import timers
+from cactusmux_relay import load_ledger
+from cactusmux_relay import path_choice
+import simpy
+
+from . import deployments
+from . import policies
+from . import pool_world
+from . import runs
+
+ROOM_POLL_S = 0.01
+MAX_RUNS = 2
+MAX_REJECTIONS = 4
+LEAST_RETRY_S = 0.8
+LONGEST_RETRY_S = 1.4
+# Shape of the gamma distributions of lengths.
+LENGTH_SHAPE = 4.0
+
+
+class Outcome(NamedTuple):
+    """What a caller got.
+
+    :ivar first_s: from its first try to the first event, 0 if none came.
+    :ivar pause_s: longest between events.
+    """
+
+    kind: str
+    arrived_s: float
+    is_whole: bool
+    is_in_aim: bool
+    refusals: int
+    first_s: float
+    pause_s: float
+
+
+class _ModelTimers(timers.ManualTimers):
+    """The model's time for parts that ask a timer service for it."""
+
+    def __init__(self, env: simpy.Environment) -> None:
+        super().__init__()
+        self._env = env
+
+    def now(self) -> float:
+        return float(self._env.now)
+
+
+class _Request:
+    """A caller's request, over all its tries and runs."""
+
+    def __init__(
+        self, name: str, kind: deployments.RequestKind, rng: random.Random
+    ) -> None:
+        self.name = name
+        self.kind = kind
+        self.prompt = _length(rng, kind.prompt_tokens)
+        self.answer = int(_length(rng, kind.answer_tokens))
+        self.written = 0
+        self.refusals = 0
+        self.first_at = 0.0
+        self.event_at = 0.0
+        self.longest_pause_s = 0.0
+
+    @property
+    def demand(self) -> path_choice.Demand:
+        """Returns what the router knows of the request."""
+        return path_choice.Demand(
+            self.prompt + self.written,
+            self.kind.answer_tokens,
+            self.kind.pause_s,
+        )
+
+    def note_event(self, now: float) -> None:
+        """Notes that an event has reached the caller."""
+        if not self.event_at:
+            self.first_at = now
+        else:
+            pause_s = now - self.event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.event_at = now
+
+
+def _end(ended: simpy.Event, is_whole: bool) -> None:
+    ended.succeed(is_whole)
+
+
+def _length(rng: random.Random, mean: float) -> float:
+    return max(4.0, rng.gammavariate(LENGTH_SHAPE, mean / LENGTH_SHAPE))
+
+
+class Callers:
+    """Plays all requests of a deployment by one policy."""
+
+    def __init__(
+        self,
+        env: simpy.Environment,
+        deployment: deployments.Deployment,
+        world: pool_world.PoolWorld,
+        policy: policies.PathPolicy,
+        rng: random.Random,
+    ) -> None:
+        self._env = env
+        self._deployment = deployment
+        self._world = world
+        self._policy = policy
+        self._rng = rng
+        clock = _ModelTimers(env)
+        self._ledgers = [
+            load_ledger.LoadLedger(clock) for _ in range(deployment.instances)
+        ]
+        for ledger in self._ledgers:
+            ledger.set_instances(deployment.instances)
+        self.outcomes: list[Outcome] = []
+        self._times = 1.0
+        self._is_open = True
+        self.under_way = 0
+
+    def start(self) -> None:
+        """Begins to send requests and to spread news of loads."""
+        self._env.process(self._spread_news())
+        for name, kind in self._deployment.request_by_kind.items():
+            seed = self._rng.random()
+            self._env.process(self._arrive(name, kind, random.Random(seed)))
+
+    def close(self) -> None:
+        """Sends no more requests; those under way go on."""
+        self._is_open = False
+
+    def burst(self, each: deployments.Disturbance) -> None:
+        """Multiplies the load for a time."""
+        self._times = each.times
+        self._env.process(self._end_burst(each.for_s))
+
+    def _end_burst(self, after_s: float) -> Generator[simpy.Event, None, None]:
+        yield self._env.timeout(after_s)
+        self._times = 1.0
+
+    def _spread_news(self) -> Generator[simpy.Event, None, None]:
+        while True:
+            yield self._env.timeout(self._deployment.news_s)
+            for number, ledger in enumerate(self._ledgers):
+                own = ledger.own()
+                told = load_ledger.OwnLoads(
+                    dict(own.tokens_by_target),
+                    dict(own.requests_by_target),
+                    own.pipe_tokens,
+                )
+                for other in self._ledgers:
+                    if other is not ledger:
+                        other.note_peer(str(number), told)
+
+    def _arrive(
+        self,
+        name: str,
+        kind: deployments.RequestKind,
+        rng: random.Random,
+    ) -> Generator[simpy.Event, None, None]:
+        while True:
+            yield self._env.timeout(rng.expovariate(kind.per_s * self._times))
+            if not self._is_open:
+                return
+            request = _Request(name, kind, rng)
+            self.under_way += 1
+            self._env.process(self._call(request, rng))
+
+    def _call(
+        self, request: _Request, rng: random.Random
+    ) -> Generator[simpy.Event, None, None]:
+        """One caller: a try, and another one after a refusal."""
+        arrived = float(self._env.now)
+        is_whole = False
+        for _ in range(2):
+            ledger = rng.choice(self._ledgers)
+            is_whole = yield from self._serve(request, ledger)
+            if is_whole or request.event_at:
+                break
+            request.refusals += 1
+            wait_s = rng.uniform(LEAST_RETRY_S, LONGEST_RETRY_S)
+            yield self._env.timeout(wait_s)
+        first_s = request.first_at - arrived if request.event_at else 0.0
+        self.under_way -= 1
+        kind = request.kind
+        in_time = (
+            first_s <= kind.aim_s and request.longest_pause_s <= kind.pause_s
+        )
+        self.outcomes.append(
+            Outcome(
+                request.name,
+                arrived,
+                is_whole,
+                is_whole and in_time,
+                request.refusals,
+                first_s,
+                request.longest_pause_s,
+            )
+        )
+
+    def _serve(
+        self, request: _Request, ledger: load_ledger.LoadLedger
+    ) -> Generator[simpy.Event, None, bool]:
+        """One try: paths one after the other, until one ends well."""
+        begun = 0
+        rejections = 0
+        avoided: set[str] = set()
+        while begun < MAX_RUNS and rejections < MAX_REJECTIONS:
+            path = yield from self._find_path(request, ledger, avoided, begun)
+            if path is None:
+                return False
+            ids = [part.target.id for part in path]
+            tokens = request.demand.tokens
+            ended = self._env.event()
+            run = self._make_run(request, path, ended)
+            full = run.start()
+            if full is not None:
+                rejections += 1
+                avoided.add(full)
+                continue
+            begun += 1
+            ledger.add(ids, tokens)
+            ledger.note_crossings(path, tokens)
+            self._world.live.add(run)
+            is_whole = yield ended
+            self._world.live.discard(run)
+            ledger.remove(ids, tokens)
+            if is_whole:
+                return True
+        return False
+
+    def _make_run(
+        self,
+        request: _Request,
+        path: tuple,
+        ended: simpy.Event,
+    ) -> runs.Run:
+        event_tokens = self._world.engine.event_tokens
+
+        def note_token() -> None:
+            request.written += 1
+            is_last = request.written == request.answer
+            # The first token makes an event by itself.
+            if (request.written - 1) % event_tokens == 0 or is_last:
+                request.note_event(float(self._env.now))
+
+        return runs.Run(
+            self._world.pool,
+            path,
+            request.prompt + request.written,
+            request.answer - request.written,
+            note_token,
+            lambda is_whole: _end(ended, is_whole),
+        )
+
+    def _find_path(
+        self,
+        request: _Request,
+        ledger: load_ledger.LoadLedger,
+        avoided: set[str],
+        begun: int,
+    ) -> Generator[simpy.Event, None, tuple | None]:
+        wait_s = self._policy.room_wait_s
+        if begun or request.refusals:
+            wait_s = self._policy.returning_room_wait_s
+        until = self._env.now + wait_s
+        while True:
+            world = self._world
+            limit = path_choice.PIPE_LIMIT
+            if self._env.now >= until:
+                limit = path_choice.LAST_PIPE_LIMIT
+            question = policies.Question(
+                world.engine,
+                world.graph,
+                request.demand,
+                ledger.all_loads(world.pace_by_target),
+                frozenset(world.down | avoided),
+                limit,
+            )
+            path = self._policy.choose(question)
+            if path is not None or self._env.now >= until:
+                return path
+            yield self._env.timeout(ROOM_POLL_S)
--- /dev/null
+++ b/packages/cactusmux-model/src/cactusmux_model/experiments.py
@@ -0,0 +1,173 @@
+"""Plays a deployment by several policies and compares what callers get."""
+
+from collections.abc import Mapping, Sequence
+import functools
+import random
+import statistics
+from typing import NamedTuple
+
+from cactusmux_relay import placing
+from scipy import stats
+import simpy
+
+from . import callers
+from . import deployments
+from . import policies
+from . import pool_world
+from . import stages
+
+CONFIDENCE = 0.95
+# After the last request, for those under way.
+LONGEST_END_S = 30.0
+END_STEP_S = 0.5
+
+
+class Summary(NamedTuple):
+    """One play; shares are of all requests, 0 to 1.
+
+    :ivar worth: earned, as a share of what all in time would earn.
+    :ivar refused_twice: of those that were refused and came back.
+    """
+
+    asked: int
+    in_aim: float
+    late: float
+    refused: float
+    broken: float
+    refused_twice: float
+    worth: float
+    first_p50_ms: float
+    first_p99_ms: float
+
+
+class Compared(NamedTuple):
+    """A policy's plays beside the first policy's, seed by seed.
+
+    :ivar gain: mean difference in worth, and ``gain_error`` the half width
+        of its confidence interval.
+    """
+
+    policy: str
+    summaries: tuple[Summary, ...]
+    gain: float
+    gain_error: float
+
+
+def play(
+    deployment: deployments.Deployment,
+    policy: policies.PathPolicy,
+    placement: placing.Placement,
+    seed: int,
+) -> list[callers.Outcome]:
+    """Plays a deployment once; the same seed brings the same requests."""
+    env = simpy.Environment()
+    world = pool_world.PoolWorld(
+        env, deployment, placement, random.Random(seed)
+    )
+    crowd = callers.Callers(
+        env, deployment, world, policy, random.Random(seed + 1)
+    )
+    crowd.start()
+    act_by_kind = {
+        'lose': world.lose,
+        'slow': world.slow,
+        'add': world.add,
+        'burst': crowd.burst,
+    }
+    for each in deployment.disturbances:
+        act = functools.partial(act_by_kind[each.kind], each)
+        stages.call_after(env, each.at_s, act)
+    env.run(until=deployment.length_s)
+    crowd.close()
+    last_s = deployment.length_s + LONGEST_END_S
+    while crowd.under_way and env.now < last_s:
+        env.run(until=env.now + END_STEP_S)
+    return crowd.outcomes
+
+
+def summarise(
+    deployment: deployments.Deployment,
+    outcomes: Sequence[callers.Outcome],
+) -> Summary:
+    """Returns shares and times of one play."""
+    count = max(1, len(outcomes))
+    whole = [each for each in outcomes if each.is_whole]
+    in_aim = sum(each.is_in_aim for each in outcomes)
+    begun = sum(not each.is_whole and each.first_s > 0 for each in outcomes)
+    returned = [each for each in outcomes if each.refusals]
+    firsts = [each.first_s * 1000.0 for each in whole] or [0.0]
+    return Summary(
+        asked=len(outcomes),
+        in_aim=in_aim / count,
+        late=(len(whole) - in_aim) / count,
+        refused=(len(outcomes) - len(whole) - begun) / count,
+        broken=begun / count,
+        refused_twice=sum(each.refusals > 1 for each in returned)
+        / max(1, len(returned)),
+        worth=_worth(deployment, outcomes),
+        first_p50_ms=_quantile(firsts, 0.5),
+        first_p99_ms=_quantile(firsts, 0.99),
+    )
+
+
+def _worth(
+    deployment: deployments.Deployment,
+    outcomes: Sequence[callers.Outcome],
+) -> float:
+    earned = 0.0
+    owed = 0.0
+    for each in outcomes:
+        kind = deployment.request_by_kind[each.kind]
+        owed += kind.worth
+        if each.is_in_aim:
+            earned += kind.worth
+        elif each.is_whole:
+            earned += kind.late_worth
+    return earned / owed if owed else 0.0
+
+
+def _quantile(values: Sequence[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def compare(
+    deployment: deployments.Deployment,
+    policy_by_name: Mapping[str, policies.PathPolicy],
+    seeds: Sequence[int],
+) -> list[Compared]:
+    """Plays all policies on each seed before the next seed."""
+    summaries_by_name: dict[str, list[Summary]] = {
+        name: [] for name in policy_by_name
+    }
+    placement = pool_world.place(deployment)
+    for seed in seeds:
+        for name, policy in policy_by_name.items():
+            outcomes = play(deployment, policy, placement, seed)
+            summary = summarise(deployment, outcomes)
+            summaries_by_name[name].append(summary)
+    first = next(iter(summaries_by_name.values()))
+    compared = []
+    for name, summaries in summaries_by_name.items():
+        gains = [
+            one.worth - other.worth
+            for one, other in zip(summaries, first, strict=True)
+        ]
+        compared.append(
+            Compared(
+                name,
+                tuple(summaries),
+                statistics.fmean(gains),
+                half_width(gains),
+            )
+        )
+    return compared
+
+
+def half_width(values: Sequence[float]) -> float:
+    """Returns half of the mean's confidence interval, 0 for one value."""
+    if len(values) < 2:
+        return 0.0
+    error = statistics.stdev(values) / len(values) ** 0.5
+    quantile = stats.t.ppf((1.0 + CONFIDENCE) / 2.0, len(values) - 1)
+    return float(quantile * error)
--- /dev/null
+++ b/packages/cactusmux-model/tests/test_experiments.py
@@ -0,0 +1,142 @@
+"""Small plays: what callers get, by load, policy and disturbance."""
+
+import pathlib
+
+from cactusmux_model import deployments
+from cactusmux_model import experiments
+from cactusmux_model import policies
+from cactusmux_model import pool_world
+from cactusmux_model import reports
+import msgspec
+import pytest
+from returns import result
+
+ROOT = pathlib.Path(__file__).parents[3]
+FILE = ROOT / 'deploy' / 'models' / 'mixed-38.json'
+
+
+PLACEMENT = pool_world.place(deployments.read(FILE.read_bytes()).unwrap())
+
+
+def _deployment(times=0.2, length_s=2.0, disturbances=()):
+    """Returns the example with another load, for a short play."""
+    found = deployments.read(FILE.read_bytes()).unwrap()
+    kinds = {
+        name: msgspec.structs.replace(kind, per_s=kind.per_s * times)
+        for name, kind in found.request_by_kind.items()
+    }
+    return msgspec.structs.replace(
+        found,
+        request_by_kind=kinds,
+        length_s=length_s,
+        disturbances=tuple(disturbances),
+    )
+
+
+def _play(deployment, name='marginal', seed=1):
+    policy = policies.by_name(name).unwrap()
+    outcomes = experiments.play(deployment, policy, PLACEMENT, seed)
+    return experiments.summarise(deployment, outcomes)
+
+
+def test_light_load_is_served_in_time():
+    summary = _play(_deployment())
+    assert summary.asked > 3
+    assert summary.in_aim == 1.0
+    assert summary.worth == 1.0
+
+
+def test_same_seed_plays_the_same():
+    assert _play(_deployment()) == _play(_deployment())
+
+
+def test_paths_by_load_beat_the_shortest_path():
+    """All requests on one path hold each other up."""
+    deployment = _deployment(times=0.8, length_s=3.0)
+    by_load = _play(deployment)
+    shortest = _play(deployment, 'shortest')
+    assert by_load.in_aim > shortest.in_aim + 0.1
+    assert by_load.worth > shortest.worth
+
+
+def test_load_above_the_pool_is_refused_rather_than_all_late():
+    summary = _play(_deployment(times=3.0, length_s=3.0))
+    assert summary.refused + summary.late > 0.0
+    assert summary.in_aim > 0.2
+
+
+def test_streams_on_a_lost_card_go_on_elsewhere():
+    lost = deployments.Disturbance('lose', at_s=1.0, card='a100')
+    summary = _play(_deployment(length_s=4.0, disturbances=[lost]))
+    assert summary.broken == 0.0
+    assert summary.refused == 0.0
+
+
+@pytest.mark.parametrize(
+    'each',
+    [
+        deployments.Disturbance('slow', 0.5, 'l4', 'a', 2, 1.0, 12.0),
+        deployments.Disturbance('add', 0.5, 'l4', count=4),
+        deployments.Disturbance('burst', 0.5, for_s=0.5, times=3.0),
+    ],
+)
+def test_disturbances_leave_a_light_load_served(each):
+    summary = _play(_deployment(disturbances=[each]))
+    assert summary.refused == 0.0
+    assert summary.broken == 0.0
+
+
+def test_comparison_is_paired_by_seed(tmp_path):
+    deployment = _deployment(length_s=1.0)
+    names = ('marginal', 'impatient')
+    compared = experiments.compare(
+        deployment,
+        {name: policies.by_name(name).unwrap() for name in names},
+        [1, 2],
+    )
+    assert [each.policy for each in compared] == list(names)
+    assert compared[0].gain == 0.0
+    assert len(compared[1].summaries) == 2
+    assert len(reports.table(compared).splitlines()) == 3
+    reports.write(compared, tmp_path)
+    plays = msgspec.json.decode((tmp_path / reports.JSON_NAME).read_bytes())
+    assert plays['marginal'][0]['asked'] == compared[0].summaries[0].asked
+    assert (tmp_path / reports.PLOT_NAME).stat().st_size > 0
+
+
+def test_interval_of_equal_differences_has_no_width():
+    assert experiments.half_width([0.1, 0.1, 0.1]) == pytest.approx(0.0)
+    assert experiments.half_width([0.1]) == 0.0
+    assert experiments.half_width([0.0, 0.2]) > 0.2
+
+
+def _faulty(**changes):
+    plain = msgspec.json.decode(FILE.read_bytes())
+    plain.update(changes)
+    return msgspec.json.encode(plain)
+
+
+@pytest.mark.parametrize(
+    ('data', 'named'),
+    [
+        (b'{', 'truncated'),
+        (_faulty(instances=0), 'instances'),
+        (_faulty(length_s=0.0), 'length_s'),
+        (_faulty(colour='red'), 'colour'),
+        (
+            _faulty(disturbances=[{'kind': 'lose', 'at_s': 1, 'card': 'h9'}]),
+            'h9',
+        ),
+        (_faulty(disturbances=[{'kind': 'melt', 'at_s': 1}]), 'melt'),
+    ],
+)
+def test_faulty_file_is_refused_by_the_name_of_its_fault(data, named):
+    read = deployments.read(data)
+    assert isinstance(read, result.Failure)
+    assert named in str(read.failure())
+
+
+def test_unknown_policy_is_named():
+    found = policies.by_name('best')
+    assert isinstance(found, result.Failure)
+    assert "'best'" in str(found.failure())
--- /dev/null
+++ b/packages/cactusmux-model/tests/test_stages.py
@@ -0,0 +1,100 @@
+"""A stage's passes against the engine's published costs."""
+
+from cactusmux_fakes import sample_engine
+from cactusmux_model import stages
+from cactusmux_relay import cost_model
+from cactusmux_relay import targets
+import pytest
+import simpy
+
+ENGINE = sample_engine.ENGINE
+CARD = ENGINE.card_by_name['a100']
+CHUNK = 512
+
+
+class _Sequence:
+    def __init__(self, context_tokens=0.0):
+        self.context_tokens = context_tokens
+        self.is_ended = False
+
+
+@pytest.fixture(name='env')
+def _env():
+    return simpy.Environment()
+
+
+def _stage(env):
+    layers = targets.LayerRange(0, 40)
+    target = sample_engine.target('x', 'a100', 'a', layers)
+    return stages.Stage(env, ENGINE, CHUNK, target)
+
+
+def _times(env):
+    found = []
+    return found, lambda: found.append(env.now)
+
+
+def test_token_step_takes_its_published_time(env):
+    found, done = _times(env)
+    _stage(env).write(_Sequence(1000.0), 40, done)
+    env.run()
+    expected_ms = cost_model.step_ms(ENGINE, CARD, 40, 1, 1000.0)
+    assert found == [pytest.approx(expected_ms / 1000 + stages.HOP_S)]
+
+
+def test_steps_of_several_requests_share_a_pass(env):
+    stage = _stage(env)
+    found, done = _times(env)
+    for _ in range(10):
+        stage.write(_Sequence(), 40, done)
+    env.run()
+    expected_ms = cost_model.step_ms(ENGINE, CARD, 40, 10, 0.0)
+    assert found == [pytest.approx(expected_ms / 1000 + stages.HOP_S)] * 10
+
+
+def test_prompt_is_read_in_chunks_between_the_steps_of_others(env):
+    stage = _stage(env)
+    read, read_done = _times(env)
+    written, write_done = _times(env)
+    stage.read(_Sequence(), 40, 3.0 * CHUNK, read_done)
+    env.run(until=0.0001)
+    stage.write(_Sequence(), 40, write_done)
+    env.run()
+    assert written[0] < read[0]
+
+
+def test_slow_stage_takes_so_many_times_longer(env):
+    stage = _stage(env)
+    stage.pace = 12.0
+    found, done = _times(env)
+    stage.write(_Sequence(), 40, done)
+    env.run()
+    usual_ms = cost_model.step_ms(ENGINE, CARD, 40, 1, 0.0)
+    assert found == [pytest.approx(12 * usual_ms / 1000 + stages.HOP_S)]
+
+
+def test_lost_stage_does_nothing(env):
+    stage = _stage(env)
+    found, done = _times(env)
+    stage.write(_Sequence(), 40, done)
+    stage.is_lost = True
+    env.run()
+    assert found == []
+
+
+def test_pipe_carries_one_transfer_after_another(env):
+    pipe = stages.Pipe(env, 1000.0, 0.001)
+    found, done = _times(env)
+    pipe.carry(100.0, done)
+    pipe.carry(100.0, done)
+    env.run()
+    assert found == [pytest.approx(0.101), pytest.approx(0.201)]
+
+
+def test_single_token_passes_beside_a_prompt(env):
+    pipe = stages.Pipe(env, 1000.0, 0.001)
+    found, done = _times(env)
+    pipe.carry(100.0, done)
+    pipe.carry(1.0, done)
+    env.run()
+    assert found == [pytest.approx(0.002), pytest.approx(0.101)]
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -67,6 +67,7 @@
         self._exchange = exchange
         self._demand = demand_of(exchange)
         self._caller = caller_of(exchange)
+        self._is_returning = parts.refused.is_returning(self._caller)
         self._avoided: set[str] = set()
         self._runs = 0
         self._rejections = 0
@@ -111,7 +112,7 @@
     def _room_wait_s(self) -> float:
         if self._runs:
             return RESUME_ROOM_WAIT_S
-        if self._parts.refused.is_returning(self._caller):
+        if self._is_returning:
             return RETURNING_ROOM_WAIT_S
         return ROOM_WAIT_S
 
@@ -256,6 +257,8 @@
         retry_after_s = None
         if not has_run:
             retry_after_s = self._parts.refused.note_refused(self._caller)
+            if self._is_returning:
+                self._parts.metric.count('relay.refused_again')
         raise context.Refused(refusal, has_run, retry_after_s)
 
     def _log_path(
@@ -271,6 +274,7 @@
             tokens=int(self._demand.tokens),
             expected_pause_ms=int(expected_pause_ms),
             send=self._sends,
+            returning=self._is_returning,
             after_event=self._last_id,
             left_ms=_ms(left_s),
         )
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -247,6 +247,7 @@
     head, _, complete = returning.get(timeout=5.0)
     assert new_head.status_code == 503
     assert (head.status_code, complete) == (200, True)
+    assert 'relay.refused_again' not in rig.metric.counter_by_name
 
 
 def test_caller_refused_by_another_instance_is_served_first(rig):
@@ -259,3 +260,9 @@
     rig.use_engines(target.address)
     head, _, complete = returning.get(timeout=5.0)
     assert (head.status_code, complete) == (200, True)
+
+
+def test_refusing_a_returning_caller_again_is_counted(rig):
+    _refused_for_want_of_a_path(rig, '5c1e07a2:800')
+    _refused_for_want_of_a_path(rig, '5c1e07a2:800')
+    assert rig.metric.counter_by_name['relay.refused_again'] == 1
--- a/packages/cactusmux/src/cactusmux/commands.py
+++ b/packages/cactusmux/src/cactusmux/commands.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns import result
 
+from . import experiment
 from . import log_story
 from . import operator_client
 from . import serving
@@ -112,11 +113,38 @@
             return
         _print_answer(instance, 'GET', f'/explain/{_quote(request_id)}')
 
+    def experiment(
+        self,
+        file: str,
+        policies: str = 'marginal,least_filled',
+        seeds: str = '3',
+        out: str = '',
+    ) -> None:
+        """Plays a deployment FILE on the engine model, by several policies.
+
+        POLICIES are names with commas between them; each is played with
+        the same SEEDS. OUT is a folder for the plays as JSON and a plot.
+        """
+        names = _names(policies)
+        if not str(seeds).isdigit():
+            raise CommandFailed(f'SEEDS {seeds!r} is no number', EXIT_USAGE)
+        played = experiment.run(_read(file), names, int(seeds), str(out))
+        if isinstance(played, result.Failure):
+            raise CommandFailed(f'{file}: {played.failure()}', EXIT_USAGE)
+        print(played.unwrap())
+
     def version(self) -> None:
         """Prints the program's version."""
         print(f'cactusmux {metadata.version("cactusmux")}')
 
 
+def _names(given: object) -> list[str]:
+    """Returns names given as one text or, as fire reads it, a tuple."""
+    if isinstance(given, tuple | list):
+        return [str(each) for each in given]
+    return [each for each in str(given).split(',') if each]
+
+
 def _tell_from_log(request_id: str, file: str) -> None:
     text = _read(file).decode('utf-8', 'replace')
     story = log_story.tell(request_id, log_story.parse(text.splitlines()))
