Mend what reading the whole change again has found

The larger count now holds for a window; without a list there is no share. - The task that renews an instance's lease ended at an unforeseen failure, for one a 200 of the store without a revision.

Two tests set a number of instances that they had left out; their asserts stay.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -96,6 +96,7 @@
         self.most_work_s = float('inf')
         spelling = plain_dialect.PlainDialect()
         budget = repeat_budget.RepeatBudget(timer, 1.0, 100.0, 10.0)
+        budget.set_instances(1)
         self.refused = refused_callers.RefusedCallers(timer, rng)
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -44,6 +44,11 @@
         """Ids of the targets that are down."""
         return frozenset(self._target_by_id)
 
+    @property
+    def known_count(self) -> int:
+        """Returns of how many targets something is remembered."""
+        return len(self._target_by_id.keys() | self._probed_at_by_id.keys())
+
     def mark(self, target: targets.Target, cause: str) -> None:
         """Notes that a target is down."""
         if target.id in self._target_by_id:
@@ -65,6 +70,8 @@
             current = target_by_id.get(target_id)
             if current is None or current.born_ms != down.born_ms:
                 self._mark_up(target_id, 'started anew or gone')
+        for target_id in self._probed_at_by_id.keys() - target_by_id.keys():
+            del self._probed_at_by_id[target_id]
 
     def probe(self, target: targets.Target) -> None:
         """Finds out in a task of its own whether a target is down."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -198,8 +198,10 @@
             return False
         self.is_busy = True
         watcher = gevent.spawn(self._watch_caller, gevent.getcurrent())
+        # What was read early for past requests is no longer waiting.
+        self._early_bytes = len(self._h11.trailing_data[0])
         try:
-            self._handler(request, self)
+            self._handle(request)
         finally:
             watcher.kill()
             self.is_busy = False
@@ -207,6 +209,17 @@
             return False
         return self._h11.their_state is h11.DONE
 
+    def _handle(self, request: Request) -> None:
+        """Runs the handler; one that fails unforeseen is still answered."""
+        try:
+            self._handler(request, self)
+        except (OSError, h11.LocalProtocolError):
+            raise
+        except Exception as error:
+            events.error('handler_failed', cause=repr(error))
+            if self._h11.our_state is h11.SEND_RESPONSE:
+                self.answer(500, [], b'')
+
     def _read_request(self) -> Request | None:
         head = self._read_head()
         if head is None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/membership.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -9,6 +9,8 @@
 import msgspec
 from returns import result
 
+from . import tasks
+
 PREFIX = 'cactusmux/instances/'
 LEASE_TTL_S = 4.0
 RENEWAL_S = 1.2
@@ -62,11 +64,15 @@
 
     def _run(self) -> None:
         while not self._is_stopped:
-            if self._registered is None:
-                done = self._register()
-            else:
-                done = self._renew(self._registered)
-            self._timer.sleep(RENEWAL_S if done else RETRY_S)
+            tasks.run_step('registration', self.step, self._timer)
+
+    def step(self) -> None:
+        """Registers or renews, then waits until that is due again."""
+        if self._registered is None:
+            done = self._register()
+        else:
+            done = self._renew(self._registered)
+        self._timer.sleep(RENEWAL_S if done else RETRY_S)
 
     def _register(self) -> bool:
         match self._store.grant_lease(LEASE_TTL_S):
--- a/packages/cactusmux-relay/src/cactusmux_relay/pace_book.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/pace_book.py
@@ -46,9 +46,19 @@
         asked_at = self._asked_at_by_id.get(target.id)
         if asked_at is not None and now - asked_at < LEAST_AGE_S:
             return
+        self._forget_old(now)
+        self._asked_at_by_id.pop(target.id, None)
         self._asked_at_by_id[target.id] = now
         gevent.spawn(self._ask_now, target)
 
+    def _forget_old(self, now: float) -> None:
+        """Drops targets not asked for long; they lie in that order."""
+        while self._asked_at_by_id:
+            oldest = next(iter(self._asked_at_by_id))
+            if now - self._asked_at_by_id[oldest] < MAX_AGE_S:
+                return
+            del self._asked_at_by_id[oldest]
+
     def own(self) -> dict[str, float]:
         """Returns the slow targets by this instance's own reports."""
         oldest = self._timer.now() - MAX_AGE_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -13,6 +13,8 @@
 from . import target_book
 
 ROOM_POLL_S = 0.01
+# For the answer of a request whose time ends while it waits.
+ANSWER_S = 0.02
 # A target that was short of memory is left out for so long.
 FULL_S = 0.3
 
@@ -48,7 +50,7 @@
 
         Only at the end of the wait may it cross a busier pipe.
         """
-        until = min(self._timer.now() + wait_s, exchange.ends_at)
+        until = min(self._timer.now() + wait_s, exchange.ends_at - ANSWER_S)
         choice = path_choice.Choice(None, 0.0, 0, 0.0)
         while True:
             is_last = self._timer.now() >= until
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -121,6 +121,9 @@
         ids = frozenset(self._book.target_by_id)
         if not ids <= self._known_ids:
             self._known_at = self._timer.now()
+        for start in list(self._ordered_at_by_start):
+            if start[0] not in ids:
+                del self._ordered_at_by_start[start]
         self._known_ids = ids
 
     def _load(self, fencing: int, state: desired.DesiredState) -> bool:
--- a/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from typing import NamedTuple
 
 from cactusmux_base import timers
 
@@ -13,6 +14,13 @@
 SAFETY = 0.85
 
 
+class _Earlier(NamedTuple):
+    """A larger number of instances, and until when it counts."""
+
+    until: float
+    instances: int
+
+
 class RepeatBudget:
     """Counts requests and repeats by service over a sliding window.
 
@@ -32,12 +40,22 @@
         self._ratio = ratio * SAFETY
         self._allowance = allowance * SAFETY
         self._window_s = window_s
-        self._instances = 1
+        # Unknown before the first list: no share of the allowance.
+        self._instances = 0
+        self._earlier: collections.deque[_Earlier] = collections.deque()
         self._requests: dict[str, collections.deque[float]] = {}
         self._repeats: dict[str, collections.deque[float]] = {}
 
     def set_instances(self, count: int) -> None:
-        """Sets over how many instances the allowance is shared."""
+        """Sets over how many instances the allowance is shared.
+
+        A smaller count is in force a window later: the list may lack
+        instances that live, and those gone have spent their share.
+        """
+        now = self._timer.now()
+        if count < self._instances:
+            until = now + self._window_s
+            self._earlier.append(_Earlier(until, self._instances))
         self._instances = max(1, count)
 
     def note_request(self, service: str) -> None:
@@ -49,12 +67,21 @@
         requests = self._times(self._requests, service)
         repeats = self._times(self._repeats, service)
         allowed = self._ratio * len(requests)
-        allowed += self._allowance / self._instances
+        shared_by = self._shared_by()
+        if shared_by:
+            allowed += self._allowance / shared_by
         if len(repeats) + 1 > allowed:
             return False
         repeats.append(self._timer.now())
         return True
 
+    def _shared_by(self) -> int:
+        now = self._timer.now()
+        while self._earlier and self._earlier[0].until <= now:
+            self._earlier.popleft()
+        counts = [each.instances for each in self._earlier]
+        return max([self._instances, *counts])
+
     def _times(
         self, times_by_service: dict[str, collections.deque[float]], name: str
     ) -> collections.deque[float]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
@@ -60,6 +60,8 @@
         if not self._mirror.is_settled:
             for target_id, known in self._entry_target_by_id.items():
                 found.setdefault(target_id, known)
+        for target_id in self._reported_by_id.keys() - found.keys():
+            del self._reported_by_id[target_id]
         self._log_changes(found)
         self._entry_target_by_id = found
         self._publish()
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -209,6 +209,7 @@
 def test_repeat_budget_comes_back_with_the_window():
     timer = timers.ManualTimers()
     budget = repeat_budget.RepeatBudget(timer, 0.0, 10.0, 10.0)
+    budget.set_instances(1)
     assert sum(budget.take('s') for _ in range(1000)) < 1000
     timer.advance(10.1)
     assert budget.take('s')
@@ -310,3 +311,45 @@
     assert loads.requests_by_target == {'t': 40.0}
     ledger.set_instances(3)
     assert ledger.all_loads({}).tokens_by_target == {'t': 20.0}
+
+
+def test_fewer_instances_in_the_list_do_not_widen_the_budget_at_once():
+    """After an outage of the store the list lacks those that live."""
+    timer = timers.ManualTimers()
+    budget = repeat_budget.RepeatBudget(timer, 0.0, 80.0, 10.0)
+    budget.set_instances(8)
+    timer.advance(1.0)
+    budget.set_instances(1)
+    assert sum(budget.take('s') for _ in range(100)) == 8
+    timer.advance(10.1)
+    budget.set_instances(1)
+    assert sum(budget.take('s') for _ in range(100)) == 68
+
+
+def test_instance_that_knows_no_others_has_no_share_of_the_allowance():
+    budget = repeat_budget.RepeatBudget(timers.ManualTimers(), 0.0, 80, 10.0)
+    assert not budget.take('s')
+
+
+def test_registration_goes_on_after_an_unforeseen_failure():
+    timer = timers.GeventTimers()
+    store = _FailsOnce(timer)
+    own = membership.Instance('i', 'a', 'r', '10.0.0.1:80', '10.0.0.1:81')
+    registration = membership.Registration(store, timer, own)
+    registration.start()
+    with gevent.Timeout(5.0):
+        while not store.get_prefix(membership.PREFIX).unwrap():
+            gevent.sleep(0.01)
+    registration.stop()
+
+
+class _FailsOnce(memory_store.MemoryStore):
+    """Raises what no caller expects, at the first lease."""
+
+    has_failed = False
+
+    def grant_lease(self, ttl_s):
+        if not self.has_failed:
+            self.has_failed = True
+            raise KeyError('unforeseen')
+        return super().grant_lease(ttl_s)
--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -164,3 +164,36 @@
     received = server.ask(HEAD + both + b'0\r\n\r\n' + smuggled)
     assert _statuses(received) == [400]
     assert server.requests == []
+
+
+def test_handler_that_fails_unforeseen_is_answered():
+    def fail(_request, _answerer):
+        raise KeyError('unforeseen')
+
+    server = http_server.HttpServer('127.0.0.1:0', fail, timers.GeventTimers())
+    server.start()
+    sock = socket.create_connection(('127.0.0.1', server.port), timeout=5.0)
+    sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+    assert sock.recv(1000).startswith(b'HTTP/1.1 500 ')
+    sock.close()
+    server.stop()
+
+
+def test_caller_is_watched_after_many_requests_sent_early(server):
+    """What was read early for past requests doesn't count for later ones."""
+    request = HEAD + b'Content-Length: 900\r\n\r\n' + b'x' * 900
+    rounds = http_server.MAX_EARLY_BYTES // (60 * len(request)) + 2
+    server.wait_s = 0.001
+    sock = server.connect()
+    for number in range(rounds):
+        sock.sendall(request)
+        while len(server.requests) <= 61 * number:
+            gevent.sleep(0)
+        sock.sendall(request * 60)
+        while len(server.requests) < 61 * (number + 1):
+            assert sock.recv(65536)
+    server.wait_s = 5.0
+    sock.sendall(request)
+    gevent.sleep(0.05)
+    sock.close()
+    assert server.gone.wait(timeout=2.0)
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -266,3 +266,10 @@
     _refused_for_want_of_a_path(rig, '5c1e07a2:800')
     _refused_for_want_of_a_path(rig, '5c1e07a2:800')
     assert rig.metric.counter_by_name['relay.refused_again'] == 1
+
+
+def test_request_whose_time_ends_in_the_wait_for_a_path_has_not_run(rig):
+    rig.use_engines()
+    head, _, _ = _ask(rig, wait_s='0.04')
+    assert head.status_code == 503
+    assert b'retry-after' in dict(head.headers)
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -280,3 +280,12 @@
     timer.advance(directory.SILENT_S + 0.1)
     found.note_stopping('i1', True)
     assert len(found.addresses('a')) == 39
+
+
+def test_targets_that_are_gone_are_forgotten():
+    """A pool that changes all day must not fill the memory."""
+    watched = _Watched()
+    gone = sample_engine.target('gone')
+    watched.down.probe(gone)
+    watched.down.update({})
+    assert watched.down.known_count == 0
--- a/tests/adapter/test_kv_store.py
+++ b/tests/adapter/test_kv_store.py
@@ -226,3 +226,33 @@
     )
     unanswered = result.Failure(layer_orders.OrderUnanswered('i-1'))
     assert orders.report(target) == unanswered
+
+
+@pytest.mark.parametrize('body', [{}, {'revision': None}, ['torn']])
+def test_write_whose_answer_is_not_whole_may_have_run(body):
+    store, _ = _store((200, body))
+    written = store.compare_and_swap('my/leader', b'node-0', 0)
+    assert isinstance(written.failure(), stores.OutcomeUnknown)
+
+
+@pytest.mark.parametrize('body', [{}, {'lease': 'x'}, ['torn']])
+def test_lease_whose_answer_is_not_whole_is_not_had(body):
+    store, _ = _store((200, body))
+    granted = store.grant_lease(4.0)
+    assert isinstance(granted.failure(), stores.StoreUnavailable)
+
+
+def test_page_that_ends_with_an_unreadable_item_is_read_on():
+    torn = {'key': 'my/torn', 'value': '?', 'revision': 413}
+    store, server = _store(
+        (200, {'items': [ITEM, torn], 'more_pages': True, 'current_rev': 9}),
+        (200, {'items': [], 'more_pages': False, 'current_rev': 9}),
+    )
+    assert store.get_prefix('my/') == result.Success((ENTRY,))
+    assert server.asked[1][1].endswith('after=my%2Ftorn')
+
+
+def test_watch_with_an_event_that_is_not_whole_must_read_anew():
+    store, _ = _store((200, {'events': [{'tombstone': True}]}))
+    watched = store.watch('my/', 5, 0.1)
+    assert isinstance(watched.failure(), stores.StoreUnavailable)
