Log how long a probe waited and whether others accepted meanwhile

Connecting moves to a module of its own that tells a refusal from a timeout. No change of behaviour.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/connects.py
@@ -0,0 +1,52 @@
+"""Opens a connection to a target only to see whether it is accepted."""
+
+import enum
+import socket as std_socket
+from typing import NamedTuple
+
+from cactusmux_base import timers
+from gevent import socket
+
+
+class Outcome(enum.StrEnum):
+    """How a connection ended; used in logs."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    TIMED_OUT = 'timed_out'
+
+
+class Connect(NamedTuple):
+    """One try.
+
+    :ivar cause: as the operating system words it.
+    :ivar waited_s: longer than the timeout where our own loop was late.
+    """
+
+    outcome: Outcome
+    cause: str
+    waited_s: float
+
+
+def connect(
+    address: str, timeout_s: float, timer: timers.TimerService
+) -> Connect:
+    """Connects to ``IP:PORT`` and closes at once; blocks its task."""
+    begun_at = timer.now()
+    outcome, cause = _try(address, timeout_s)
+    return Connect(outcome, cause, timer.now() - begun_at)
+
+
+def _try(address: str, timeout_s: float) -> tuple[Outcome, str]:
+    host, _, port = address.rpartition(':')
+    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    try:
+        sock.settimeout(timeout_s)
+        sock.connect((host, int(port)))
+    except TimeoutError:
+        return Outcome.TIMED_OUT, 'connect timed out'
+    except OSError as error:
+        return Outcome.REFUSED, error.strerror or 'connect failed'
+    finally:
+        sock.close()
+    return Outcome.ACCEPTED, 'accepts connections'
--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -5,19 +5,19 @@
 """
 
 from collections.abc import Callable
-import socket as std_socket
 
 from cactusmux_base import events
 from cactusmux_base import timers
 import gevent
-from gevent import socket
 
+from . import connects
 from . import targets
 
 PROBE_TIMEOUT_S = 0.06
 # A target found to be up isn't probed again for so long.
 PROBE_PERIOD_S = 0.4
 RECHECK_PERIOD_S = 0.7
+MS_PER_S = 1000.0
 
 Callback = Callable[[str], None]
 
@@ -29,6 +29,7 @@
         self._timer = timer
         self._target_by_id: dict[str, targets.Target] = {}
         self._probed_at_by_id: dict[str, float] = {}
+        self._accepted_at = 0.0
         self._callbacks: list[Callback] = []
 
     def subscribe(self, callback: Callback) -> None:
@@ -49,8 +50,19 @@
         """Returns of how many targets something is remembered."""
         return len(self._target_by_id.keys() | self._probed_at_by_id.keys())
 
-    def mark(self, target: targets.Target, cause: str) -> None:
-        """Notes that a target is down."""
+    def mark(
+        self,
+        target: targets.Target,
+        cause: str,
+        waited_s: float = 0.0,
+        others_accept: bool = False,
+    ) -> None:
+        """Notes that a target is down.
+
+        :param waited_s: for a connection.
+        :param others_accept: whether another target has accepted one that
+            was opened meanwhile.
+        """
         if target.id in self._target_by_id:
             return
         self._target_by_id[target.id] = target
@@ -60,6 +72,8 @@
             address=target.address,
             born_ms=target.born_ms,
             cause=cause,
+            waited_ms=round(waited_s * MS_PER_S),
+            others_accept=others_accept,
         )
         for callback in self._callbacks:
             callback(target.id)
@@ -85,34 +99,28 @@
         gevent.spawn(self._probe_now, target)
 
     def _probe_now(self, target: targets.Target) -> None:
-        cause = connect_failure(target.address)
-        if cause is not None:
-            self.mark(target, cause)
+        begun_at = self._timer.now()
+        tried = self._connect(target)
+        if tried.outcome is not connects.Outcome.ACCEPTED:
+            others_accept = self._accepted_at > begun_at
+            self.mark(target, tried.cause, tried.waited_s, others_accept)
 
     def _recheck(self) -> None:
         for target in list(self._target_by_id.values()):
             gevent.spawn(self._recheck_one, target)
 
     def _recheck_one(self, target: targets.Target) -> None:
-        if connect_failure(target.address) is None:
-            self._mark_up(target.id, 'accepts connections')
+        tried = self._connect(target)
+        if tried.outcome is connects.Outcome.ACCEPTED:
+            self._mark_up(target.id, tried.cause)
+
+    def _connect(self, target: targets.Target) -> connects.Connect:
+        begun_at = self._timer.now()
+        tried = connects.connect(target.address, PROBE_TIMEOUT_S, self._timer)
+        if tried.outcome is connects.Outcome.ACCEPTED:
+            self._accepted_at = max(self._accepted_at, begun_at)
+        return tried
 
     def _mark_up(self, target_id: str, cause: str) -> None:
         if self._target_by_id.pop(target_id, None) is not None:
             events.info('target_up', target=target_id, cause=cause)
-
-
-def connect_failure(address: str) -> str | None:
-    """Returns why a connection failed, ``None`` if it was accepted."""
-    host, _, port = address.rpartition(':')
-    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
-    try:
-        sock.settimeout(PROBE_TIMEOUT_S)
-        sock.connect((host, int(port)))
-    except TimeoutError:
-        return 'connect timed out'
-    except OSError as error:
-        return error.strerror or 'connect failed'
-    finally:
-        sock.close()
-    return None
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -3,6 +3,7 @@
 from cactusmux_base import timers
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import connects
 from cactusmux_relay import cost_model
 from cactusmux_relay import directory
 from cactusmux_relay import down_targets
@@ -108,9 +109,12 @@
 
 def test_connection_tells_whether_a_target_is_there():
     target = scripted_target.ScriptedTarget(lambda sock, request: False)
-    assert down_targets.connect_failure(target.address) is None
+    timer = timers.GeventTimers()
+    accepted = connects.connect(target.address, 1.0, timer)
+    assert accepted.outcome is connects.Outcome.ACCEPTED
     target.stop()
-    assert down_targets.connect_failure(target.address) is not None
+    refused = connects.connect(target.address, 1.0, timer)
+    assert refused.outcome is connects.Outcome.REFUSED
 
 
 class _Orders(layer_orders.LayerOrders):
