--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.ready
 UV_VERSION := 0.13.9
 PACKAGES := $(wildcard packages/*)
-SOURCES := packages platform tests bench demo
+SOURCES := conftest.py packages platform tests bench demo
 
 .PHONY: setup test lint types unit format lock demo bench slopes binary protos
 
--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,34 @@
+"""Lets CI pass over the tests listed in KNOWN-RED.txt, and prints them.
+
+A listed test that passes fails the run, so that its entry goes with the fix.
+"""
+
+import pathlib
+import re
+
+import pytest
+
+LIST = pathlib.Path(__file__).parent / 'KNOWN-RED.txt'
+ENTRY = re.compile(r'^- (\S+\.py::[^\s:]+)', re.MULTILINE)
+
+
+def listed_tests() -> frozenset[str]:
+    """Returns the node ids of the tests that are known to fail."""
+    return frozenset(ENTRY.findall(LIST.read_text()))
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expects the listed tests to fail."""
+    listed = listed_tests()
+    for item in items:
+        if item.nodeid in listed:
+            reason = 'listed in KNOWN-RED.txt'
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Prints the listed tests."""
+    for node_id in sorted(listed_tests()):
+        terminalreporter.write_line(f'known red: {node_id}')
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -180,6 +180,44 @@
     assert 'e0' in rig.down.ids
 
 
+def test_stream_is_not_cut_while_nothing_can_follow_it(rig):
+    """Its only target accepts no connections for a while, yet goes on."""
+    holder = []
+
+    def script(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:2]))
+        holder[0].stop()
+        gevent.sleep(0.6)
+        sock.sendall(_chunks(EVENTS[2:]) + END)
+        return False
+
+    mute = scripted_target.ScriptedTarget(script)
+    holder.append(mute)
+    rig.use_engines(mute.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_stream_that_may_not_be_resumed_is_not_cut(rig):
+    holder = []
+
+    def script(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:2]))
+        holder[0].stop()
+        gevent.sleep(0.6)
+        sock.sendall(_chunks(EVENTS[2:]) + END)
+        return False
+
+    mute = scripted_target.ScriptedTarget(script)
+    holder.append(mute)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(mute.address, other.address)
+    _, body, complete = _ask(rig, '/once/')
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
 def test_load_is_noted_while_a_stream_runs_and_gone_afterwards(rig):
     target = _target(HEAD + _chunks(EVENTS) + END)
     rig.use_engines(target.address)
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -117,6 +117,48 @@
     assert refused.outcome is connects.Outcome.REFUSED
 
 
+def _connects_as(monkeypatch, outcome_by_address):
+    def connect(address, timeout_s, timer):
+        outcome = outcome_by_address[address]
+        return connects.Connect(outcome, str(outcome), timeout_s)
+
+    monkeypatch.setattr(connects, 'connect', connect)
+
+
+def _probe(down, found, suspected):
+    down.update({each.id: each for each in found})
+    down.probe(suspected)
+    for _ in range(10):
+        gevent.sleep(0)
+
+
+def _targets(count):
+    return [
+        sample_engine.target(f't{index}', address=f'127.0.0.1:{index}')
+        for index in range(1, count + 1)
+    ]
+
+
+def test_own_full_link_is_not_taken_for_a_failed_target(monkeypatch):
+    """While our link is full no connection to any target is accepted."""
+    found = _targets(5)
+    late = {each.address: connects.Outcome.TIMED_OUT for each in found}
+    _connects_as(monkeypatch, late)
+    down = down_targets.DownTargets(timers.ManualTimers())
+    _probe(down, found, found[0])
+    assert down.ids == frozenset()
+
+
+def test_silent_target_is_down_while_others_accept(monkeypatch):
+    found = _targets(5)
+    outcomes = {each.address: connects.Outcome.ACCEPTED for each in found}
+    outcomes[found[0].address] = connects.Outcome.TIMED_OUT
+    _connects_as(monkeypatch, outcomes)
+    down = down_targets.DownTargets(timers.ManualTimers())
+    _probe(down, found, found[0])
+    assert down.ids == {'t1'}
+
+
 class _Orders(layer_orders.LayerOrders):
     def __init__(self):
         self.pace = 1.0
