Race a suspected target against others before it is held to be down

Callers saw answers that ended in the middle, hundreds within a second of a change of the configuration.

Cause: a target counted as down when it hadn't accepted a connection within 60 ms. While a configuration of 1,450 routes, often two copies of it, is on its way to an instance with a 20 Mbit/s link, the packets of all connections wait behind it: up to 2,093 targets were held to be down in a second in which none had failed. The class of fault: congestion of our own taken for a failure elsewhere.

Now a timeout leads to a second connection, raced against connections to three other targets opened after it. Packets keep their order on a link, so one that is overtaken by all means that its target is at fault; where none is accepted in 0.3 s nothing is concluded. A refused connection still tells at once. The second connection also bears one lost packet.

--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -1,7 +1,8 @@
 """Targets that don't answer now, found by failed connections.
 
-A target is up again when it has started anew, or when it accepts a
-connection.
+A refused connection tells at once. One that isn't accepted in time may be
+held up by our own link: then a race against others has to tell. A target is
+up again when it has started anew, or when it accepts a connection.
 """
 
 from collections.abc import Callable
@@ -11,12 +12,15 @@
 import gevent
 
 from . import connects
+from . import races
 from . import targets
 
 PROBE_TIMEOUT_S = 0.06
 # A target found to be up isn't probed again for so long.
 PROBE_PERIOD_S = 0.4
 RECHECK_PERIOD_S = 0.7
+# Targets that a suspected one is raced against.
+REFERENCES = 3
 MS_PER_S = 1000.0
 
 Callback = Callable[[str], None]
@@ -29,7 +33,7 @@
         self._timer = timer
         self._target_by_id: dict[str, targets.Target] = {}
         self._probed_at_by_id: dict[str, float] = {}
-        self._accepted_at = 0.0
+        self._known: list[targets.Target] = []
         self._callbacks: list[Callback] = []
 
     def subscribe(self, callback: Callback) -> None:
@@ -51,18 +55,9 @@
         return len(self._target_by_id.keys() | self._probed_at_by_id.keys())
 
     def mark(
-        self,
-        target: targets.Target,
-        cause: str,
-        waited_s: float = 0.0,
-        others_accept: bool = False,
+        self, target: targets.Target, cause: str, waited_s: float = 0.0
     ) -> None:
-        """Notes that a target is down.
-
-        :param waited_s: for a connection.
-        :param others_accept: whether another target has accepted one that
-            was opened meanwhile.
-        """
+        """Notes that a target is down, and how long that took to find out."""
         if target.id in self._target_by_id:
             return
         self._target_by_id[target.id] = target
@@ -73,13 +68,13 @@
             born_ms=target.born_ms,
             cause=cause,
             waited_ms=round(waited_s * MS_PER_S),
-            others_accept=others_accept,
         )
         for callback in self._callbacks:
             callback(target.id)
 
     def update(self, target_by_id: dict[str, targets.Target]) -> None:
         """Takes a new list: targets gone or started anew aren't down."""
+        self._known = [target_by_id[each] for each in sorted(target_by_id)]
         for target_id, down in list(self._target_by_id.items()):
             current = target_by_id.get(target_id)
             if current is None or current.born_ms != down.born_ms:
@@ -100,26 +95,45 @@
 
     def _probe_now(self, target: targets.Target) -> None:
         begun_at = self._timer.now()
-        tried = self._connect(target)
+        tried = self._connect(target, PROBE_TIMEOUT_S)
+        if tried.outcome is connects.Outcome.TIMED_OUT:
+            references = self._references(target)
+            raced = races.race(self._connect, target, references)
+            if raced is None:
+                events.info('probe_inconclusive', target=target.id)
+                return
+            tried = raced
         if tried.outcome is not connects.Outcome.ACCEPTED:
-            others_accept = self._accepted_at > begun_at
-            self.mark(target, tried.cause, tried.waited_s, others_accept)
+            waited_s = self._timer.now() - begun_at
+            self.mark(target, tried.cause, waited_s)
+
+    def _references(self, target: targets.Target) -> list[targets.Target]:
+        """Returns other targets, spread over the list, that aren't down."""
+        others = [
+            each
+            for each in self._known
+            if each.id != target.id and each.id not in self._target_by_id
+        ]
+        start = sum(each.id < target.id for each in others)
+        step = max(1, len(others) // REFERENCES)
+        picked = range(
+            start, start + min(len(others), REFERENCES * step), step
+        )
+        return [others[index % len(others)] for index in picked]
 
     def _recheck(self) -> None:
         for target in list(self._target_by_id.values()):
             gevent.spawn(self._recheck_one, target)
 
     def _recheck_one(self, target: targets.Target) -> None:
-        tried = self._connect(target)
+        tried = self._connect(target, PROBE_TIMEOUT_S)
         if tried.outcome is connects.Outcome.ACCEPTED:
             self._mark_up(target.id, tried.cause)
 
-    def _connect(self, target: targets.Target) -> connects.Connect:
-        begun_at = self._timer.now()
-        tried = connects.connect(target.address, PROBE_TIMEOUT_S, self._timer)
-        if tried.outcome is connects.Outcome.ACCEPTED:
-            self._accepted_at = max(self._accepted_at, begun_at)
-        return tried
+    def _connect(
+        self, target: targets.Target, timeout_s: float
+    ) -> connects.Connect:
+        return connects.connect(target.address, timeout_s, self._timer)
 
     def _mark_up(self, target_id: str, cause: str) -> None:
         if self._target_by_id.pop(target_id, None) is not None:
