Cut a silent stream only once it can go on elsewhere

Cause: when a target was held to be down, all streams through it were cut at once, also those whose events arrived, those that may not be resumed, those without an attempt left, and more of them than the budget of repeats bore. What comes next was looked for only after the cut. The class of fault: break before make.

Now a stream is cut only while it is silent or hasn't begun, and after a path with room was chosen and a repeat taken for it. Else it stays, says so (stream_kept) and is looked at again every 0.2 s; its first target ends it after its own bound if the stage is really dead.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -97,6 +97,7 @@
         spelling = plain_dialect.PlainDialect()
         budget = repeat_budget.RepeatBudget(timer, 1.0, 100.0, 10.0)
         budget.set_instances(1)
+        self.budget = budget
         self.refused = refused_callers.RefusedCallers(timer, rng)
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -3,7 +3,8 @@
 A target that goes silent holds up every stream through it. The watch looks
 for streams that are silent for longer than is usual for them, has the
 targets of their paths probed, and interrupts the streams through targets
-that turn out to be down.
+that turn out to be down: each one only while it is silent, and once it is
+certain that it can go on elsewhere.
 """
 
 from collections.abc import Callable
@@ -25,14 +26,30 @@
 # Before its first event a request may wait for others' prompts.
 FIRST_EVENT_SILENCE_S = 0.2
 PAUSE_SMOOTHING = 0.3
+# How often a stream through a target that is down is looked at for a way on.
+HAND_OVER_PERIOD_S = 0.2
+
+
+def _always() -> bool:
+    return True
 
 
 class LiveStream:
-    """One attempt of a stream on one path."""
+    """One attempt of a stream on one path.
+
+    :param secure_next: secures what the stream needs to go on elsewhere;
+        tells whether all of it was had.
+    """
 
     def __init__(
-        self, path: cost_model.Path, expected_pause_ms: float, now: float
+        self,
+        path: cost_model.Path,
+        expected_pause_ms: float,
+        now: float,
+        secure_next: Callable[[], bool] = _always,
     ) -> None:
+        self.secure_next = secure_next
+        self.next_look_at = now
         self.expected_pause_ms = expected_pause_ms
         self.target_ids = tuple(stage.target.id for stage in path)
         self.path = path
@@ -60,6 +77,10 @@
         """Returns the mean time between events."""
         return (self.last_at - self.first_at) / max(1, self.events - 1)
 
+    def may_be_dead(self, now: float) -> bool:
+        """Whether nothing speaks against a stage that is down."""
+        return not self.has_started or self.is_silent(now)
+
     def is_silent(self, now: float) -> bool:
         """Whether the stream waits for longer than is usual for it."""
         silence_s = now - self.last_at
@@ -105,6 +126,8 @@
 
     def check(self) -> None:
         """Has the targets probed on which silent streams depend."""
+        for target_id in self._down.ids:
+            self._interrupt(target_id)
         now = self._timer.now()
         silent = [each for each in self._streams if each.is_silent(now)]
         if not silent:
@@ -127,6 +150,17 @@
 
     def _interrupt(self, target_id: str) -> None:
         for stream in list(self._streams):
-            if target_id in stream.target_ids and stream.call is not None:
-                stream.was_interrupted = True
-                stream.call.cut()
+            if target_id in stream.target_ids:
+                self._hand_over(stream)
+
+    def _hand_over(self, stream: LiveStream) -> None:
+        """Interrupts a stream if it is silent and can go on elsewhere."""
+        now = self._timer.now()
+        if stream.call is None or stream.was_interrupted:
+            return
+        if not stream.may_be_dead(now) or now < stream.next_look_at:
+            return
+        stream.next_look_at = now + HAND_OVER_PERIOD_S
+        if stream.secure_next():
+            stream.was_interrupted = True
+            stream.call.cut()
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -70,6 +70,7 @@
         self._is_returning = parts.refused.is_returning(self._caller)
         self._avoided: set[str] = set()
         self._runs = 0
+        self._runs_before = 0
         self._rejections = 0
         self._sends = 0
         self._last_id = exchange.facts.last_event_id
@@ -77,6 +78,8 @@
         self._first_at = 0.0
         self._passed_at = 0.0
         self._longest_pause_s = 0.0
+        self._secured: path_choice.Choice | None = None
+        self._kept_for: outcomes.Refusal | None = None
 
     def serve(self) -> None:
         """Streams the answer; raises :class:`context.Refused`.
@@ -90,10 +93,14 @@
                 return
             except _Broken as broken:
                 self._log_broken(path, broken)
-                if not self._may_resume():
+                if not self._may_resume(self._runs):
                     self._give_up(outcomes.Refusal.TARGET_FAILED)
 
     def _next_path(self) -> tuple[cost_model.Path, float]:
+        secured = self._secured
+        self._secured = None
+        if secured is not None and secured.path is not None:
+            return secured.path, secured.pause_ms
         service = self._exchange.service.name
         choice = self._parts.finder.choose(
             self._exchange, self._demand, self._avoided, self._room_wait_s()
@@ -109,6 +116,34 @@
             self._give_up(outcomes.Refusal.REPEATS_SPENT)
         return choice.path, choice.pause_ms
 
+    def _secure_next(self) -> bool:
+        """Secures a path and a repeat, to go on when this attempt is cut."""
+        if self._secured is not None:
+            return True
+        if not self._may_resume(self._runs_before + 1):
+            return self._keep(outcomes.Refusal.TARGET_FAILED)
+        choice = self._parts.finder.choose(
+            self._exchange, self._demand, self._avoided, 0.0
+        )
+        if choice.path is None:
+            return self._keep(outcomes.Refusal.NO_ROOM)
+        if not self._parts.budget.take(self._exchange.service.name):
+            return self._keep(outcomes.Refusal.REPEATS_SPENT)
+        self._secured = choice
+        return True
+
+    def _keep(self, reason: outcomes.Refusal) -> bool:
+        """Notes why a stream stays on a path with a target that is down."""
+        if self._kept_for != reason:
+            events.info(
+                'stream_kept',
+                id=self._exchange.facts.request_id,
+                reason=reason,
+                last_event=self._last_id,
+            )
+        self._kept_for = reason
+        return False
+
     def _room_wait_s(self) -> float:
         if self._runs:
             return RESUME_ROOM_WAIT_S
@@ -122,8 +157,9 @@
         parts = self._parts
         ids = [stage.target.id for stage in path]
         tokens = self._demand.tokens
+        self._runs_before = self._runs
         live = live_streams.LiveStream(
-            path, expected_pause_ms, parts.timer.now()
+            path, expected_pause_ms, parts.timer.now(), self._secure_next
         )
         self._sends += 1
         self._log_path(path, expected_pause_ms)
@@ -243,12 +279,13 @@
         kept = [each for each in headers if each[0] != b'content-length']
         self._exchange.answerer.start(head.status, kept)
 
-    def _may_resume(self) -> bool:
-        if self._runs == 0:
+    def _may_resume(self, runs: int) -> bool:
+        """Whether one more run may follow so many."""
+        if runs == 0:
             return True
         if not self._exchange.route.is_idempotent:
             return False
-        return self._runs < self._exchange.route.max_attempts
+        return runs < self._exchange.route.max_attempts
 
     def _give_up(self, refusal: outcomes.Refusal) -> NoReturn:
         if self._has_begun:
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -32,6 +32,22 @@
     return scripted_target.ScriptedTarget(script)
 
 
+def _mute_after(count, silence_s):
+    """Falls silent after some events and accepts no more connections."""
+    holder = []
+
+    def script(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:count]))
+        holder[0].stop()
+        gevent.sleep(silence_s)
+        sock.sendall(_chunks(EVENTS[count:]) + END)
+        return False
+
+    target = scripted_target.ScriptedTarget(script)
+    holder.append(target)
+    return target
+
+
 def _answer(received):
     """Returns status, headers, body, and whether the answer is complete."""
     connection = h11.Connection(h11.CLIENT)
@@ -162,16 +178,7 @@
 
 def test_stream_on_a_silent_dead_target_is_interrupted_and_resumed(rig):
     """The first target stops accepting connections and falls silent."""
-    holder = []
-
-    def script(sock, _request):
-        sock.sendall(HEAD + _chunks(EVENTS[:2]))
-        holder[0].stop()
-        gevent.sleep(30.0)
-        return False
-
-    silent = scripted_target.ScriptedTarget(script)
-    holder.append(silent)
+    silent = _mute_after(2, 30.0)
     other = _target(HEAD + _chunks(EVENTS[2:]) + END)
     rig.use_engines(silent.address, other.address)
     _, body, complete = _ask(rig)
@@ -182,35 +189,38 @@
 
 def test_stream_is_not_cut_while_nothing_can_follow_it(rig):
     """Its only target accepts no connections for a while, yet goes on."""
-    holder = []
-
-    def script(sock, _request):
-        sock.sendall(HEAD + _chunks(EVENTS[:2]))
-        holder[0].stop()
-        gevent.sleep(0.6)
-        sock.sendall(_chunks(EVENTS[2:]) + END)
-        return False
-
-    mute = scripted_target.ScriptedTarget(script)
-    holder.append(mute)
+    mute = _mute_after(2, 0.6)
     rig.use_engines(mute.address)
     _, body, complete = _ask(rig)
     assert complete
     assert body == b''.join(EVENTS)
 
 
-def test_stream_that_may_not_be_resumed_is_not_cut(rig):
-    holder = []
+def test_handing_a_stream_over_takes_one_repeat(rig):
+    taken = []
+    take = rig.budget.take
+    rig.budget.take = lambda service: taken.append(service) or take(service)
+    silent = _mute_after(2, 30.0)
+    other = _target(HEAD + _chunks(EVENTS[2:]) + END)
+    rig.use_engines(silent.address, other.address)
+    _, _, complete = _ask(rig)
+    assert complete
+    assert len(taken) == 1
 
-    def script(sock, _request):
-        sock.sendall(HEAD + _chunks(EVENTS[:2]))
-        holder[0].stop()
-        gevent.sleep(0.6)
-        sock.sendall(_chunks(EVENTS[2:]) + END)
-        return False
 
-    mute = scripted_target.ScriptedTarget(script)
-    holder.append(mute)
+def test_stream_stays_while_the_repeats_are_spent(rig):
+    rig.budget.take = lambda service: False
+    mute = _mute_after(2, 0.6)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(mute.address, other.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+    assert other.received == []
+
+
+def test_stream_that_may_not_be_resumed_is_not_cut(rig):
+    mute = _mute_after(2, 0.6)
     other = _target(HEAD + _chunks(EVENTS) + END)
     rig.use_engines(mute.address, other.address)
     _, body, complete = _ask(rig, '/once/')
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -1,3 +1,4 @@
+import itertools
 import random
 
 from cactusmux_base import timers
@@ -37,12 +38,14 @@
             lambda each: None,
         )
 
-    def add(self, *ids):
+    def add(self, *ids, secure_next=lambda: True):
         path = tuple(
             cost_model.Stage(sample_engine.target(each), targets.NO_LAYERS)
             for each in ids
         )
-        stream = live_streams.LiveStream(path, 40.0, self.timer.now())
+        stream = live_streams.LiveStream(
+            path, 40.0, self.timer.now(), secure_next
+        )
         stream.call = _Call()
         self.live.add(stream)
         return stream
@@ -93,6 +96,39 @@
     assert not other.call.is_cut
 
 
+def test_stream_whose_events_arrive_is_not_cut_for_a_down_target():
+    watched = _Watched()
+    stream = watched.add('x')
+    watched.play(stream, [0.05] * 4)
+    watched.down.mark(sample_engine.target('x'), 'test')
+    watched.play(stream, [0.05] * 4)
+    watched.live.check()
+    assert not stream.call.is_cut
+    watched.timer.advance(0.2)
+    watched.live.check()
+    assert stream.call.is_cut
+
+
+def test_stream_is_cut_only_once_its_next_path_is_secured():
+    watched = _Watched()
+    answers = [False, False, True]
+    asked = []
+
+    def secure_next():
+        asked.append(watched.timer.now())
+        return answers.pop(0)
+
+    stream = watched.add('x', secure_next=secure_next)
+    watched.down.mark(sample_engine.target('x'), 'test')
+    for _ in range(100):
+        watched.timer.advance(live_streams.CHECK_PERIOD_S)
+        watched.live.check()
+    assert stream.call.is_cut
+    assert answers == []
+    pauses = [later - at for at, later in itertools.pairwise(asked)]
+    assert all(each >= live_streams.HAND_OVER_PERIOD_S for each in pauses)
+
+
 def test_down_target_is_up_again_when_it_started_anew_or_is_gone():
     timer = timers.ManualTimers()
     down = down_targets.DownTargets(timer)
