Eject a target at once only when it refuses a connection

Callers of plain services lost the targets of their service for half a second and more when our own link was full: a connection that wasn't accepted within 0.3 s counted as certain evidence, like a refused one, and opened the target's breaker by itself. Both arrive as NotSent; it now tells them apart, and only a refusal is certain. A timeout still counts as one failure among others.

The test test_own_full_link_does_not_eject_targets failed before (both targets ejected) and passes now.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -103,6 +103,9 @@
         self.ledger = ledger
         connections = target_calls.TargetConnections(timer)
         sender = sending.Sender(connections, spelling, timer)
+        self.health = breakers.Breakers(
+            timer, rng, self.metric, lambda lost: True
+        )
         live = live_streams.LiveStreams(
             timer, self.down, self.down.probe, lambda target: None
         )
@@ -115,7 +118,7 @@
                 ledger,
                 sender,
                 budget,
-                breakers.Breakers(timer, rng, self.metric, lambda lost: True),
+                self.health,
                 timer,
                 self.metric,
                 rng,
--- a/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
@@ -27,10 +27,12 @@
 
     :ivar at_fault: address of the target that is the cause.
     :ivar status: of the target's answer, 0 where it didn't answer.
+    :ivar is_refused: it refused the connection.
     """
 
     at_fault: str
     status: int
+    is_refused: bool = False
 
 
 class MaybeRun(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -160,8 +160,8 @@
                     self._log(exchange, target, f'status_{head.status}')
                 else:
                     self._health.note_success(target.address)
-            case outcomes.NotRun(_, status):
-                self._health.note_failure(target.address, status == 0)
+            case outcomes.NotRun(_, status) as not_run:
+                self._health.note_failure(target.address, not_run.is_refused)
                 self._log(exchange, target, f'not_run_{status}')
             case outcomes.MaybeRun(_, detail):
                 self._health.note_failure(target.address)
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -48,8 +48,10 @@
         fresh = not exchange.route.is_idempotent
         try:
             call = self._connections.call(target.address, request, fresh)
-        except target_calls.NotSent:
-            return outcomes.NotRun(target.address, 0)
+        except target_calls.NotSent as failed:
+            return outcomes.NotRun(
+                target.address, 0, is_refused=failed.is_refused
+            )
         streaming = False
         if live is not None:
             live.call = call
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -36,13 +36,18 @@
 
 
 class NotSent(failures.CactusmuxError):
-    """No connection was had: the target can't have run the request."""
+    """No connection was had: the target can't have run the request.
+
+    :ivar is_refused: by the target itself; else it wasn't accepted in time,
+        which a full link of our own may be the cause of.
+    """
 
     reason = 'not_sent'
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, is_refused: bool) -> None:
         super().__init__(f'no connection to target {address}')
         self.address = address
+        self.is_refused = is_refused
 
 
 class AnswerBroken(failures.CactusmuxError):
@@ -288,7 +293,8 @@
             sock.connect((host, int(port)))
         except (OSError, ValueError) as error:
             sock.close()
-            raise NotSent(address) from error
+            is_refused = not isinstance(error, TimeoutError)
+            raise NotSent(address, is_refused) from error
         sock.settimeout(None)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         sock.setsockopt(
--- a/packages/cactusmux-relay/tests/test_plain_relay.py
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -1,5 +1,8 @@
+import types
+
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import target_calls
 import gevent
 import pytest
 
@@ -176,3 +179,35 @@
     rig.in_force.state = None
     gevent.spawn_later(0.05, setattr, rig.in_force, 'state', state)
     assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
+
+
+class _LateSocket:
+    def __init__(self, family, kind):
+        pass
+
+    def settimeout(self, seconds):
+        pass
+
+    def connect(self, address):
+        raise TimeoutError
+
+    def close(self):
+        pass
+
+
+def test_own_full_link_does_not_eject_targets(rig, monkeypatch):
+    """A connection that isn't accepted in time is no certain failure."""
+
+    late = types.SimpleNamespace(socket=_LateSocket)
+    monkeypatch.setattr(target_calls, 'socket', late)
+    rig.use_plain('127.0.0.1:1', '127.0.0.1:2')
+    assert _status(rig.ask(relay_rig.request('/unsafe/'))) == 503
+    assert rig.health.ejected() == frozenset()
+
+
+def test_refused_connection_ejects_at_once(rig):
+    dead = _target(b'')
+    dead.stop()
+    rig.use_plain(dead.address)
+    rig.ask(relay_rig.request('/unsafe/'))
+    assert rig.health.ejected() == {dead.address}
