Sharpen the race of probes and what counts as our own failure

- all instances raced a suspect against the same three targets, which had to accept a connection of each instance: drawn at random now, one set for all suspects of a moment;
- errors of our own (no descriptor, no route, no local port) counted as a refusal by the target: unanswered now;
- a connection accepted in the last 30 ms of the race lost its head start;
- a stream with unread bytes counted as silent where our loop or the caller was late: it isn't cut;
- streams times targets down were looked through 33 times a second: one pass over the streams;
- an instance that hears of no other named only itself to callers: it names all that aren't stopping.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -92,7 +92,7 @@
         self.in_force = request_core.InForce()
         self.in_force.replace(desired_state())
         self.book = target_book.TargetBook()
-        self.down = down_targets.DownTargets(timer)
+        self.down = down_targets.DownTargets(timer, rng)
         self.most_work_s = float('inf')
         spelling = plain_dialect.PlainDialect()
         budget = repeat_budget.RepeatBudget(timer, 1.0, 100.0, 10.0)
--- a/packages/cactusmux-relay/src/cactusmux_relay/connects.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/connects.py
@@ -12,8 +12,10 @@
     """How a connection ended; used in logs."""
 
     ACCEPTED = 'accepted'
+    # By the target itself.
     REFUSED = 'refused'
-    TIMED_OUT = 'timed_out'
+    # Not accepted, for a cause that may lie on our side.
+    UNANSWERED = 'unanswered'
 
 
 class Connect(NamedTuple):
@@ -39,14 +41,19 @@
 
 def _try(address: str, timeout_s: float) -> tuple[Outcome, str]:
     host, _, port = address.rpartition(':')
-    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    except OSError as error:
+        return Outcome.UNANSWERED, error.strerror or 'no socket'
     try:
         sock.settimeout(timeout_s)
         sock.connect((host, int(port)))
     except TimeoutError:
-        return Outcome.TIMED_OUT, 'connect timed out'
+        return Outcome.UNANSWERED, 'connect timed out'
+    except (ConnectionRefusedError, ConnectionResetError) as error:
+        return Outcome.REFUSED, error.strerror or 'connect refused'
     except OSError as error:
-        return Outcome.REFUSED, error.strerror or 'connect failed'
+        return Outcome.UNANSWERED, error.strerror or 'connect failed'
     finally:
         sock.close()
     return Outcome.ACCEPTED, 'accepts connections'
--- a/packages/cactusmux-relay/src/cactusmux_relay/directory.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/directory.py
@@ -16,8 +16,12 @@
     """Chooses addresses for a caller's zone."""
 
     def __init__(
-        self, exchange: soft_exchange.SoftExchange, timer: timers.TimerService
+        self,
+        exchange: soft_exchange.SoftExchange,
+        timer: timers.TimerService,
+        own_name: str,
     ) -> None:
+        self._own_name = own_name
         self._exchange = exchange
         self._timer = timer
         self._instances: list[membership.Instance] = []
@@ -46,7 +50,8 @@
     def addresses(self, zone: str) -> list[str]:
         """Returns addresses for a caller in ``zone``, its own zone first."""
         live = [each for each in self._instances if self._is_live(each.name)]
-        if not live:
+        if all(each.name == self._own_name for each in live):
+            # Deaf to all the others: more likely our fault than theirs.
             live = [
                 each
                 for each in self._instances
--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import random
 
 from cactusmux_base import events
 from cactusmux_base import timers
@@ -19,9 +20,10 @@
 # A target found to be up isn't probed again for so long.
 PROBE_PERIOD_S = 0.4
 RECHECK_PERIOD_S = 0.7
-# Targets that a suspected one is raced against.
+# Targets that suspected ones are raced against.
 REFERENCES = 3
-MS_PER_S = 1000.0
+# Targets suspected within this time run in one race.
+COLLECT_S = 0.005
 
 Callback = Callable[[str], None]
 
@@ -29,8 +31,10 @@
 class DownTargets:
     """Which targets are down, and since which of their starts."""
 
-    def __init__(self, timer: timers.TimerService) -> None:
+    def __init__(self, timer: timers.TimerService, rng: random.Random) -> None:
         self._timer = timer
+        self._rng = rng
+        self._suspect_by_id: dict[str, targets.Target] = {}
         self._target_by_id: dict[str, targets.Target] = {}
         self._probed_at_by_id: dict[str, float] = {}
         self._known: list[targets.Target] = []
@@ -54,10 +58,8 @@
         """Returns of how many targets something is remembered."""
         return len(self._target_by_id.keys() | self._probed_at_by_id.keys())
 
-    def mark(
-        self, target: targets.Target, cause: str, waited_s: float = 0.0
-    ) -> None:
-        """Notes that a target is down, and how long that took to find out."""
+    def mark(self, target: targets.Target, cause: str) -> None:
+        """Notes that a target is down."""
         if target.id in self._target_by_id:
             return
         self._target_by_id[target.id] = target
@@ -67,14 +69,13 @@
             address=target.address,
             born_ms=target.born_ms,
             cause=cause,
-            waited_ms=round(waited_s * MS_PER_S),
         )
         for callback in self._callbacks:
             callback(target.id)
 
     def update(self, target_by_id: dict[str, targets.Target]) -> None:
         """Takes a new list: targets gone or started anew aren't down."""
-        self._known = [target_by_id[each] for each in sorted(target_by_id)]
+        self._known = list(target_by_id.values())
         for target_id, down in list(self._target_by_id.items()):
             current = target_by_id.get(target_id)
             if current is None or current.born_ms != down.born_ms:
@@ -94,32 +95,37 @@
         gevent.spawn(self._probe_now, target)
 
     def _probe_now(self, target: targets.Target) -> None:
-        begun_at = self._timer.now()
         tried = self._connect(target, PROBE_TIMEOUT_S)
-        if tried.outcome is connects.Outcome.TIMED_OUT:
-            references = self._references(target)
-            raced = races.race(self._connect, target, references)
-            if raced is None:
+        if tried.outcome is connects.Outcome.REFUSED:
+            self.mark(target, tried.cause)
+        if tried.outcome is connects.Outcome.UNANSWERED:
+            if not self._suspect_by_id:
+                gevent.spawn(self._race)
+            self._suspect_by_id[target.id] = target
+
+    def _race(self) -> None:
+        """Finds out which of the suspected targets are down."""
+        self._timer.sleep(COLLECT_S)
+        suspects = list(self._suspect_by_id.values())
+        references = self._references()
+        self._suspect_by_id = {}
+        tried_by_id = races.race(self._connect, suspects, references)
+        for target in suspects:
+            tried = tried_by_id.get(target.id)
+            if tried is None:
                 events.info('probe_inconclusive', target=target.id)
-                return
-            tried = raced
-        if tried.outcome is not connects.Outcome.ACCEPTED:
-            waited_s = self._timer.now() - begun_at
-            self.mark(target, tried.cause, waited_s)
-
-    def _references(self, target: targets.Target) -> list[targets.Target]:
-        """Returns other targets, spread over the list, that aren't down."""
+            elif tried.outcome is not connects.Outcome.ACCEPTED:
+                self.mark(target, tried.cause)
+
+    def _references(self) -> list[targets.Target]:
+        """Draws targets that are neither down nor suspected."""
         others = [
             each
             for each in self._known
-            if each.id != target.id and each.id not in self._target_by_id
+            if each.id not in self._target_by_id
+            and each.id not in self._suspect_by_id
         ]
-        start = sum(each.id < target.id for each in others)
-        step = max(1, len(others) // REFERENCES)
-        picked = range(
-            start, start + min(len(others), REFERENCES * step), step
-        )
-        return [others[index % len(others)] for index in picked]
+        return self._rng.sample(others, min(REFERENCES, len(others)))
 
     def _recheck(self) -> None:
         for target in list(self._target_by_id.values()):
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -126,8 +126,7 @@
 
     def check(self) -> None:
         """Has the targets probed on which silent streams depend."""
-        for target_id in self._down.ids:
-            self._interrupt(target_id)
+        self._hand_over_all(self._down.ids)
         now = self._timer.now()
         silent = [each for each in self._streams if each.is_silent(now)]
         if not silent:
@@ -149,8 +148,14 @@
                     self._suspect_slow(stage.target)
 
     def _interrupt(self, target_id: str) -> None:
+        self._hand_over_all(frozenset((target_id,)))
+
+    def _hand_over_all(self, down_ids: frozenset[str]) -> None:
+        """Hands over the streams that pass through targets that are down."""
+        if not down_ids:
+            return
         for stream in list(self._streams):
-            if target_id in stream.target_ids:
+            if not down_ids.isdisjoint(stream.target_ids):
                 self._hand_over(stream)
 
     def _hand_over(self, stream: LiveStream) -> None:
@@ -160,6 +165,9 @@
             return
         if not stream.may_be_dead(now) or now < stream.next_look_at:
             return
+        if stream.call.has_unread():
+            # Our own loop or the caller is late, not the target.
+            return
         stream.next_look_at = now + HAND_OVER_PERIOD_S
         if stream.secure_next():
             stream.was_interrupted = True
--- a/packages/cactusmux-relay/src/cactusmux_relay/races.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/races.py
@@ -1,9 +1,9 @@
-"""Tells a target that doesn't answer from a link of our own that is full.
+"""Tells targets that don't answer from a link of our own that is full.
 
 A connection that isn't accepted in time says nothing by itself: what fills
-our link holds up the packets to all targets alike. So a second connection
-is raced against connections to other targets, opened after it. Only one that
-these overtake is the target's own failure.
+our link holds up the packets to all targets alike. So second connections are
+raced against connections to other targets, opened after them. Only one that
+these overtake is its target's own failure.
 """
 
 from collections.abc import Callable, Sequence
@@ -23,40 +23,53 @@
 
 def race(
     connect: Connector,
-    suspected: targets.Target,
+    suspects: Sequence[targets.Target],
     references: Sequence[targets.Target],
-) -> connects.Connect | None:
-    """Connects to all at once; ``None`` if that tells nothing.
+) -> dict[str, connects.Connect]:
+    """Connects to all at once; returns what that tells, by target id.
 
-    A connection that was overtaken counts as timed out.
+    A connection that was overtaken counts as unanswered. Of suspects that
+    are left out nothing is known.
     """
-    own = gevent.spawn(connect, suspected, RACE_S)
+    own_by_id = {
+        each.id: gevent.spawn(connect, each, RACE_S + HEAD_START_S)
+        for each in suspects
+    }
     others = [gevent.spawn(connect, each, RACE_S) for each in references]
     try:
-        overtaken = _await_first(own, others)
-        if overtaken:
-            own.join(HEAD_START_S)
-        tried = own.value if own.ready() else None
+        is_overtaken = _await_answer(others)
+        gevent.joinall(
+            list(own_by_id.values()),
+            timeout=HEAD_START_S if is_overtaken else None,
+        )
+        tried_by_id = {
+            target_id: own.value
+            for target_id, own in own_by_id.items()
+            if own.value is not None
+        }
     finally:
-        gevent.killall([own, *others], block=False)
-    if tried is not None and tried.outcome is not connects.Outcome.TIMED_OUT:
-        return tried
-    if not overtaken:
-        return None
-    return connects.Connect(
-        connects.Outcome.TIMED_OUT, 'overtaken by others', RACE_S
-    )
-
-
-def _await_first(
-    own: gevent.Greenlet, others: Sequence[gevent.Greenlet]
-) -> bool:
-    """Waits until a connection tells something; whether it was another's."""
-    for done in gevent.iwait([own, *others]):
-        outcome = done.value.outcome if done.value else None
-        if done is own:
-            if outcome is not connects.Outcome.TIMED_OUT:
-                return False
-        elif outcome is connects.Outcome.ACCEPTED:
+        gevent.killall([*own_by_id.values(), *others], block=False)
+    found = {
+        target_id: tried
+        for target_id, tried in tried_by_id.items()
+        if tried.outcome is not connects.Outcome.UNANSWERED
+    }
+    if is_overtaken:
+        overtaken = connects.Connect(
+            connects.Outcome.UNANSWERED, 'overtaken by others', RACE_S
+        )
+        for target_id in own_by_id.keys() - found.keys():
+            found[target_id] = overtaken
+    return found
+
+
+def _await_answer(others: Sequence[gevent.Greenlet]) -> bool:
+    """Waits for the first target that answers; whether one did.
+
+    A refusal also shows that our link works.
+    """
+    for done in gevent.iwait(others):
+        tried = done.value
+        if tried and tried.outcome is not connects.Outcome.UNANSWERED:
             return True
     return False
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -104,7 +104,7 @@
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
         self._ledger = load_ledger.LoadLedger(timer)
-        self._down = down_targets.DownTargets(timer)
+        self._down = down_targets.DownTargets(timer, rng)
         self._roster = target_roster.TargetRoster(
             self._book, self._down, self.in_force, timer, given.decode_target
         )
@@ -158,7 +158,9 @@
         )
         self._puller = copies.CopyPuller(self._mirror_by_prefix, timer)
         self._down.subscribe(self._tell_down)
-        self.directory = directory.Directory(self._exchange, timer)
+        self.directory = directory.Directory(
+            self._exchange, timer, settings.name
+        )
         self._instance_by_name: dict[str, membership.Instance] = {}
         self._lease = leases.LeaseHolder(
             given.store,
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -179,6 +179,10 @@
         except OSError:
             return
 
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that nobody has read yet."""
+        return not _is_silent(self._sock)
+
     def close(self) -> None:
         """Gives the connection back, or cuts it."""
         sent = self._sender is None or self._sender.ready()
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -68,7 +68,7 @@
         self.members = {each.id: each for each in sample_engine.pool()}
         self.in_force = request_core.InForce()
         self.in_force.replace(relay_rig.desired_state())
-        self.down = down_targets.DownTargets(self.timer)
+        self.down = down_targets.DownTargets(self.timer, random.Random(1))
         self.keeper = placement_keeper.PlacementKeeper(
             self.store,
             self.in_force,
@@ -266,7 +266,7 @@
     in_force.replace(relay_rig.desired_state())
     roster = target_roster.TargetRoster(
         book,
-        down_targets.DownTargets(timer),
+        down_targets.DownTargets(timer, random.Random(1)),
         in_force,
         timer,
         lambda entry: entry,
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -1,5 +1,7 @@
 """How long a request looks for a path, and which pipes it may cross."""
 
+import random
+
 from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_fakes import relay_rig
@@ -42,7 +44,7 @@
         self.finder = path_finder.PathFinder(
             self._book,
             self.ledger,
-            down_targets.DownTargets(self.timer),
+            down_targets.DownTargets(self.timer, random.Random(1)),
             pace_book.PaceBook(silent_orders.SilentOrders(), self.timer),
             self.timer,
             metrics.MemoryMetrics(),
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -1,5 +1,7 @@
+import errno
 import itertools
 import random
+import types
 
 from cactusmux_base import timers
 from cactusmux_fakes import sample_engine
@@ -12,6 +14,7 @@
 from cactusmux_relay import live_streams
 from cactusmux_relay import membership
 from cactusmux_relay import pace_book
+from cactusmux_relay import races
 from cactusmux_relay import soft_exchange
 from cactusmux_relay import targets
 import gevent
@@ -21,15 +24,23 @@
 class _Call:
     def __init__(self):
         self.is_cut = False
+        self.is_unread = False
 
     def cut(self):
         self.is_cut = True
 
+    def has_unread(self):
+        return self.is_unread
+
+
+def _down_targets(timer):
+    return down_targets.DownTargets(timer, random.Random(1))
+
 
 class _Watched:
     def __init__(self):
         self.timer = timers.ManualTimers()
-        self.down = down_targets.DownTargets(self.timer)
+        self.down = _down_targets(self.timer)
         self.suspected = []
         self.live = live_streams.LiveStreams(
             self.timer,
@@ -129,9 +140,21 @@
     assert all(each >= live_streams.HAND_OVER_PERIOD_S for each in pauses)
 
 
+def test_stream_with_unread_bytes_is_not_cut():
+    """Our own loop or the caller is late, not the target."""
+    watched = _Watched()
+    stream = watched.add('x')
+    stream.call.is_unread = True
+    watched.down.mark(sample_engine.target('x'), 'test')
+    assert not stream.call.is_cut
+    stream.call.is_unread = False
+    watched.live.check()
+    assert stream.call.is_cut
+
+
 def test_down_target_is_up_again_when_it_started_anew_or_is_gone():
     timer = timers.ManualTimers()
-    down = down_targets.DownTargets(timer)
+    down = _down_targets(timer)
     target = sample_engine.target('x')
     down.mark(target, 'test')
     down.update({'x': target})
@@ -178,19 +201,99 @@
 def test_own_full_link_is_not_taken_for_a_failed_target(monkeypatch):
     """While our link is full no connection to any target is accepted."""
     found = _targets(5)
-    late = {each.address: connects.Outcome.TIMED_OUT for each in found}
+    late = {each.address: connects.Outcome.UNANSWERED for each in found}
     _connects_as(monkeypatch, late)
-    down = down_targets.DownTargets(timers.ManualTimers())
+    down = _down_targets(timers.ManualTimers())
     _probe(down, found, found[0])
     assert down.ids == frozenset()
 
 
+def test_own_failure_to_connect_is_no_refusal(monkeypatch):
+    unanswered = []
+    for number in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EMFILE):
+        failing = types.SimpleNamespace(socket=_failing_socket(number))
+        monkeypatch.setattr(connects, 'socket', failing)
+        tried = connects.connect('127.0.0.1:1', 1.0, timers.ManualTimers())
+        unanswered.append(tried.outcome is connects.Outcome.UNANSWERED)
+    assert unanswered == [True, True, True]
+
+
+def _failing_socket(number):
+    class _Socket:
+        def __init__(self, family, kind):
+            if number == errno.EMFILE:
+                raise OSError(number, 'own')
+
+        def settimeout(self, seconds):
+            pass
+
+        def connect(self, address):
+            raise OSError(number, 'own')
+
+        def close(self):
+            pass
+
+    return _Socket
+
+
+def test_instances_race_a_suspect_against_different_targets():
+    """The same few would have to accept a connection of each instance."""
+    found = {each.id: each for each in _targets(99)}
+    drawn = set()
+    for seed in range(20):
+        down = down_targets.DownTargets(
+            timers.ManualTimers(), random.Random(seed)
+        )
+        down.update(found)
+        drawn.update(each.id for each in down._references())
+    assert len(drawn) > 3 * down_targets.REFERENCES
+
+
+def test_suspects_of_one_moment_share_their_references(monkeypatch):
+    found = _targets(9)
+    silent = {each.address for each in found[:4]}
+    tried = []
+
+    def connect(address, timeout_s, timer):
+        tried.append(address)
+        outcome = connects.Outcome.ACCEPTED
+        if address in silent:
+            outcome = connects.Outcome.UNANSWERED
+        return connects.Connect(outcome, str(outcome), timeout_s)
+
+    monkeypatch.setattr(connects, 'connect', connect)
+    down = _down_targets(timers.ManualTimers())
+    down.update({each.id: each for each in found})
+    for each in found[:4]:
+        down.probe(each)
+    for _ in range(10):
+        gevent.sleep(0)
+    assert down.ids == {'t1', 't2', 't3', 't4'}
+    assert len(tried) == 4 + 4 + down_targets.REFERENCES
+
+
+def test_connection_accepted_just_after_the_others_is_not_overtaken():
+    delay_s_by_id = {'t1': 0.303, 't2': 0.295, 't3': 0.4, 't4': 0.4}
+
+    def connect(target, timeout_s):
+        delay_s = delay_s_by_id[target.id]
+        gevent.sleep(min(delay_s, timeout_s))
+        outcome = connects.Outcome.ACCEPTED
+        if delay_s > timeout_s:
+            outcome = connects.Outcome.UNANSWERED
+        return connects.Connect(outcome, str(outcome), timeout_s)
+
+    found = _targets(4)
+    raced = races.race(connect, found[:1], found[1:])
+    assert raced['t1'].outcome is connects.Outcome.ACCEPTED
+
+
 def test_silent_target_is_down_while_others_accept(monkeypatch):
     found = _targets(5)
     outcomes = {each.address: connects.Outcome.ACCEPTED for each in found}
-    outcomes[found[0].address] = connects.Outcome.TIMED_OUT
+    outcomes[found[0].address] = connects.Outcome.UNANSWERED
     _connects_as(monkeypatch, outcomes)
-    down = down_targets.DownTargets(timers.ManualTimers())
+    down = _down_targets(timers.ManualTimers())
     _probe(down, found, found[0])
     assert down.ids == {'t1'}
 
@@ -257,7 +360,7 @@
 def _directory(*instances):
     timer = timers.ManualTimers()
     heard = _Heard()
-    found = directory.Directory(heard, timer)
+    found = directory.Directory(heard, timer, 'own')
     found.update(list(instances))
     return found, heard, timer
 
@@ -284,6 +387,15 @@
     assert found.addresses('a') == ['127.0.0.1:3']
 
 
+def test_deaf_instance_does_not_name_only_itself():
+    found, heard, timer = _directory(
+        _instance('own', 'a', 1), _instance('j', 'a', 2)
+    )
+    timer.advance(directory.SILENT_S + 0.1)
+    heard.heard_at_by_name = {'own': timer.now()}
+    assert found.addresses('a') == ['127.0.0.1:1', '127.0.0.1:2']
+
+
 def test_without_any_sign_of_life_the_last_list_is_given():
     found, _, timer = _directory(
         _instance('i', 'a', 1), _instance('j', 'a', 2)
