Keep what a stream needs to go on, and go on with it

- all streams secured in one pass saw the same loads and chose the same path (8 and 0 on two equal targets): what is secured counts as load at once;
- a target avoided for one early rejection stayed avoided, and a stream hung to its deadline beside a free path;
- rejections from before the first event counted after it, and connections that our own full link held up ended a begun stream after four: the budget of repeats bounds these now, and a send that reached no target gives its repeat back;
- a begun stream waits for room and for a repeat as long as its caller does (1.8 s), as ending it sooner helps nobody;
- a secured path is used only while its targets are still there, ready and not down: one that has left meanwhile would have got new work;
- a repeatable plain request was given up at half its time although no other target or repeat was left: it waits on.

The hand-over moves to a module of its own.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
@@ -0,0 +1,79 @@
+"""What a stream needs to go on elsewhere, had before it is cut.
+
+It answers the loss of a stage that many streams pass through: each of them
+gets a path and a repeat of its own, and counts there from then on, so that
+they don't all choose the same one.
+"""
+
+from cactusmux_base import events
+
+from . import context
+from . import load_ledger
+from . import outcomes
+from . import path_choice
+from . import path_finder
+from . import repeat_budget
+
+
+class HandOver:
+    """The next path of one stream, with the repeat that it costs."""
+
+    def __init__(
+        self,
+        finder: path_finder.PathFinder,
+        ledger: load_ledger.LoadLedger,
+        budget: repeat_budget.RepeatBudget,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+    ) -> None:
+        self._finder = finder
+        self._ledger = ledger
+        self._budget = budget
+        self._exchange = exchange
+        self._demand = demand
+        self._secured: path_choice.Choice | None = None
+        self._kept_for: outcomes.Refusal | None = None
+
+    def secure(self, avoided: set[str]) -> bool:
+        """Secures a path and a repeat; tells whether both were had."""
+        if self._secured is not None:
+            return True
+        service = self._exchange.service.name
+        if not self._budget.has_left(service):
+            return self.keep(outcomes.Refusal.REPEATS_SPENT)
+        choice = self._finder.choose(
+            self._exchange, self._demand, avoided, 0.0
+        )
+        if choice.path is None and avoided:
+            choice = self._finder.choose(
+                self._exchange, self._demand, set(), 0.0
+            )
+        if choice.path is None:
+            return self.keep(outcomes.Refusal.NO_ROOM)
+        self._budget.take(service)
+        self._ledger.add(_ids(choice), self._demand.tokens)
+        self._secured = choice
+        return True
+
+    def release(self) -> path_choice.Choice | None:
+        """Returns what was secured; the load is the caller's to note."""
+        secured = self._secured
+        self._secured = None
+        if secured is not None:
+            self._ledger.remove(_ids(secured), self._demand.tokens)
+        return secured
+
+    def keep(self, reason: outcomes.Refusal) -> bool:
+        """Notes why a stream stays with a target that is down."""
+        if self._kept_for != reason:
+            events.info(
+                'stream_kept',
+                id=self._exchange.facts.request_id,
+                reason=reason,
+            )
+        self._kept_for = reason
+        return False
+
+
+def _ids(choice: path_choice.Choice) -> list[str]:
+    return [stage.target.id for stage in choice.path or ()]
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -5,6 +5,7 @@
 from cactusmux_base import timers
 
 from . import context
+from . import cost_model
 from . import down_targets
 from . import load_ledger
 from . import outcomes
@@ -65,7 +66,7 @@
                     graph,
                     demand,
                     self._ledger.all_loads(self._paces.slow()),
-                    self._down.ids | self._full() | avoided,
+                    self._excluded() | avoided,
                     pipe_limit,
                 )
                 if choice.path is not None:
@@ -75,6 +76,26 @@
                 return choice
             self._timer.sleep(ROOM_POLL_S)
 
+    def is_usable(self, service: str, path: cost_model.Path) -> bool:
+        """Whether a path that was chosen earlier may still be used."""
+        excluded = self._excluded()
+        ready = {each.id: each for each in self._book.ready(service)}
+        for stage in path:
+            known = ready.get(stage.target.id)
+            if known is None or known.id in excluded:
+                return False
+            if (known.born_ms, known.address) != (
+                stage.target.born_ms,
+                stage.target.address,
+            ):
+                return False
+            if not known.layers.covers(stage.layers):
+                return False
+        return True
+
+    def _excluded(self) -> set[str]:
+        return self._full() | self._down.ids
+
     def _log_no_path(
         self,
         exchange: context.Exchange,
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -70,7 +70,7 @@
             if tried and not self._budget.take(service):
                 raise self._spent(failed, runs, outcomes.Refusal.REPEATS_SPENT)
             tried.add(target.id)
-            may_go_on = self._may_run_again(exchange, runs + 1)
+            may_go_on = self._may_go_on(exchange, runs + 1, tried)
             outcome = self._send(exchange, target, may_go_on)
             if isinstance(outcome, outcomes.Whole):
                 if outcome.head.status not in FAILED_STATUSES:
@@ -86,6 +86,17 @@
             if rejections >= MAX_REJECTIONS:
                 raise self._spent(failed, runs, outcomes.Refusal.REJECTED)
 
+    def _may_go_on(
+        self, exchange: context.Exchange, runs: int, tried: set[str]
+    ) -> bool:
+        """Whether another target could take over from a silent one."""
+        service = exchange.service.name
+        if not self._may_run_again(exchange, runs):
+            return False
+        if self._choose(service, tried) is None:
+            return False
+        return self._budget.has_left(service)
+
     def _may_run_again(self, exchange: context.Exchange, runs: int) -> bool:
         if not exchange.route.is_idempotent:
             return False
--- a/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
@@ -62,19 +62,30 @@
         """Counts a request of a caller."""
         self._times(self._requests, service).append(self._timer.now())
 
-    def take(self, service: str) -> bool:
-        """Counts a repeat if one is left; tells whether it is allowed."""
+    def has_left(self, service: str) -> bool:
+        """Whether a repeat is allowed now."""
         requests = self._times(self._requests, service)
         repeats = self._times(self._repeats, service)
         allowed = self._ratio * len(requests)
         shared_by = self._shared_by()
         if shared_by:
             allowed += self._allowance / shared_by
-        if len(repeats) + 1 > allowed:
+        return len(repeats) + 1 <= allowed
+
+    def take(self, service: str) -> bool:
+        """Counts a repeat if one is left; tells whether it is allowed."""
+        if not self.has_left(service):
             return False
+        repeats = self._times(self._repeats, service)
         repeats.append(self._timer.now())
         return True
 
+    def give_back(self, service: str) -> None:
+        """Takes back the newest repeat, of a send that reached no target."""
+        repeats = self._times(self._repeats, service)
+        if repeats:
+            repeats.pop()
+
     def _shared_by(self) -> int:
         now = self._timer.now()
         while self._earlier and self._earlier[0].until <= now:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -12,6 +12,7 @@
 from . import dialect
 from . import down_targets
 from . import event_stream
+from . import hand_over
 from . import live_streams
 from . import load_ledger
 from . import outcomes
@@ -28,8 +29,9 @@
 ROOM_WAIT_S = 0.05
 # A caller that was refused before is late in any case.
 RETURNING_ROOM_WAIT_S = 1.0
-# A resumed stream may wait longer: its caller has waited already.
-RESUME_ROOM_WAIT_S = 1.0
+# A resumed stream waits until shortly before its caller gives it up.
+RESUME_ROOM_WAIT_S = 1.8
+REPEAT_POLL_S = 0.05
 
 
 class StreamParts(NamedTuple):
@@ -78,14 +80,21 @@
         self._first_at = 0.0
         self._passed_at = 0.0
         self._longest_pause_s = 0.0
-        self._secured: path_choice.Choice | None = None
-        self._kept_for: outcomes.Refusal | None = None
+        self._hand_over = hand_over.HandOver(
+            parts.finder, parts.ledger, parts.budget, exchange, self._demand
+        )
 
     def serve(self) -> None:
         """Streams the answer; raises :class:`context.Refused`.
 
         Once the answer has begun, a failure breaks it off.
         """
+        try:
+            self._run_attempts()
+        finally:
+            self._hand_over.release()
+
+    def _run_attempts(self) -> None:
         while True:
             path, expected_pause_ms = self._next_path()
             try:
@@ -97,11 +106,11 @@
                     self._give_up(outcomes.Refusal.TARGET_FAILED)
 
     def _next_path(self) -> tuple[cost_model.Path, float]:
-        secured = self._secured
-        self._secured = None
-        if secured is not None and secured.path is not None:
-            return secured.path, secured.pause_ms
         service = self._exchange.service.name
+        secured = self._hand_over.release()
+        if secured is not None and secured.path is not None:
+            if self._parts.finder.is_usable(service, secured.path):
+                return secured.path, secured.pause_ms
         choice = self._parts.finder.choose(
             self._exchange, self._demand, self._avoided, self._room_wait_s()
         )
@@ -112,37 +121,26 @@
             )
         if choice.path is None:
             self._give_up(outcomes.Refusal.NO_ROOM)
-        if self._sends and not self._parts.budget.take(service):
+        is_paid = secured is not None or not self._sends
+        if not is_paid and not self._take_repeat(service):
             self._give_up(outcomes.Refusal.REPEATS_SPENT)
         return choice.path, choice.pause_ms
 
-    def _secure_next(self) -> bool:
-        """Secures a path and a repeat, to go on when this attempt is cut."""
-        if self._secured is not None:
-            return True
-        if not self._may_resume(self._runs_before + 1):
-            return self._keep(outcomes.Refusal.TARGET_FAILED)
-        choice = self._parts.finder.choose(
-            self._exchange, self._demand, self._avoided, 0.0
-        )
-        if choice.path is None:
-            return self._keep(outcomes.Refusal.NO_ROOM)
-        if not self._parts.budget.take(self._exchange.service.name):
-            return self._keep(outcomes.Refusal.REPEATS_SPENT)
-        self._secured = choice
+    def _take_repeat(self, service: str) -> bool:
+        """Takes a repeat; a stream that has begun waits for one."""
+        wait_s = RESUME_ROOM_WAIT_S if self._has_begun else 0.0
+        until = min(self._parts.timer.now() + wait_s, self._exchange.ends_at)
+        while not self._parts.budget.take(service):
+            if self._parts.timer.now() >= until:
+                return False
+            self._parts.timer.sleep(REPEAT_POLL_S)
         return True
 
-    def _keep(self, reason: outcomes.Refusal) -> bool:
-        """Notes why a stream stays on a path with a target that is down."""
-        if self._kept_for != reason:
-            events.info(
-                'stream_kept',
-                id=self._exchange.facts.request_id,
-                reason=reason,
-                last_event=self._last_id,
-            )
-        self._kept_for = reason
-        return False
+    def _secure_next(self) -> bool:
+        """Secures a way on, for when the present attempt is cut."""
+        if not self._may_resume(self._runs_before + 1):
+            return self._hand_over.keep(outcomes.Refusal.TARGET_FAILED)
+        return self._hand_over.secure(self._avoided)
 
     def _room_wait_s(self) -> float:
         if self._runs:
@@ -212,10 +210,13 @@
 
     def _note_not_run(self, outcome: outcomes.NotRun) -> None:
         self._rejections += 1
+        if outcome.status == 0 and self._sends > 1:
+            self._parts.budget.give_back(self._exchange.service.name)
         at_fault = self._parts.finder.note_not_run(self._exchange, outcome)
         if at_fault is not None:
             self._avoided.add(at_fault)
-        if self._rejections >= MAX_REJECTIONS:
+        # The repeats bound what follows once an answer has begun.
+        if self._rejections >= MAX_REJECTIONS and not self._has_begun:
             self._give_up(outcomes.Refusal.REJECTED)
         raise _Rejected('not run')
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/targets.py
@@ -14,6 +14,10 @@
         """Number of layers."""
         return self.end - self.first
 
+    def covers(self, other: 'LayerRange') -> bool:
+        """Whether all layers of another range are among these."""
+        return self.first <= other.first and other.end <= self.end
+
 
 NO_LAYERS = LayerRange(0, 0)
 
--- a/packages/cactusmux-relay/tests/test_plain_relay.py
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -181,6 +181,26 @@
     assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
 
 
+def _slow(seconds):
+    def script(sock, _request):
+        gevent.sleep(seconds)
+        sock.sendall(_ok())
+        return False
+
+    return scripted_target.ScriptedTarget(script)
+
+
+def test_only_target_is_waited_for_beyond_half_of_the_time(rig):
+    rig.use_plain(_slow(2.8).address)
+    assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
+
+
+def test_slow_target_is_waited_for_when_no_repeat_is_left(rig):
+    rig.budget.has_left = lambda service: False
+    rig.use_plain(_slow(2.8).address, _slow(2.8).address)
+    assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
+
+
 class _LateSocket:
     def __init__(self, family, kind):
         pass
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -1,7 +1,11 @@
+import itertools
+
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import hand_over
 from cactusmux_relay import refused_callers
 from cactusmux_relay import stream_run
+from cactusmux_relay import target_calls
 import gevent
 import h11
 import pytest
@@ -208,8 +212,118 @@
     assert len(taken) == 1
 
 
+def test_streams_handed_over_together_are_spread(rig):
+    begun = []
+
+    def mute(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:2]))
+        begun.append(sock)
+        while len(begun) < 8:
+            gevent.sleep(0.005)
+        lost.stop()
+        gevent.sleep(30.0)
+        return False
+
+    def rest(sock, _request):
+        gevent.sleep(0.3)
+        sock.sendall(HEAD + _chunks(EVENTS[2:]) + END)
+        return False
+
+    lost = scripted_target.ScriptedTarget(mute)
+    others = [scripted_target.ScriptedTarget(rest) for _ in range(2)]
+    rig.use_engines(lost.address)
+    asked = [gevent.spawn(_ask, rig) for _ in range(8)]
+    while len(begun) < 8:
+        gevent.sleep(0.001)
+    rig.use_engines(lost.address, *[each.address for each in others])
+    gevent.joinall(asked)
+    counts = [len(each.received) for each in others]
+    assert sum(counts) == 8
+    assert max(counts) <= 5
+
+
+def test_rejections_after_the_answer_has_begun_do_not_break_it_off(rig):
+    numbers = itertools.count(1)
+
+    def script(sock, _request):
+        number = next(numbers)
+        if number in (1, 2, 3, 5):
+            sock.sendall(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+        elif number == 4:
+            sock.sendall(HEAD + _chunks(EVENTS[:2]))
+        else:
+            sock.sendall(HEAD + _chunks(EVENTS[2:]) + END)
+        return False
+
+    found = [scripted_target.ScriptedTarget(script) for _ in range(8)]
+    rig.use_engines(*[each.address for each in found])
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_own_full_link_does_not_break_off_a_stream_handed_over(
+    rig, monkeypatch
+):
+    """No connection is accepted for a while, then all are."""
+    left = [stream_run.MAX_REJECTIONS + 1]
+    connect = target_calls.TargetConnections._connect
+
+    def connect_late(connections, address):
+        if len(mute.received) == 1 and left[0]:
+            left[0] -= 1
+            raise target_calls.NotSent(address, is_refused=False)
+        return connect(connections, address)
+
+    mute = _mute_after(2, 30.0)
+    others = [_target(HEAD + _chunks(EVENTS[2:]) + END) for _ in range(6)]
+    rig.use_engines(mute.address, *[each.address for each in others])
+    monkeypatch.setattr(
+        target_calls.TargetConnections, '_connect', connect_late
+    )
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_target_that_rejected_once_takes_a_stream_later(rig):
+    def script(sock, _request):
+        if len(first.received) == 1:
+            sock.sendall(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+        else:
+            sock.sendall(HEAD + _chunks(EVENTS[2:]) + END)
+        return False
+
+    first = scripted_target.ScriptedTarget(script)
+    mute = _mute_after(2, 30.0)
+    rig.use_engines(first.address, mute.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_secured_path_is_not_used_once_its_target_leaves(rig):
+    mute = _mute_after(2, 30.0)
+    leaving = _target(HEAD + _chunks(EVENTS) + END)
+    other = _target(HEAD + _chunks(EVENTS[2:]) + END)
+    rig.use_engines(mute.address, leaving.address)
+    secure = hand_over.HandOver.secure
+
+    def secure_then_leave(own, avoided):
+        secured = secure(own, avoided)
+        rig.use_engines(mute.address, other.address)
+        return secured
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(hand_over.HandOver, 'secure', secure_then_leave)
+        _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+    assert leaving.received == []
+
+
 def test_stream_stays_while_the_repeats_are_spent(rig):
-    rig.budget.take = lambda service: False
+    rig.budget.has_left = lambda service: False
     mute = _mute_after(2, 0.6)
     other = _target(HEAD + _chunks(EVENTS) + END)
     rig.use_engines(mute.address, other.address)
