Tell the last change of a copy, not as of when it is known

Cause: news told a mirror's `revision` and others compared it with their own. The store has one counter for all prefixes, and a check or an empty watch raises a mirror's revision with nothing new in it. Each such rise had the others pull a copy that they had already, and taking it rebuilt everything that follows the mirror.

A mirror now keeps apart as of when its entries are known (`revision`) and their last change (`changed`). News tell the latter; an instance pulls only what was changed after its own `revision`. A copy, read or check with the same entries calls nobody.

The store's counter also used to heal deaf watches, by accident. So that this still holds, an empty watch no longer makes a copy count as newer (it only moves the watch on), and a read that shows a change older than what we claimed to know, or a deletion, is told as of the read's own revision: others may know later changes and lack the same one.

Evidence: with the old code behind the new names, test_copy_of_known_entries_ is_no_change, test_check_that_finds_nothing_is_no_news, test_reading_the_same_ again_is_no_change, test_deaf_watch_does_not_make_a_copy_newer and test_rise_ of_the_counter_alone_is_not_pulled fail; the mirrors' random test now checks too, and holds that what is told can be taken. Ruled out: two pulls of one prefix at once (test_change_told_by_several_is_pulled_once passed before).

Left: an instance that starts after a deletion can't know of it; one that the store turns away learns of it from an instance that saw it.

--- a/packages/cactusmux-relay/src/cactusmux_relay/copies.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -1,6 +1,6 @@
 """Copies of the store's content, from instance to instance.
 
-An instance that hears of a newer revision than its own asks for the copy
+An instance that hears of a change after its own copy asks for that copy
 when its own watch hasn't brought it within :data:`PATIENCE_S`.
 """
 
@@ -56,28 +56,32 @@
         self._timer = timer
         self._pulling: set[str] = set()
 
-    def note_revisions(
-        self, address: str, revision_by_prefix: dict[str, int]
+    def is_pulling(self, prefix: str) -> bool:
+        """Whether a copy of the prefix is being asked for."""
+        return prefix in self._pulling
+
+    def note_changes(
+        self, address: str, changed_by_prefix: dict[str, int]
     ) -> None:
-        """Takes the revisions of the instance at ``address``."""
-        for prefix, revision in revision_by_prefix.items():
+        """Takes the last changes known to the instance at ``address``."""
+        for prefix, changed in changed_by_prefix.items():
             mirror = self._mirror_by_prefix.get(prefix)
             if mirror is None or prefix in self._pulling:
                 continue
-            if revision > mirror.revision:
+            if changed > mirror.revision:
                 self._pulling.add(prefix)
-                gevent.spawn(self._pull, mirror, prefix, address, revision)
+                gevent.spawn(self._pull, mirror, prefix, address, changed)
 
     def _pull(
         self,
         mirror: store_mirror.StoreMirror,
         prefix: str,
         address: str,
-        revision: int,
+        changed: int,
     ) -> None:
         try:
             self._timer.sleep(PATIENCE_S if mirror.revision else 0.0)
-            if mirror.revision >= revision:
+            if mirror.revision >= changed:
                 return
             copy = self._fetch(prefix, address)
             if copy is not None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -342,8 +342,8 @@
         return soft_exchange.News(
             name=self._settings.name,
             is_stopping=self.is_stopping,
-            revision_by_prefix={
-                prefix: mirror.revision
+            changed_by_prefix={
+                prefix: mirror.changed
                 for prefix, mirror in self._mirror_by_prefix.items()
             },
             tokens_by_target={
@@ -377,6 +377,6 @@
                 self._down.probe(target)
         peer = self._instance_by_name.get(news.name)
         if peer is not None:
-            self._puller.note_revisions(
-                peer.exchange_address, news.revision_by_prefix
+            self._puller.note_changes(
+                peer.exchange_address, news.changed_by_prefix
             )
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -1,7 +1,7 @@
 """Soft news between instances, as datagrams: loads, revisions, suspicion.
 
-Losing a datagram costs nothing but age. A revision that is ahead of ours
-tells whom to ask for a copy while the store doesn't answer us. In a large
+Losing a datagram costs nothing but age. A change that is ahead of our
+copy tells whom to ask for one while the store doesn't answer us. In a large
 fleet each sending goes to a few instances drawn anew, so that an instance's
 cost doesn't grow with the fleet.
 """
@@ -28,7 +28,7 @@
 class News(msgspec.Struct, array_like=True, frozen=True):
     """What an instance tells the others.
 
-    :ivar revision_by_prefix: of its mirrors of the store.
+    :ivar changed_by_prefix: the last changes in its mirrors of the store.
     :ivar tokens_by_target: in flight from this instance, likewise requests.
     :ivar down: ids of targets that it found down.
     :ivar pace_by_target: of the targets that it found slow.
@@ -37,7 +37,7 @@
 
     name: str
     is_stopping: bool
-    revision_by_prefix: dict[str, int]
+    changed_by_prefix: dict[str, int]
     tokens_by_target: dict[str, int]
     requests_by_target: dict[str, int]
     pipe_tokens: dict[str, int]
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -2,7 +2,9 @@
 
 It is kept by a watch. While the store doesn't answer this instance, newer
 copies of other instances are taken instead. The copy with the higher
-revision wins, whichever side it comes from.
+revision wins, whichever side it comes from. Others are told the last change
+rather than that revision: the store has one counter for all prefixes, and
+a copy that is merely known as of later holds nothing new.
 """
 
 from collections.abc import Callable
@@ -25,14 +27,22 @@
 
 
 class Copy(NamedTuple):
-    """All entries under a prefix, as of a revision of the store."""
+    """All entries under a prefix, as of a revision of the store.
+
+    :ivar changed: the last change among them, at most ``revision``.
+    """
 
     entries: tuple[stores.Entry, ...]
     revision: int
+    changed: int
 
 
 class StoreMirror:
-    """Mirrors one prefix and tells of each change."""
+    """Mirrors one prefix and tells of each change.
+
+    :ivar revision: as of which the entries are known.
+    :ivar changed: the last change that is known.
+    """
 
     def __init__(
         self,
@@ -49,6 +59,8 @@
         self._on_change = on_change
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
+        self.changed = stores.ABSENT
+        self._watched = stores.ABSENT
         self._must_read = True
         self.is_connected = False
         self.connected_at = 0.0
@@ -70,13 +82,13 @@
 
     def copy(self) -> Copy:
         """Returns all entries, for another instance."""
-        return Copy(tuple(self.entry_by_key.values()), self.revision)
+        entries = tuple(self.entry_by_key.values())
+        return Copy(entries, self.revision, self.changed)
 
     def take(self, copy: Copy) -> bool:
-        """Takes another instance's copy if it is newer; tells whether."""
-        if copy.revision <= self.revision:
+        """Takes another instance's copy; tells whether it held news."""
+        if copy.revision <= self.revision or not self._replace(copy):
             return False
-        self._replace(copy)
         events.info('copy_taken', prefix=self._prefix, revision=copy.revision)
         return True
 
@@ -100,18 +112,14 @@
         """
         match self._reader.read_prefix(self._prefix):
             case result.Success(snapshot):
-                entry_by_key = {each.key: each for each in snapshot.entries}
                 if snapshot.revision < self.revision:
                     return snapshot.revision
-                if entry_by_key == self.entry_by_key:
-                    self.revision = snapshot.revision
-                    return snapshot.revision
-                events.warning(
-                    'watch_missed_change',
-                    prefix=self._prefix,
-                    revision=snapshot.revision,
-                )
-                self._replace(Copy(snapshot.entries, snapshot.revision))
+                if self._replace(self._copy_of(snapshot)):
+                    events.warning(
+                        'watch_missed_change',
+                        prefix=self._prefix,
+                        revision=snapshot.revision,
+                    )
                 return snapshot.revision
         return stores.ABSENT
 
@@ -120,7 +128,7 @@
             case result.Success(snapshot):
                 self._note_answer()
                 if snapshot.revision >= self.revision:
-                    self._replace(Copy(snapshot.entries, snapshot.revision))
+                    self._replace(self._copy_of(snapshot))
                 return True
             case result.Failure(failure):
                 self._note_failure(failure)
@@ -128,7 +136,7 @@
 
     def _watch(self) -> bool:
         """Waits for changes; tells whether the watch may go on."""
-        watched = self._store.watch(self._prefix, self.revision, WATCH_S)
+        watched = self._store.watch(self._prefix, self._watched, WATCH_S)
         match watched:
             case result.Success(changes):
                 self._note_answer()
@@ -147,25 +155,63 @@
         if watched.revision < self.revision:
             # Another instance's newer copy was taken while we waited.
             return
-        changed = False
+        # A deaf watch passes over changes: one that tells of none goes on
+        # from there, but the copy isn't known to be that new.
+        self._watched = watched.revision
+        is_changed = False
         for change in watched.changes:
             known = self.entry_by_key.get(change.key)
             if known is not None and known.revision >= change.revision:
                 continue
-            changed = True
+            is_changed = True
+            self.changed = max(self.changed, change.revision)
             if change.entry is None:
                 self.entry_by_key.pop(change.key, None)
             else:
                 self.entry_by_key[change.key] = change.entry
+        if not is_changed:
+            return
         self.revision = watched.revision
-        if changed:
-            self._on_change()
-            self._timer.sleep(BATCH_S)
+        self._on_change()
+        self._timer.sleep(BATCH_S)
+
+    def _copy_of(self, snapshot: stores.Snapshot) -> Copy:
+        """Returns a read with its last change.
 
-    def _replace(self, copy: Copy) -> None:
-        self.entry_by_key = {each.key: each for each in copy.entries}
+        A change that our watch has passed over may be missing elsewhere
+        too, by instances that know of later ones: it counts as new.
+        """
+        revision = snapshot.revision
+        changed = max(
+            (each.revision for each in snapshot.entries), default=stores.ABSENT
+        )
+        if self._has_missed(snapshot):
+            changed = revision
+        return Copy(snapshot.entries, revision, min(changed, revision))
+
+    def _has_missed(self, snapshot: stores.Snapshot) -> bool:
+        """Whether a read shows a change that we should have known."""
+        found = {each.key for each in snapshot.entries}
+        if not self.entry_by_key.keys() <= found:
+            return True
+        return any(
+            each.revision <= self.revision
+            and each != self.entry_by_key.get(each.key)
+            for each in snapshot.entries
+        )
+
+    def _replace(self, copy: Copy) -> bool:
+        """Takes a whole copy; tells whether it held anything new."""
+        entry_by_key = {each.key: each for each in copy.entries}
+        is_first = self.revision == stores.ABSENT
         self.revision = copy.revision
+        self._watched = copy.revision
+        self.changed = max(self.changed, copy.changed)
+        if entry_by_key == self.entry_by_key and not is_first:
+            return False
+        self.entry_by_key = entry_by_key
         self._on_change()
+        return True
 
     def _note_answer(self) -> None:
         self.heard_at = self._timer.now()
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_copies.py
@@ -0,0 +1,97 @@
+import random
+
+from cactusmux_base import timers
+from cactusmux_fakes import faulty_store
+from cactusmux_fakes import memory_store
+from cactusmux_relay import copies
+from cactusmux_relay import http_server
+from cactusmux_relay import store_mirror
+import gevent
+import pytest
+
+PREFIX = 'p/'
+WAIT_S = 10.0
+
+
+class _World:
+    """One instance that serves its copy, another that may pull it."""
+
+    def __init__(self):
+        self.timer = timers.GeventTimers()
+        self.memory = memory_store.MemoryStore(self.timer)
+        self.store = faulty_store.FaultyStore(
+            self.memory, self.timer, random.Random(1)
+        )
+        self.source = self._new_mirror()
+        self.mirror = self._new_mirror()
+        self.puller = copies.CopyPuller({PREFIX: self.mirror}, self.timer)
+        self.handler = copies.CopyHandler({PREFIX: self.source})
+        self.pulls = 0
+        self.server = http_server.HttpServer(
+            '127.0.0.1:0', self._handle, self.timer
+        )
+        self.server.start()
+
+    @property
+    def address(self):
+        return f'127.0.0.1:{self.server.port}'
+
+    def _new_mirror(self):
+        return store_mirror.StoreMirror(
+            self.store, self.store, PREFIX, self.timer, lambda: None
+        )
+
+    def _handle(self, request, answerer):
+        self.pulls += 1
+        self.handler.handle(request, answerer)
+
+    def write(self, key, value=b'1', prefix=PREFIX):
+        self.memory.compare_and_swap(prefix + key, value, 0).unwrap()
+
+    def tell(self):
+        self.puller.note_changes(self.address, {PREFIX: self.source.changed})
+
+    def wait_until_pulled(self):
+        with gevent.Timeout(WAIT_S):
+            while self.puller.is_pulling(PREFIX):
+                gevent.sleep(0.01)
+
+
+@pytest.fixture(name='world')
+def _world():
+    world = _World()
+    yield world
+    world.server.stop()
+
+
+def test_change_that_the_store_does_not_tell_is_pulled(world):
+    world.mirror.step()
+    world.write('a')
+    world.source.step()
+    world.tell()
+    world.wait_until_pulled()
+    assert world.mirror.entry_by_key == world.source.entry_by_key
+    assert world.pulls == 1
+
+
+def test_rise_of_the_counter_alone_is_not_pulled(world):
+    """Each change of another prefix had all instances pull the same."""
+    world.write('a')
+    world.mirror.step()
+    world.source.step()
+    world.write('x', prefix='q/')
+    world.source.check()
+    assert world.source.revision > world.mirror.revision
+    world.tell()
+    world.wait_until_pulled()
+    assert world.pulls == 0
+
+
+def test_change_told_by_several_is_pulled_once(world):
+    world.mirror.step()
+    world.write('a')
+    world.source.step()
+    for _ in range(3):
+        world.tell()
+    world.wait_until_pulled()
+    assert world.pulls == 1
--- a/packages/cactusmux-relay/tests/test_store_mirror.py
+++ b/packages/cactusmux-relay/tests/test_store_mirror.py
@@ -155,6 +155,90 @@
     assert world.store.calls_by_kind['get_prefix'] == before + 1
 
 
+def test_copy_of_known_entries_is_no_change(world):
+    """The store's counter rises by changes of other prefixes too."""
+    other = world.new_mirror()
+    world.write('a', b'1')
+    world.mirror.step()
+    other.step()
+    before = world.changes
+    world.write('x', b'1', 'q/')
+    other.check()
+    assert not world.mirror.take(other.copy())
+    assert world.changes == before
+    assert world.mirror.revision == other.revision
+
+
+def test_check_that_finds_nothing_is_no_news(world):
+    world.write('a', b'1')
+    world.mirror.step()
+    before = world.mirror.changed
+    world.write('x', b'1', 'q/')
+    world.mirror.check()
+    assert world.mirror.revision > before
+    assert world.mirror.changed == before
+
+
+def test_reading_the_same_again_is_no_change(world):
+    world.write('a', b'1')
+    world.mirror.step()
+    before = world.changes
+    world.store.faults = faulty_store.Faults(watch_compacted=True)
+    world.write('x', b'1', 'q/')
+    world.mirror.step()
+    world.mirror.step()
+    assert world.changes == before
+
+
+def test_deaf_watch_does_not_make_a_copy_newer(world):
+    other = world.new_mirror()
+    world.mirror.step()
+    other.step()
+    world.write('a', b'1')
+    other.step()
+    world.store.faults = faulty_store.Faults(watch_skips=1.0)
+    world.mirror.step()
+    assert other.changed > world.mirror.revision
+    assert world.mirror.take(other.copy())
+    assert world.values() == {'p/a': b'1'}
+
+
+def test_change_missed_before_a_known_one_is_told(world):
+    """Others may know the later change and lack the earlier one too."""
+    other = world.new_mirror()
+    world.mirror.step()
+    other.step()
+    world.write('a', b'1')
+    world.store.faults = faulty_store.Faults(watch_skips=1.0)
+    world.mirror.step()
+    other.step()
+    world.store.faults = faulty_store.NO_FAULTS
+    world.write('b', b'2')
+    world.mirror.step()
+    other.step()
+    assert world.values() == {'p/b': b'2'}
+    world.write('x', b'1', 'q/')
+    other.check()
+    assert other.changed > world.mirror.revision
+    assert world.mirror.take(other.copy())
+    assert world.values() == {'p/a': b'1', 'p/b': b'2'}
+
+
+def test_deletion_found_by_reading_anew_is_told(world):
+    other = world.new_mirror()
+    world.write('a', b'1')
+    entry = world.write('b', b'1')
+    world.mirror.step()
+    other.step()
+    world.memory.delete('p/b', entry.revision)
+    world.store.faults = faulty_store.Faults(watch_compacted=True)
+    other.step()
+    other.step()
+    assert other.changed > world.mirror.revision
+    assert world.mirror.take(other.copy())
+    assert world.values() == {'p/a': b'1'}
+
+
 class Mirrors(stateful.RuleBasedStateMachine):
     """Two mirrors of a store that fails; none ever goes back."""
 
@@ -182,6 +266,10 @@
     def take(self, index):
         self.mirrors[index].take(self.mirrors[1 - index].copy())
 
+    @stateful.rule(index=strategies.integers(0, 1))
+    def check(self, index):
+        self.mirrors[index].check()
+
     @stateful.rule(
         down=strategies.booleans(),
         broken=strategies.booleans(),
@@ -198,6 +286,11 @@
             assert mirror.revision >= self.newest[index]
             self.newest[index] = mirror.revision
 
+    @stateful.invariant()
+    def what_is_told_can_be_taken(self):
+        for mirror in self.mirrors:
+            assert mirror.changed <= mirror.revision
+
     def teardown(self):
         self.world.store.faults = faulty_store.NO_FAULTS
         for mirror in self.mirrors:
