Leave a watch time to bring a change before pulling it

Instances that the store was serving pulled copies of what it was just sending them: 0.25 s is shorter than the way of a large document to 58 instances, and each pull slowed the watches of two of them further.

Cause: the patience was the same whether the store answered an instance or not. It is now 0.5 to 0.8 s, spread, while the mirror is connected and the store has answered any call of this instance (a watch, a renewal of its registration) within 2 s, else 0.25 s as before. When an instance asked doesn't give its copy, the next one is asked without waiting again.

Evidence: test_change_that_the_watch_is_bringing_is_not_pulled failed before (one pull). One pull of a prefix at a time holds as before.

--- a/packages/cactusmux-relay/src/cactusmux_relay/copies.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -1,14 +1,19 @@
 """Copies of the store's content, from instance to instance.
 
 An instance that hears of a change after its own copy asks for that copy
-when its own watch hasn't brought it within :data:`PATIENCE_S`.
+when its own watch hasn't brought it in time: soon if the store doesn't
+answer this instance; later if it does, since a large document takes the
+watch a while on a small link, longer still when all instances are sent it.
 """
 
+from collections.abc import Callable
+import random
 from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_platform import http_calls
+from cactusmux_platform import stores
 import gevent
 from returns import result
 
@@ -18,6 +23,10 @@
 
 PATH = '/copies/'
 PATIENCE_S = 0.25
+# Spread, so that not all instances ask the same one at once.
+ANSWERED_PATIENCE_S = (0.5, 0.8)
+# The store counts as answering if it has lately answered any call.
+ANSWER_AGE_S = 2.0
 CALL_S = 1.0
 CONNECTIONS = 2
 HEADERS = [
@@ -63,16 +72,24 @@
 
 
 class CopyPuller:
-    """Asks other instances for copies that are newer than ours."""
+    """Asks other instances for copies that are newer than ours.
+
+    :param answered_at: when the store last answered this instance.
+    """
 
     def __init__(
         self,
         mirror_by_prefix: dict[str, store_mirror.StoreMirror],
         timer: timers.TimerService,
+        rng: random.Random,
+        answered_at: Callable[[], float],
     ) -> None:
         self._mirror_by_prefix = mirror_by_prefix
         self._timer = timer
+        self._rng = rng
+        self._answered_at = answered_at
         self._pulling: set[str] = set()
+        self._not_had: set[str] = set()
 
     def is_pulling(self, prefix: str) -> bool:
         """Whether a copy of the prefix is being asked for."""
@@ -86,9 +103,11 @@
             mirror = self._mirror_by_prefix.get(prefix)
             if mirror is None or prefix in self._pulling:
                 continue
-            if changed > mirror.revision:
-                self._pulling.add(prefix)
-                gevent.spawn(self._pull, mirror, prefix, address, changed)
+            if changed <= mirror.revision:
+                self._not_had.discard(prefix)
+                continue
+            self._pulling.add(prefix)
+            gevent.spawn(self._pull, mirror, prefix, address, changed)
 
     def _pull(
         self,
@@ -98,15 +117,28 @@
         changed: int,
     ) -> None:
         try:
-            self._timer.sleep(PATIENCE_S if mirror.revision else 0.0)
+            self._timer.sleep(self.patience_s(prefix))
             if mirror.revision >= changed:
                 return
             copy = self._fetch(prefix, address)
-            if copy is not None:
-                mirror.take(copy)
+            if copy is None:
+                self._not_had.add(prefix)
+                return
+            self._not_had.discard(prefix)
+            mirror.take(copy)
         finally:
             self._pulling.discard(prefix)
 
+    def patience_s(self, prefix: str) -> float:
+        """Returns how long our own watch may still bring a change."""
+        mirror = self._mirror_by_prefix[prefix]
+        if mirror.revision == stores.ABSENT or prefix in self._not_had:
+            return 0.0
+        age_s = self._timer.now() - self._answered_at()
+        if not mirror.is_connected or age_s > ANSWER_AGE_S:
+            return PATIENCE_S
+        return self._rng.uniform(*ANSWERED_PATIENCE_S)
+
     def _fetch(self, prefix: str, address: str) -> store_mirror.Copy | None:
         caller = http_calls.HttpCaller(address, CONNECTIONS, CALL_S)
         try:
--- a/packages/cactusmux-relay/src/cactusmux_relay/membership.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -37,7 +37,10 @@
 
 
 class Registration:
-    """Keeps this instance's key while the instance takes requests."""
+    """Keeps this instance's key while the instance takes requests.
+
+    :ivar answered_at: when the store last answered a renewal, 0 if never.
+    """
 
     def __init__(
         self,
@@ -50,6 +53,7 @@
         self._own = own
         self._registered: _Registered | None = None
         self._is_stopped = False
+        self.answered_at = 0.0
 
     def start(self) -> None:
         """Registers and renews, in a task of its own."""
@@ -100,6 +104,7 @@
     def _renew(self, registered: _Registered) -> bool:
         match self._store.renew_lease(registered.lease_id):
             case result.Success(_):
+                self.answered_at = self._timer.now()
                 return True
             case result.Failure(stores.LeaseLost()):
                 events.warning('registration_lost', name=self._own.name)
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -156,7 +156,9 @@
             copies.CopyHandler(self._mirror_by_prefix).handle,
             timer,
         )
-        self._puller = copies.CopyPuller(self._mirror_by_prefix, timer)
+        self._puller = copies.CopyPuller(
+            self._mirror_by_prefix, timer, rng, self._store_answered_at
+        )
         self._down.subscribe(self._tell_down)
         self.directory = directory.Directory(self._exchange, timer)
         self._instance_by_name: dict[str, membership.Instance] = {}
@@ -312,6 +314,12 @@
                 self.in_force.replace(state)
                 self._roster.update()
 
+    def _store_answered_at(self) -> float:
+        heard_at = [
+            mirror.heard_at for mirror in self._mirror_by_prefix.values()
+        ]
+        return max(self._registration.answered_at, *heard_at)
+
     def _take_leases(self) -> None:
         """Takes over at once when the lease has become free."""
         if not self.is_stopping and self._may_acquire_lease():
--- a/packages/cactusmux-relay/tests/test_copies.py
+++ b/packages/cactusmux-relay/tests/test_copies.py
@@ -14,22 +14,45 @@
 WAIT_S = 10.0
 
 
+class _Timers(timers.ManualTimers):
+    """Brings a change on the watch to who sleeps long enough for it."""
+
+    def __init__(self):
+        super().__init__()
+        self.watch_s = None
+        self.bring = lambda: None
+
+    def sleep(self, seconds):
+        super().sleep(seconds)
+        if self.watch_s is not None and seconds >= self.watch_s:
+            self.watch_s = None
+            self.bring()
+
+
 class _World:
     """One instance that serves its copy, another that may pull it."""
 
     def __init__(self):
-        self.timer = timers.GeventTimers()
+        self.timer = _Timers()
         self.memory = memory_store.MemoryStore(self.timer)
         self.store = faulty_store.FaultyStore(
             self.memory, self.timer, random.Random(1)
         )
         self.source = self._new_mirror()
         self.mirror = self._new_mirror()
-        self.puller = copies.CopyPuller({PREFIX: self.mirror}, self.timer)
+        self.timer.bring = self.mirror.step
+        self.answered_at = 0.0
+        self.puller = copies.CopyPuller(
+            {PREFIX: self.mirror},
+            self.timer,
+            random.Random(1),
+            lambda: self.answered_at,
+        )
         self.handler = copies.CopyHandler({PREFIX: self.source})
         self.pulls = 0
+        self.write('x', prefix='other/')
         self.server = http_server.HttpServer(
-            '127.0.0.1:0', self._handle, self.timer
+            '127.0.0.1:0', self._handle, timers.GeventTimers()
         )
         self.server.start()
 
@@ -142,3 +165,59 @@
 class _Torn:
     def handle(self, request, answerer):
         answerer.answer(200, [], b'torn')
+
+
+def test_change_that_the_watch_is_bringing_is_not_pulled(world):
+    """Instances pulled what the store was just sending to all of them."""
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    world.write('a')
+    world.source.step()
+    world.timer.watch_s = 0.45
+    world.tell()
+    world.wait_until_pulled()
+    assert world.mirror.entry_by_key == world.source.entry_by_key
+    assert world.pulls == 0
+
+
+def test_change_that_a_deaf_watch_does_not_bring_is_pulled(world):
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    world.write('a')
+    world.source.step()
+    world.tell()
+    world.wait_until_pulled()
+    assert world.mirror.entry_by_key == world.source.entry_by_key
+
+
+def test_store_that_fell_silent_is_not_waited_for_long(world):
+    """A watch that was cut off hangs as a quiet one does."""
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    assert world.puller.patience_s(PREFIX) > copies.PATIENCE_S
+    world.timer.advance(copies.ANSWER_AGE_S + 0.1)
+    assert world.puller.patience_s(PREFIX) == copies.PATIENCE_S
+
+
+def test_store_that_turns_us_away_is_not_waited_for_long(world):
+    world.mirror.step()
+    world.store.faults = faulty_store.Faults(down=True)
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    assert world.puller.patience_s(PREFIX) == copies.PATIENCE_S
+
+
+def test_next_instance_is_asked_at_once_when_one_fails(world):
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    world.write('a')
+    world.source.step()
+    world.handler = _Torn()
+    world.tell()
+    world.wait_until_pulled()
+    assert world.puller.patience_s(PREFIX) == 0.0
+    world.handler = copies.CopyHandler({PREFIX: world.source})
+    world.tell()
+    world.wait_until_pulled()
+    assert world.mirror.entry_by_key == world.source.entry_by_key
+    assert world.puller.patience_s(PREFIX) > copies.PATIENCE_S
