Bring the changes of targets to a larger fleet in fewer calls

After a change of the targets or of the instances the watch is now asked again after a time that grows with the fleet: 0.2 s up to 12 instances as before, 0.8 s from 42 on. The configuration and leases keep 0.2 s. What waited on the watch knows of it: the shared checks and the pulls of copies wait out the rest of the batch, or each would take what the next watch brings for missed. A deaf watch is not in a batch, so it is found as soon as before.

0.8 s, not 1 s: with the news' second, the patience of a pull and the pull itself a leaving target is still known within 3 s.

--- a/packages/cactusmux-relay/src/cactusmux_relay/copies.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -137,7 +137,7 @@
         age_s = self._timer.now() - self._answered_at()
         if not mirror.is_connected or age_s > ANSWER_AGE_S:
             return PATIENCE_S
-        return self._rng.uniform(*ANSWERED_PATIENCE_S)
+        return mirror.batch_left_s + self._rng.uniform(*ANSWERED_PATIENCE_S)
 
     def _fetch(self, prefix: str, address: str) -> store_mirror.Copy | None:
         caller = http_calls.HttpCaller(address, CONNECTIONS, CALL_S)
--- a/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
@@ -56,7 +56,8 @@
         revision = self._mirrors[0].check()
         if revision <= self._newest():
             return
-        self._timer.sleep(ON_THE_WAY_S)
+        batch_left_s = max(each.batch_left_s for each in self._mirrors)
+        self._timer.sleep(batch_left_s + ON_THE_WAY_S)
         if revision <= self._newest():
             return
         for mirror in self._mirrors[1:]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -1,6 +1,7 @@
 """Wires one instance of the relay from a deployment's translations."""
 
 from collections.abc import Callable
+import functools
 import random
 from typing import NamedTuple
 
@@ -40,6 +41,7 @@
 from . import target_calls
 from . import target_roster
 from . import targets
+from . import watch_pace
 
 LEASE_NAME = 'placement'
 LEASE_SETTINGS = lease_types.LeaseSettings(
@@ -249,6 +251,7 @@
                 prefix,
                 self._timer,
                 on_change,
+                functools.partial(self._batch_s, prefix),
             )
         self._roster.follow(mirrors[self._settings.target_prefix])
         return mirrors
@@ -314,6 +317,12 @@
                 self.in_force.replace(state)
                 self._roster.update()
 
+    def _batch_s(self, prefix: str) -> float:
+        """Changes of the configuration and of leases come at once."""
+        if prefix in (self._settings.target_prefix, membership.PREFIX):
+            return watch_pace.batch_s(len(self._instance_by_name))
+        return watch_pace.SHORTEST_S
+
     def _store_answered_at(self) -> float:
         heard_at = [
             mirror.heard_at for mirror in self._mirror_by_prefix.values()
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -17,11 +17,10 @@
 from returns import result
 
 from . import tasks
+from . import watch_pace
 
 WATCH_S = 20.0
 BACKOFF_S = 0.25
-# After a change, further ones are waited for, to bring them in one call.
-BATCH_S = 0.2
 # After an outage the store may still lack entries that lapsed meanwhile.
 SETTLE_S = 2.5
 
@@ -40,6 +39,8 @@
 class StoreMirror:
     """Mirrors one prefix and tells of each change.
 
+    :param batch_s: asked after each change how long further ones are waited
+        for, to bring them in one call.
     :ivar revision: as of which the entries are known.
     :ivar changed: the last change that is known.
     """
@@ -51,17 +52,20 @@
         prefix: str,
         timer: timers.TimerService,
         on_change: Callable[[], None],
+        batch_s: Callable[[], float] = lambda: watch_pace.SHORTEST_S,
     ) -> None:
         self._store = store
         self._reader = reader
         self._prefix = prefix
         self._timer = timer
         self._on_change = on_change
+        self._batch_s = batch_s
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
         self.changed = stores.ABSENT
         self._watched = stores.ABSENT
         self._must_read = True
+        self._asks_at = 0.0
         self.is_connected = False
         self.connected_at = 0.0
         self.failed_at = 0.0
@@ -80,6 +84,11 @@
             return True
         return self._timer.now() - self.connected_at > SETTLE_S
 
+    @property
+    def batch_left_s(self) -> float:
+        """How long no watch is waiting, since a change has just come."""
+        return max(0.0, self._asks_at - self._timer.now())
+
     def copy(self) -> Copy:
         """Returns all entries, for another instance."""
         entries = tuple(self.entry_by_key.values())
@@ -173,7 +182,9 @@
             return
         self.revision = watched.revision
         self._on_change()
-        self._timer.sleep(BATCH_S)
+        batch_s = self._batch_s()
+        self._asks_at = self._timer.now() + batch_s
+        self._timer.sleep(batch_s)
 
     def _copy_of(self, snapshot: stores.Snapshot) -> Copy:
         """Returns a read with its last change.
--- a/packages/cactusmux-relay/tests/test_copies.py
+++ b/packages/cactusmux-relay/tests/test_copies.py
@@ -7,6 +7,7 @@
 from cactusmux_relay import copies
 from cactusmux_relay import http_server
 from cactusmux_relay import store_mirror
+from cactusmux_relay import watch_pace
 import gevent
 import pytest
 
@@ -221,3 +222,12 @@
     world.wait_until_pulled()
     assert world.mirror.entry_by_key == world.source.entry_by_key
     assert world.puller.patience_s(PREFIX) > copies.PATIENCE_S
+
+
+def test_pull_waits_for_a_watch_that_is_not_asked_yet(world):
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    batch_s = watch_pace.LONGEST_S
+    world.mirror._asks_at = world.timer.now() + batch_s
+    patience_s = world.puller.patience_s(PREFIX)
+    assert patience_s >= batch_s + copies.ANSWERED_PATIENCE_S[0]
--- a/packages/cactusmux-relay/tests/test_store_mirror.py
+++ b/packages/cactusmux-relay/tests/test_store_mirror.py
@@ -5,6 +5,7 @@
 from cactusmux_fakes import memory_store
 from cactusmux_relay import mirror_checks
 from cactusmux_relay import store_mirror
+from cactusmux_relay import watch_pace
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
@@ -25,10 +26,10 @@
 
     def new_mirror(self, prefix=PREFIX):
         return store_mirror.StoreMirror(
-            self.store, self.store, prefix, self.timer, self._note
+            self.store, self.store, prefix, self.timer, self.note
         )
 
-    def _note(self):
+    def note(self):
         self.changes += 1
 
     def write(self, key, value, prefix=PREFIX):
@@ -239,6 +240,50 @@
     assert world.values() == {'p/a': b'1'}
 
 
+def _answered_watches(world, instances):
+    """How many watches bring the changes of some seconds."""
+    mirror = store_mirror.StoreMirror(
+        world.store,
+        world.store,
+        PREFIX,
+        world.timer,
+        world.note,
+        lambda: watch_pace.batch_s(instances),
+    )
+    mirror.step()
+    before = world.changes
+    changing = world.timer.every(0.2, lambda: world.write('a', b'x'))
+    end = world.timer.now() + 10.0
+    while world.timer.now() < end:
+        mirror.step()
+        world.timer.advance(0.01)
+    changing.cancel()
+    return world.changes - before
+
+
+def test_changes_of_a_large_fleet_come_together(world):
+    """Each change of a target cost a call of each of 58 instances."""
+    small = _answered_watches(world, 8)
+    assert _answered_watches(world, 58) <= small / 2
+
+
+def test_check_waits_for_a_watch_that_is_not_asked_yet(world):
+    """What comes with the next watch was taken for a missed change."""
+    sample = world.new_mirror('s/')
+    sample.step()
+    world.mirror.step()
+    world.write('a', b'1')
+    world.mirror._asks_at = world.timer.now() + watch_pace.LONGEST_S
+    world.timer.after(watch_pace.LONGEST_S, world.mirror.step)
+    before = world.store.calls_by_kind['get_prefix']
+    checks = mirror_checks.MirrorChecks(
+        [sample, world.mirror], lambda: 58, world.timer, random.Random(1)
+    )
+    checks.check()
+    assert world.values() == {'p/a': b'1'}
+    assert world.store.calls_by_kind['get_prefix'] == before + 1
+
+
 class Mirrors(stateful.RuleBasedStateMachine):
     """Two mirrors of a store that fails; none ever goes back."""
 
