Ask a store that refuses once a second, not four times

Refused calls cost as much as others, and a store that turns a third of 58 instances away for 9 s got four calls a second from each of their four mirrors.

Reads that fail now begin 0.25, 0.5 and then 1 s apart; the first answer resets that. Calls that hang until their deadline are repeated after 0.25 s as before, so that a store that returns is read within 1.5 s at the latest.

Evidence: test_store_that_refuses_is_asked_once_a_second failed before with 40 calls in 10 s.

--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -21,6 +21,8 @@
 
 WATCH_S = 20.0
 BACKOFF_S = 0.25
+# Reads that fail begin this far apart at last: refused calls cost as others.
+LONGEST_RETRY_S = 1.0
 # After an outage the store may still lack entries that lapsed meanwhile.
 SETTLE_S = 2.5
 
@@ -66,6 +68,7 @@
         self._watched = stores.ABSENT
         self._must_read = True
         self._asks_at = 0.0
+        self._retry_s = BACKOFF_S
         self.is_connected = False
         self.connected_at = 0.0
         self.failed_at = 0.0
@@ -110,9 +113,16 @@
         if not self._must_read:
             self._must_read = not self._watch()
             return
+        asked_at = self._timer.now()
         self._must_read = not self._read()
         if self._must_read:
-            self._timer.sleep(BACKOFF_S)
+            self._back_off(asked_at)
+
+    def _back_off(self, asked_at: float) -> None:
+        """Waits between reads that fail; one that took long waits less."""
+        passed_s = self._timer.now() - asked_at
+        self._timer.sleep(max(BACKOFF_S, self._retry_s - passed_s))
+        self._retry_s = min(LONGEST_RETRY_S, 2.0 * self._retry_s)
 
     def check(self) -> int:
         """Reads all entries and takes what the watch hasn't brought.
@@ -226,6 +236,7 @@
 
     def _note_answer(self) -> None:
         self.heard_at = self._timer.now()
+        self._retry_s = BACKOFF_S
         if self.is_connected:
             return
         self.is_connected = True
--- a/packages/cactusmux-relay/tests/test_store_mirror.py
+++ b/packages/cactusmux-relay/tests/test_store_mirror.py
@@ -284,6 +284,41 @@
     assert world.store.calls_by_kind['get_prefix'] == before + 1
 
 
+def _play_outage(world, faults, length_s):
+    world.mirror.step()
+    world.store.faults = faults
+    before = sum(world.store.calls_by_kind.values())
+    end = world.timer.now() + length_s
+    while world.timer.now() < end:
+        world.mirror.step()
+    return sum(world.store.calls_by_kind.values()) - before
+
+
+def test_store_that_refuses_is_asked_once_a_second(world):
+    """Four mirrors of each instance asked four times a second."""
+    calls = _play_outage(world, faulty_store.Faults(down=True), 10.0)
+    assert calls <= 13
+
+
+def test_store_that_returns_is_read_within_a_second(world):
+    _play_outage(world, faulty_store.Faults(down=True), 10.0)
+    began_at = world.timer.now()
+    world.mirror.step()
+    assert world.timer.now() - began_at <= 1.0
+    world.store.faults = faulty_store.NO_FAULTS
+    world.write('a', b'1')
+    world.mirror.step()
+    assert world.values() == {'p/a': b'1'}
+
+
+def test_store_that_does_not_answer_is_read_soon_after_its_return(world):
+    faults = faulty_store.Faults(down=True, slow_s=1.2)
+    _play_outage(world, faults, 10.0)
+    began_at = world.timer.now()
+    world.mirror.step()
+    assert world.timer.now() - began_at <= 1.2 + store_mirror.BACKOFF_S + 0.01
+
+
 class Mirrors(stateful.RuleBasedStateMachine):
     """Two mirrors of a store that fails; none ever goes back."""
 
