--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -1,6 +1,7 @@
 """Wires one instance of the relay from a deployment's translations."""
 
 from collections.abc import Callable
+import functools
 import random
 from typing import NamedTuple
 
@@ -40,6 +41,7 @@
 from . import target_calls
 from . import target_roster
 from . import targets
+from . import watch_pace
 
 LEASE_NAME = 'placement'
 LEASE_SETTINGS = lease_types.LeaseSettings(
@@ -156,7 +158,9 @@
             copies.CopyHandler(self._mirror_by_prefix).handle,
             timer,
         )
-        self._puller = copies.CopyPuller(self._mirror_by_prefix, timer)
+        self._puller = copies.CopyPuller(
+            self._mirror_by_prefix, timer, rng, self._store_answered_at
+        )
         self._down.subscribe(self._tell_down)
         self.directory = directory.Directory(
             self._exchange, timer, settings.name
@@ -249,6 +253,7 @@
                 prefix,
                 self._timer,
                 on_change,
+                functools.partial(self._batch_s, prefix),
             )
         self._roster.follow(mirrors[self._settings.target_prefix])
         return mirrors
@@ -314,6 +319,18 @@
                 self.in_force.replace(state)
                 self._roster.update()
 
+    def _batch_s(self, prefix: str) -> float:
+        """Changes of the configuration and of leases come at once."""
+        if prefix in (self._settings.target_prefix, membership.PREFIX):
+            return watch_pace.batch_s(len(self._instance_by_name))
+        return watch_pace.SHORTEST_S
+
+    def _store_answered_at(self) -> float:
+        heard_at = [
+            mirror.heard_at for mirror in self._mirror_by_prefix.values()
+        ]
+        return max(self._registration.answered_at, *heard_at)
+
     def _take_leases(self) -> None:
         """Takes over at once when the lease has become free."""
         if not self.is_stopping and self._may_acquire_lease():
@@ -344,8 +361,8 @@
         return soft_exchange.News(
             name=self._settings.name,
             is_stopping=self.is_stopping,
-            revision_by_prefix={
-                prefix: mirror.revision
+            changed_by_prefix={
+                prefix: mirror.changed
                 for prefix, mirror in self._mirror_by_prefix.items()
             },
             tokens_by_target={
@@ -379,6 +396,6 @@
                 self._down.probe(target)
         peer = self._instance_by_name.get(news.name)
         if peer is not None:
-            self._puller.note_revisions(
-                peer.exchange_address, news.revision_by_prefix
+            self._puller.note_changes(
+                peer.exchange_address, news.changed_by_prefix
             )
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -2,7 +2,9 @@
 
 It is kept by a watch. While the store doesn't answer this instance, newer
 copies of other instances are taken instead. The copy with the higher
-revision wins, whichever side it comes from.
+revision wins, whichever side it comes from. Others are told the last change
+rather than that revision: the store has one counter for all prefixes, and
+a copy that is merely known as of later holds nothing new.
 """
 
 from collections.abc import Callable
@@ -15,24 +17,35 @@
 from returns import result
 
 from . import tasks
+from . import watch_pace
 
 WATCH_S = 20.0
 BACKOFF_S = 0.25
-# After a change, further ones are waited for, to bring them in one call.
-BATCH_S = 0.2
+# Reads that fail begin this far apart at last: refused calls cost as others.
+LONGEST_RETRY_S = 1.0
 # After an outage the store may still lack entries that lapsed meanwhile.
 SETTLE_S = 2.5
 
 
 class Copy(NamedTuple):
-    """All entries under a prefix, as of a revision of the store."""
+    """All entries under a prefix, as of a revision of the store.
+
+    :ivar changed: the last change among them, at most ``revision``.
+    """
 
     entries: tuple[stores.Entry, ...]
     revision: int
+    changed: int
 
 
 class StoreMirror:
-    """Mirrors one prefix and tells of each change."""
+    """Mirrors one prefix and tells of each change.
+
+    :param batch_s: asked after each change how long further ones are waited
+        for, to bring them in one call.
+    :ivar revision: as of which the entries are known.
+    :ivar changed: the last change that is known.
+    """
 
     def __init__(
         self,
@@ -41,15 +54,21 @@
         prefix: str,
         timer: timers.TimerService,
         on_change: Callable[[], None],
+        batch_s: Callable[[], float] = lambda: watch_pace.SHORTEST_S,
     ) -> None:
         self._store = store
         self._reader = reader
         self._prefix = prefix
         self._timer = timer
         self._on_change = on_change
+        self._batch_s = batch_s
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
+        self.changed = stores.ABSENT
+        self._watched = stores.ABSENT
         self._must_read = True
+        self._asks_at = 0.0
+        self._retry_s = BACKOFF_S
         self.is_connected = False
         self.connected_at = 0.0
         self.failed_at = 0.0
@@ -68,15 +87,20 @@
             return True
         return self._timer.now() - self.connected_at > SETTLE_S
 
+    @property
+    def batch_left_s(self) -> float:
+        """How long no watch is waiting, since a change has just come."""
+        return max(0.0, self._asks_at - self._timer.now())
+
     def copy(self) -> Copy:
         """Returns all entries, for another instance."""
-        return Copy(tuple(self.entry_by_key.values()), self.revision)
+        entries = tuple(self.entry_by_key.values())
+        return Copy(entries, self.revision, self.changed)
 
     def take(self, copy: Copy) -> bool:
-        """Takes another instance's copy if it is newer; tells whether."""
-        if copy.revision <= self.revision:
+        """Takes another instance's copy; tells whether it held news."""
+        if copy.revision <= self.revision or not self._replace(copy):
             return False
-        self._replace(copy)
         events.info('copy_taken', prefix=self._prefix, revision=copy.revision)
         return True
 
@@ -89,9 +113,16 @@
         if not self._must_read:
             self._must_read = not self._watch()
             return
+        asked_at = self._timer.now()
         self._must_read = not self._read()
         if self._must_read:
-            self._timer.sleep(BACKOFF_S)
+            self._back_off(asked_at)
+
+    def _back_off(self, asked_at: float) -> None:
+        """Waits between reads that fail; one that took long waits less."""
+        passed_s = self._timer.now() - asked_at
+        self._timer.sleep(max(BACKOFF_S, self._retry_s - passed_s))
+        self._retry_s = min(LONGEST_RETRY_S, 2.0 * self._retry_s)
 
     def check(self) -> int:
         """Reads all entries and takes what the watch hasn't brought.
@@ -100,18 +131,14 @@
         """
         match self._reader.read_prefix(self._prefix):
             case result.Success(snapshot):
-                entry_by_key = {each.key: each for each in snapshot.entries}
                 if snapshot.revision < self.revision:
                     return snapshot.revision
-                if entry_by_key == self.entry_by_key:
-                    self.revision = snapshot.revision
-                    return snapshot.revision
-                events.warning(
-                    'watch_missed_change',
-                    prefix=self._prefix,
-                    revision=snapshot.revision,
-                )
-                self._replace(Copy(snapshot.entries, snapshot.revision))
+                if self._replace(self._copy_of(snapshot)):
+                    events.warning(
+                        'watch_missed_change',
+                        prefix=self._prefix,
+                        revision=snapshot.revision,
+                    )
                 return snapshot.revision
         return stores.ABSENT
 
@@ -120,7 +147,7 @@
             case result.Success(snapshot):
                 self._note_answer()
                 if snapshot.revision >= self.revision:
-                    self._replace(Copy(snapshot.entries, snapshot.revision))
+                    self._replace(self._copy_of(snapshot))
                 return True
             case result.Failure(failure):
                 self._note_failure(failure)
@@ -128,7 +155,7 @@
 
     def _watch(self) -> bool:
         """Waits for changes; tells whether the watch may go on."""
-        watched = self._store.watch(self._prefix, self.revision, WATCH_S)
+        watched = self._store.watch(self._prefix, self._watched, WATCH_S)
         match watched:
             case result.Success(changes):
                 self._note_answer()
@@ -147,28 +174,69 @@
         if watched.revision < self.revision:
             # Another instance's newer copy was taken while we waited.
             return
-        changed = False
+        # A deaf watch passes over changes: one that tells of none goes on
+        # from there, but the copy isn't known to be that new.
+        self._watched = watched.revision
+        is_changed = False
         for change in watched.changes:
             known = self.entry_by_key.get(change.key)
             if known is not None and known.revision >= change.revision:
                 continue
-            changed = True
+            is_changed = True
+            self.changed = max(self.changed, change.revision)
             if change.entry is None:
                 self.entry_by_key.pop(change.key, None)
             else:
                 self.entry_by_key[change.key] = change.entry
+        if not is_changed:
+            return
         self.revision = watched.revision
-        if changed:
-            self._on_change()
-            self._timer.sleep(BATCH_S)
+        self._on_change()
+        batch_s = self._batch_s()
+        self._asks_at = self._timer.now() + batch_s
+        self._timer.sleep(batch_s)
 
-    def _replace(self, copy: Copy) -> None:
-        self.entry_by_key = {each.key: each for each in copy.entries}
+    def _copy_of(self, snapshot: stores.Snapshot) -> Copy:
+        """Returns a read with its last change.
+
+        A change that our watch has passed over may be missing elsewhere
+        too, by instances that know of later ones: it counts as new.
+        """
+        revision = snapshot.revision
+        changed = max(
+            (each.revision for each in snapshot.entries), default=stores.ABSENT
+        )
+        if self._has_missed(snapshot):
+            changed = revision
+        return Copy(snapshot.entries, revision, min(changed, revision))
+
+    def _has_missed(self, snapshot: stores.Snapshot) -> bool:
+        """Whether a read shows a change that we should have known."""
+        found = {each.key for each in snapshot.entries}
+        if not self.entry_by_key.keys() <= found:
+            return True
+        return any(
+            each.revision <= self.revision
+            and each != self.entry_by_key.get(each.key)
+            for each in snapshot.entries
+        )
+
+    def _replace(self, copy: Copy) -> bool:
+        """Takes a whole copy; tells whether it held anything new."""
+        entry_by_key = {each.key: each for each in copy.entries}
+        is_first = self.revision == stores.ABSENT
         self.revision = copy.revision
+        self._watched = copy.revision
+        self.changed = max(self.changed, copy.changed)
+        if entry_by_key == self.entry_by_key and not is_first:
+            return False
+        self.entry_by_key = entry_by_key
         self._on_change()
+        return True
 
     def _note_answer(self) -> None:
         self.heard_at = self._timer.now()
+        self._retry_s = BACKOFF_S
         if self.is_connected:
             return
         self.is_connected = True
