Leave targets alone that turn requests away for a time

The header was ignored: a stream's target was left out for 0.3 s, a plain one only once the breaker had opened, and then not where it was the last one.

The time is decoded at the border, on a 503 only; what isn't a positive finite number is taken as unsaid. The sender notes it as soon as it has read the head, before anything can end the request, by target and start. Neither the choice of paths, nor that of plain targets with its way back to ejected ones, nor a resumed stream uses such a target; the one named as the cause is left alone as well. Where those left can't hold all layers, or no plain target is left, the caller is refused at once as not run, with the time after which enough may be asked. A 503 without the header changes nothing.

The test of all facts of an answer compared a bare tuple; it now names the fields, with the new one.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -53,12 +53,14 @@
     def answer_facts(
         self, head: target_calls.AnswerHead
     ) -> dialect.AnswerFacts:
+        retry_after = head.header(b'retry-after')
         return dialect.AnswerFacts(
             request_id=head.header(b'request-id'),
             is_signed=head.header(b'signature') is not None,
             not_run=head.header(b'not-run') is not None,
             at_fault=head.header(b'at-fault'),
             is_encoded=head.header(b'content-encoding') is not None,
+            retry_after_s=float(retry_after) if retry_after else None,
         )
 
     def caller_headers(
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -4,6 +4,7 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_relay import backoffs
 from cactusmux_relay import desired
 from cactusmux_relay import down_targets
 from cactusmux_relay import http_server
@@ -92,6 +93,7 @@
         self.in_force = request_core.InForce()
         self.in_force.replace(desired_state())
         self.book = target_book.TargetBook()
+        held = backoffs.Backoffs(self.book, timer, self.metric)
         self.down = down_targets.DownTargets(timer)
         self.most_work_s = float('inf')
         spelling = plain_dialect.PlainDialect()
@@ -101,7 +103,7 @@
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
         connections = target_calls.TargetConnections(timer)
-        sender = sending.Sender(connections, spelling, timer)
+        sender = sending.Sender(connections, spelling, timer, held)
         live = live_streams.LiveStreams(
             timer, self.down, self.down.probe, lambda target: None
         )
@@ -119,6 +121,7 @@
                 self.metric,
                 rng,
                 'a',
+                held,
             ),
             stream_run.StreamParts(
                 refused=self.refused,
@@ -129,6 +132,7 @@
                     pace_book.PaceBook(silent_orders.SilentOrders(), timer),
                     timer,
                     self.metric,
+                    held,
                 ),
                 ledger=ledger,
                 sender=sender,
@@ -150,7 +154,7 @@
         )
         self.server.start()
 
-    def use_plain(self, *addresses: str) -> None:
+    def use_plain(self, *addresses: str, born_ms: int = 1) -> None:
         """Makes the plain service consist of targets at these addresses."""
         self._use(
             [
@@ -161,7 +165,7 @@
                     zone='a',
                     slots=6,
                     is_leaving=False,
-                    born_ms=1,
+                    born_ms=born_ms,
                 )
                 for index, address in enumerate(addresses)
             ]
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/backoffs.py
@@ -0,0 +1,125 @@
+"""Targets that asked this instance to send nothing for some time.
+
+A target that turns a request away may say for how long. It holds for one
+start of the target and for this instance alone; other instances learn it
+from their own requests.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+
+from . import target_book
+from . import targets
+
+# A target that names a longer time is asked again after this one.
+MAX_BACK_OFF_S = 300.0
+
+
+class _Start(NamedTuple):
+    id: str
+    born_ms: int
+
+
+class Backoffs:
+    """Until when targets are to be left alone."""
+
+    def __init__(
+        self,
+        book: target_book.TargetBook,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+    ) -> None:
+        self._book = book
+        self._timer = timer
+        self._metric = metric
+        self._until_by_start: dict[_Start, float] = {}
+
+    def note(
+        self, target: targets.Target, seconds: float, at_fault: str | None
+    ) -> None:
+        """Notes what a target said when it turned a request away.
+
+        :param at_fault: address of the target that it names as the cause;
+            the time is taken to hold for that one too.
+        """
+        self._hold(target, seconds)
+        named = self._book.target_by_address.get(at_fault or '')
+        if named is not None and named.id != target.id:
+            self._hold(named, seconds)
+
+    def _hold(self, target: targets.Target, seconds: float) -> None:
+        now = self._timer.now()
+        until = now + min(seconds, MAX_BACK_OFF_S)
+        start = _start_of(target)
+        known_until = self._until_by_start.get(start, now)
+        if until <= known_until:
+            return
+        self._until_by_start[start] = until
+        if known_until > now:
+            return
+        self._metric.count('relay.target_backs_off')
+        events.info(
+            'target_backs_off',
+            target=target.id,
+            address=target.address,
+            born_ms=target.born_ms,
+            seconds=round(until - now, 3),
+        )
+
+    @property
+    def ids(self) -> frozenset[str]:
+        """Ids of the targets that are to be left alone now."""
+        if not self._until_by_start:
+            return frozenset()
+        self._forget_past()
+        return frozenset(
+            start.id
+            for start in self._until_by_start
+            if self._is_current(start)
+        )
+
+    def left_s(self, target: targets.Target) -> float:
+        """Returns for how many seconds a target is to be left alone."""
+        until = self._until_by_start.get(_start_of(target), 0.0)
+        return max(0.0, until - self._timer.now())
+
+    def wait_s(
+        self,
+        candidates: Sequence[targets.Target],
+        suffices: Callable[[Iterable[targets.Target]], bool] = any,
+    ) -> float:
+        """Returns in how many seconds enough targets may be asked again.
+
+        0 where enough may be asked now, or where all together wouldn't do.
+
+        :param suffices: whether these targets could serve a request; one
+            of them is enough by default.
+        """
+        if not self.ids:
+            return 0.0
+        left_by_id = {each.id: self.left_s(each) for each in candidates}
+        for wait_s in sorted(set(left_by_id.values())):
+            free = [
+                each for each in candidates if left_by_id[each.id] <= wait_s
+            ]
+            if suffices(free):
+                return wait_s
+        return 0.0
+
+    def _forget_past(self) -> None:
+        now = self._timer.now()
+        for start, until in list(self._until_by_start.items()):
+            if until <= now:
+                del self._until_by_start[start]
+
+    def _is_current(self, start: _Start) -> bool:
+        target = self._book.target_by_id.get(start.id)
+        return target is not None and target.born_ms == start.born_ms
+
+
+def _start_of(target: targets.Target) -> _Start:
+    return _Start(target.id, target.born_ms)
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -72,6 +72,8 @@
     :ivar not_run: the target didn't and won't run the request.
     :ivar at_fault: address of the target that is the cause.
     :ivar is_encoded: the body isn't the target's own bytes.
+    :ivar retry_after_s: for so long the target, which turned the request
+        away, wants nothing more from us; ``None`` if unsaid.
     """
 
     request_id: str | None
@@ -79,6 +81,7 @@
     not_run: bool
     at_fault: str | None
     is_encoded: bool
+    retry_after_s: float | None = None
 
 
 class Dialect(abc.ABC):
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -1,16 +1,21 @@
 """Finds a path for a request, and learns from targets that reject one."""
 
+from collections.abc import Iterable
+
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
 
+from . import backoffs
 from . import context
+from . import desired
 from . import down_targets
 from . import load_ledger
 from . import outcomes
 from . import pace_book
 from . import path_choice
 from . import target_book
+from . import targets
 
 ROOM_POLL_S = 0.01
 # For the answer of a request whose time ends while it waits.
@@ -30,6 +35,7 @@
         paces: pace_book.PaceBook,
         timer: timers.TimerService,
         metric: metrics.Metrics,
+        held: backoffs.Backoffs,
     ) -> None:
         self._book = book
         self._ledger = ledger
@@ -37,6 +43,7 @@
         self._paces = paces
         self._timer = timer
         self._metric = metric
+        self._held = held
         self._full_until_by_id: dict[str, float] = {}
 
     def choose(
@@ -48,12 +55,14 @@
     ) -> path_choice.Choice:
         """Returns a path with room, waiting up to ``wait_s`` for one.
 
-        Only at the end of the wait may it cross a busier pipe.
+        Only at the end of the wait may it cross a busier pipe. It ends at
+        once where targets are to be left alone for longer.
         """
         until = min(self._timer.now() + wait_s, exchange.ends_at - ANSWER_S)
         choice = path_choice.Choice(None, 0.0, 0, 0.0)
         while True:
-            is_last = self._timer.now() >= until
+            left_s = until - self._timer.now()
+            is_last = left_s <= max(0.0, self.wait_s(exchange.service))
             pipe_limit = path_choice.PIPE_LIMIT
             if is_last:
                 pipe_limit = path_choice.LAST_PIPE_LIMIT
@@ -65,7 +74,7 @@
                     graph,
                     demand,
                     self._ledger.all_loads(self._paces.slow()),
-                    self._down.ids | self._full() | avoided,
+                    self._down.ids | self._held.ids | self._full() | avoided,
                     pipe_limit,
                 )
                 if choice.path is not None:
@@ -75,6 +84,21 @@
                 return choice
             self._timer.sleep(ROOM_POLL_S)
 
+    def wait_s(self, service: desired.Service) -> float:
+        """Returns for how long targets left alone leave no path at all."""
+        down = self._down.ids
+        engine = service.engine
+        if engine is None:
+            return 0.0
+        return self._held.wait_s(
+            [
+                each
+                for each in self._book.ready(service.name)
+                if each.id not in down
+            ],
+            lambda free: _hold_all(free, engine.layers),
+        )
+
     def _log_no_path(
         self,
         exchange: context.Exchange,
@@ -119,3 +143,13 @@
             if until <= now:
                 del self._full_until_by_id[target_id]
         return set(self._full_until_by_id)
+
+
+def _hold_all(found: Iterable[targets.Target], layers: int) -> bool:
+    """Whether each of a model's layers is on one of these targets."""
+    reached = 0
+    for target in sorted(found, key=lambda each: each.layers.first):
+        if target.layers.first > reached:
+            return False
+        reached = max(reached, target.layers.end)
+    return reached >= layers
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -15,6 +15,7 @@
 from cactusmux_routing import breakers
 import gevent
 
+from . import backoffs
 from . import context
 from . import load_ledger
 from . import outcomes
@@ -45,6 +46,7 @@
         metric: metrics.Metrics,
         rng: random.Random,
         zone: str,
+        held: backoffs.Backoffs,
     ) -> None:
         self._book = book
         self._ledger = ledger
@@ -55,6 +57,7 @@
         self._metric = metric
         self._rng = rng
         self._zone = zone
+        self._held = held
 
     def serve(self, exchange: context.Exchange) -> outcomes.Whole:
         """Returns the answer; raises :class:`context.Refused`."""
@@ -66,9 +69,13 @@
         while True:
             target = self._choose(service, tried)
             if target is None:
-                raise self._spent(failed, runs, outcomes.Refusal.NO_TARGET)
+                raise self._spent(
+                    exchange, failed, runs, outcomes.Refusal.NO_TARGET
+                )
             if tried and not self._budget.take(service):
-                raise self._spent(failed, runs, outcomes.Refusal.REPEATS_SPENT)
+                raise self._spent(
+                    exchange, failed, runs, outcomes.Refusal.REPEATS_SPENT
+                )
             tried.add(target.id)
             may_go_on = self._may_run_again(exchange, runs + 1)
             outcome = self._send(exchange, target, may_go_on)
@@ -82,9 +89,13 @@
             else:
                 runs += 1
             if runs and not self._may_run_again(exchange, runs):
-                raise self._spent(failed, runs, outcomes.Refusal.TARGET_FAILED)
+                raise self._spent(
+                    exchange, failed, runs, outcomes.Refusal.TARGET_FAILED
+                )
             if rejections >= MAX_REJECTIONS:
-                raise self._spent(failed, runs, outcomes.Refusal.REJECTED)
+                raise self._spent(
+                    exchange, failed, runs, outcomes.Refusal.REJECTED
+                )
 
     def _may_run_again(self, exchange: context.Exchange, runs: int) -> bool:
         if not exchange.route.is_idempotent:
@@ -93,20 +104,34 @@
 
     def _spent(
         self,
+        exchange: context.Exchange,
         failed: outcomes.Whole | None,
         runs: int,
         refusal: outcomes.Refusal,
     ) -> context.Refused | context.Answered:
         if failed is not None:
             return context.Answered(failed)
-        retry_after_s = None if runs else RETRY_AFTER_S
-        return context.Refused(refusal, runs > 0, retry_after_s)
+        if runs:
+            return context.Refused(refusal, True)
+        retry_after_s = self._retry_after_s(exchange.service.name)
+        return context.Refused(refusal, False, retry_after_s)
+
+    def _retry_after_s(self, service: str) -> float:
+        """Returns when to come back, spread where targets are left alone."""
+        wait_s = self._held.wait_s(self._book.ready(service))
+        if not wait_s:
+            return RETRY_AFTER_S
+        spread_s = self._rng.uniform(0.0, RETRY_AFTER_S)
+        return max(RETRY_AFTER_S, wait_s + spread_s)
 
     def _choose(self, service: str, tried: set[str]) -> targets.Target | None:
         """Returns the least busy target, in our zone among equals."""
         ejected = self._health.ejected()
+        without = self._held.ids | tried
         ready = [
-            each for each in self._book.ready(service) if each.id not in tried
+            each
+            for each in self._book.ready(service)
+            if each.id not in without
         ]
         sound = [each for each in ready if each.address not in ejected]
         candidates = sound or ready
--- a/packages/cactusmux-relay/src/cactusmux_relay/refused_callers.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/refused_callers.py
@@ -32,13 +32,17 @@
         self._refused_at_by_key: dict[int, float] = {}
         self._own_at_by_key: dict[int, float] = {}
 
-    def note_refused(self, key: int | None) -> float:
-        """Remembers a request; returns after how many seconds to retry."""
+    def note_refused(self, key: int | None, wait_s: float = 0.0) -> float:
+        """Remembers a request; returns after how many seconds to retry.
+
+        :param wait_s: earlier the request can't be served.
+        """
         if key is not None:
             now = self._timer.now()
             self._remember(key, now)
             self._own_at_by_key[key] = now
-        return self._rng.uniform(LEAST_RETRY_S, LONGEST_RETRY_S)
+        retry_s = self._rng.uniform(LEAST_RETRY_S, LONGEST_RETRY_S)
+        return retry_s + max(0.0, wait_s - LEAST_RETRY_S)
 
     def note_told(self, keys: Iterable[int]) -> None:
         """Takes requests that another instance has refused."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -13,6 +13,7 @@
 from cactusmux_routing import breakers
 import gevent
 
+from . import backoffs
 from . import copies
 from . import desired
 from . import dialect
@@ -103,6 +104,7 @@
         self._stop_begun_at = 0.0
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
+        self._held = backoffs.Backoffs(self._book, timer, metric)
         self._ledger = load_ledger.LoadLedger(timer)
         self._down = down_targets.DownTargets(timer)
         self._roster = target_roster.TargetRoster(
@@ -192,7 +194,9 @@
         timer = self._timer
         connections = target_calls.TargetConnections(timer)
         connections.start()
-        sender = sending.Sender(connections, self._given.spelling, timer)
+        sender = sending.Sender(
+            connections, self._given.spelling, timer, self._held
+        )
         health = breakers.Breakers(timer, rng, metric, lambda lost: True)
         plain = plain_relay.PlainRelay(
             self._book,
@@ -204,9 +208,16 @@
             metric,
             rng,
             self._settings.zone,
+            self._held,
         )
         finder = path_finder.PathFinder(
-            self._book, self._ledger, self._down, self._paces, timer, metric
+            self._book,
+            self._ledger,
+            self._down,
+            self._paces,
+            timer,
+            metric,
+            self._held,
         )
         streams = stream_run.StreamParts(
             finder=finder,
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -2,6 +2,7 @@
 
 from cactusmux_base import timers
 
+from . import backoffs
 from . import context
 from . import cost_model
 from . import dialect
@@ -25,10 +26,12 @@
         connections: target_calls.TargetConnections,
         spelling: dialect.Dialect,
         timer: timers.TimerService,
+        held: backoffs.Backoffs,
     ) -> None:
         self._connections = connections
         self._spelling = spelling
         self._timer = timer
+        self._held = held
 
     def send(
         self,
@@ -100,6 +103,8 @@
     ) -> outcomes.SendOutcome:
         head = call.read_head()
         facts = self._spelling.answer_facts(head)
+        if facts.retry_after_s is not None:
+            self._held.note(target, facts.retry_after_s, facts.at_fault)
         if facts.request_id not in (None, exchange.facts.request_id):
             return outcomes.MaybeRun(target.address, 'answer to another id')
         if facts.not_run or head.status == STATUS_MISDIRECTED:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -256,7 +256,10 @@
         has_run = self._runs > 0
         retry_after_s = None
         if not has_run:
-            retry_after_s = self._parts.refused.note_refused(self._caller)
+            wait_s = self._parts.finder.wait_s(self._exchange.service)
+            retry_after_s = self._parts.refused.note_refused(
+                self._caller, wait_s
+            )
             if self._is_returning:
                 self._parts.metric.count('relay.refused_again')
         raise context.Refused(refusal, has_run, retry_after_s)
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_backoffs.py
@@ -0,0 +1,103 @@
+"""Until when targets are left alone, by the fake timer."""
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_fakes import relay_rig
+from cactusmux_relay import backoffs
+from cactusmux_relay import target_book
+from cactusmux_relay import targets
+import pytest
+
+
+def _target(name, born_ms=1, service=relay_rig.PLAIN_SERVICE):
+    return targets.Target(name, service, f'{name}:80', 'a', 6, False, born_ms)
+
+
+class _Held:
+    def __init__(self):
+        self.timer = timers.ManualTimers()
+        self.metric = metrics.MemoryMetrics()
+        self.book = target_book.TargetBook()
+        self.backoffs = backoffs.Backoffs(self.book, self.timer, self.metric)
+        self.one = _target('one')
+        self.two = _target('two')
+        self.have(self.one, self.two)
+
+    def have(self, *found):
+        self.book.replace(found, {})
+
+    def note(self, target, seconds, at_fault=None):
+        self.backoffs.note(target, seconds, at_fault)
+
+    def wait_s(self):
+        return self.backoffs.wait_s([self.one, self.two])
+
+
+@pytest.fixture(name='held')
+def _held():
+    return _Held()
+
+
+def test_target_is_left_alone_until_its_time_is_over(held):
+    held.note(held.one, 2.0)
+    held.timer.advance(1.9)
+    assert held.backoffs.ids == {'one'}
+    held.timer.advance(0.1)
+    assert held.backoffs.ids == frozenset()
+    assert held.backoffs.left_s(held.one) == 0.0
+
+
+def test_longest_time_named_holds(held):
+    held.note(held.one, 2.0)
+    held.timer.advance(0.5)
+    held.note(held.one, 0.5)
+    assert held.backoffs.left_s(held.one) == 1.5
+    held.note(held.one, 4.0)
+    assert held.backoffs.left_s(held.one) == 4.0
+    assert held.metric.counter_by_name['relay.target_backs_off'] == 1
+
+
+def test_time_without_end_is_bounded(held):
+    held.note(held.one, 1e300)
+    assert held.backoffs.left_s(held.one) == backoffs.MAX_BACK_OFF_S
+
+
+def test_target_named_as_the_cause_is_left_alone_too(held):
+    held.note(held.one, 2.0, 'two:80')
+    assert held.backoffs.ids == {'one', 'two'}
+
+
+def test_unknown_cause_changes_nothing(held):
+    held.note(held.one, 2.0, 'three:80')
+    assert held.backoffs.ids == {'one'}
+
+
+def test_new_start_of_a_target_is_not_left_alone(held):
+    held.note(held.one, 2.0)
+    reborn = _target('one', born_ms=2)
+    held.have(reborn, held.two)
+    assert held.backoffs.ids == frozenset()
+    assert held.backoffs.left_s(reborn) == 0.0
+
+
+def test_target_whose_entry_lapsed_and_came_back_is_still_left_alone(held):
+    held.note(held.one, 2.0)
+    held.have(held.two)
+    assert held.backoffs.ids == frozenset()
+    held.have(held.one, held.two)
+    assert held.backoffs.ids == {'one'}
+
+
+def test_wait_is_that_for_the_first_one(held):
+    held.note(held.one, 2.0)
+    assert held.wait_s() == 0.0
+    held.note(held.two, 1.5)
+    assert held.wait_s() == pytest.approx(1.5)
+    held.timer.advance(1.5)
+    assert held.wait_s() == 0.0
+
+
+def test_wait_is_none_where_all_together_would_not_do(held):
+    held.note(held.one, 2.0)
+    assert held.backoffs.wait_s([held.one], lambda free: False) == 0.0
+    assert held.backoffs.wait_s([]) == 0.0
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_left_alone_machine.py
@@ -0,0 +1,310 @@
+"""Any sequence of requests, answers and new starts, by the fake timer."""
+
+import random
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_fakes import plain_dialect
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import sample_engine
+from cactusmux_fakes import scripted_target
+from cactusmux_fakes import silent_orders
+from cactusmux_relay import backoffs
+from cactusmux_relay import context
+from cactusmux_relay import desired
+from cactusmux_relay import dialect
+from cactusmux_relay import down_targets
+from cactusmux_relay import http_server
+from cactusmux_relay import live_streams
+from cactusmux_relay import load_ledger
+from cactusmux_relay import outcomes
+from cactusmux_relay import pace_book
+from cactusmux_relay import path_finder
+from cactusmux_relay import plain_relay
+from cactusmux_relay import refused_callers
+from cactusmux_relay import repeat_budget
+from cactusmux_relay import sending
+from cactusmux_relay import stream_run
+from cactusmux_relay import target_book
+from cactusmux_relay import target_calls
+from cactusmux_relay import targets
+from cactusmux_routing import breakers
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+PLAIN_IDS = ('p0', 'p1', 'p2')
+# Two copies of a model in two stages each.
+LAYERS_BY_ENGINE = {
+    'e0': (0, 40),
+    'e1': (40, 80),
+    'f0': (0, 40),
+    'f1': (40, 80),
+}
+IDS = (*PLAIN_IDS, *LAYERS_BY_ENGINE)
+SIGNED = (b'signature', b's')
+NOT_RUN = (b'not-run', b'1')
+SECONDS = strategies.sampled_from([0.05, 0.4, 1.0, 3.0, 20.0])
+EVENTS = [scripted_target.event(number) for number in (1, 2)]
+
+
+class _Call:
+    """An answer that is there at once."""
+
+    def __init__(self, head, events, is_broken):
+        self._head = head
+        self._events = events
+        self._is_broken = is_broken
+
+    def read_head(self):
+        if self._head is None:
+            raise target_calls.AnswerBroken('', 'reset')
+        return self._head
+
+    def read_body(self, _max_bytes):
+        return b''
+
+    def parts(self):
+        yield from self._events
+        if self._is_broken:
+            raise target_calls.AnswerBroken('', 'reset')
+
+    def close(self):
+        pass
+
+
+class _Targets:
+    """In place of connections: notes what reaches a target too early."""
+
+    def __init__(self, timer):
+        self._timer = timer
+        self._quiet_by_address = {}
+        self.answer_by_address = {}
+        self.too_early = []
+        self.reached = 0
+
+    def call(self, address, _request, _fresh):
+        now = self._timer.now()
+        self.reached += 1
+        for begin, end in self._quiet_by_address.get(address, ()):
+            if begin <= now < end:
+                self.too_early.append((address, begin, now, end))
+        kind, seconds = self.answer_by_address.get(address, ('good', None))
+        if kind == 'away':
+            quiet = (now, now + seconds)
+            self._quiet_by_address.setdefault(address, []).append(quiet)
+        return _answer(kind, seconds)
+
+    def restart(self, address):
+        self._quiet_by_address.pop(address, None)
+
+
+def _answer(kind, seconds):
+    if kind == 'lost':
+        return _Call(None, (), True)
+    if kind == 'broken':
+        head = target_calls.AnswerHead(200, (SIGNED,))
+        return _Call(head, EVENTS[:1], True)
+    if kind == 'failed':
+        return _Call(target_calls.AnswerHead(500, (SIGNED,)), (), False)
+    if kind == 'full':
+        return _Call(target_calls.AnswerHead(503, (NOT_RUN,)), (), False)
+    if kind == 'away':
+        after = (b'retry-after', str(seconds).encode())
+        head = target_calls.AnswerHead(503, (NOT_RUN, after))
+        return _Call(head, (), False)
+    return _Call(target_calls.AnswerHead(200, (SIGNED,)), EVENTS, False)
+
+
+class _NoProbes(down_targets.DownTargets):
+    """All targets accept connections."""
+
+    def probe(self, target):
+        pass
+
+
+class _Caller(http_server.Answerer):
+    def answer(self, status, headers, body):
+        pass
+
+    def start(self, status, headers):
+        pass
+
+    def send(self, data):
+        pass
+
+    def finish(self):
+        pass
+
+    def abort(self):
+        pass
+
+
+class LeftAloneMachine(stateful.RuleBasedStateMachine):
+    """One instance, plain targets and a model's."""
+
+    def __init__(self):
+        super().__init__()
+        timer = timers.ManualTimers()
+        rng = random.Random(1)
+        metric = metrics.MemoryMetrics()
+        self.timer = timer
+        self.targets = _Targets(timer)
+        self.book = target_book.TargetBook()
+        self.born_by_id = dict.fromkeys(IDS, 1)
+        self.state = relay_rig.desired_state()
+        self._publish()
+        self.held = backoffs.Backoffs(self.book, timer, metric)
+        spelling = plain_dialect.PlainDialect()
+        sender = sending.Sender(self.targets, spelling, timer, self.held)
+        ledger = load_ledger.LoadLedger(timer)
+        budget = repeat_budget.RepeatBudget(timer, 1.0, 1e6, 10.0)
+        budget.set_instances(1)
+        down = _NoProbes(timer)
+        health = breakers.Breakers(timer, rng, metric, lambda lost: True)
+        self.plain = plain_relay.PlainRelay(
+            self.book,
+            ledger,
+            sender,
+            budget,
+            health,
+            timer,
+            metric,
+            rng,
+            'a',
+            self.held,
+        )
+        paces = pace_book.PaceBook(silent_orders.SilentOrders(), timer)
+        finder = path_finder.PathFinder(
+            self.book, ledger, down, paces, timer, metric, self.held
+        )
+        self.streams = stream_run.StreamParts(
+            finder=finder,
+            ledger=ledger,
+            sender=sender,
+            spelling=spelling,
+            budget=budget,
+            down=down,
+            refused=refused_callers.RefusedCallers(timer, rng),
+            live=live_streams.LiveStreams(
+                timer, down, down.probe, lambda target: None
+            ),
+            timer=timer,
+            metric=metric,
+        )
+
+    def _publish(self):
+        found = [self._target(name) for name in IDS]
+        self.book.replace(found, self.state.service_by_name)
+
+    def _target(self, name):
+        born_ms = self.born_by_id[name]
+        if name in PLAIN_IDS:
+            return targets.Target(
+                name,
+                relay_rig.PLAIN_SERVICE,
+                _address(name),
+                'a',
+                6,
+                False,
+                born_ms,
+            )
+        layers = targets.LayerRange(*LAYERS_BY_ENGINE[name])
+        target = sample_engine.target(
+            name, 'a100', 'a', layers, _address(name)
+        )
+        return target._replace(born_ms=born_ms)
+
+    @stateful.rule(seconds=strategies.floats(0.0, 5.0))
+    def time_passes(self, seconds):
+        self.timer.advance(seconds)
+
+    @stateful.rule(
+        name=strategies.sampled_from(IDS),
+        kind=strategies.sampled_from(
+            ['good', 'failed', 'full', 'lost', 'broken', 'away', 'away']
+        ),
+        seconds=SECONDS,
+    )
+    def target_answers_so_from_now_on(self, name, kind, seconds):
+        self.targets.answer_by_address[_address(name)] = (kind, seconds)
+
+    @stateful.rule(seconds=SECONDS)
+    def all_turn_away(self, seconds):
+        for name in IDS:
+            self.targets.answer_by_address[_address(name)] = ('away', seconds)
+
+    @stateful.rule(name=strategies.sampled_from(IDS))
+    def target_starts_anew(self, name):
+        self.born_by_id[name] += 1
+        self.targets.restart(_address(name))
+        self._publish()
+
+    @stateful.rule(
+        route=strategies.sampled_from(relay_rig.ROUTES),
+        repeats=strategies.integers(1, 8),
+    )
+    def requests_come(self, route, repeats):
+        for _ in range(repeats):
+            self._ask(route)
+
+    def _ask(self, route):
+        begun = self.timer.now()
+        reached = self.targets.reached
+        exchange = self._exchange(route)
+        try:
+            if exchange.service.engine is None:
+                self.plain.serve(exchange)
+            else:
+                stream_run.StreamRun(self.streams, exchange).serve()
+        except context.Refused as refused:
+            self._check_refusal(exchange, refused)
+            if refused.refusal == outcomes.Refusal.NO_TARGET:
+                assert self.timer.now() == begun
+                assert self.targets.reached > reached or self._all_held(
+                    exchange.service
+                )
+        except (context.Answered, context.BrokenOff):
+            pass
+
+    def _check_refusal(self, exchange, refused):
+        if refused.has_run:
+            return
+        service = exchange.service
+        if self._all_held(service):
+            ready = self.book.ready(service.name)
+            left_s = min(self.held.left_s(each) for each in ready)
+            assert refused.retry_after_s >= left_s
+
+    def _all_held(self, service):
+        ready = self.book.ready(service.name)
+        return {each.id for each in ready} <= self.held.ids
+
+    def _exchange(self, route):
+        service = self.state.service_by_name[route.services[0].service]
+        now = self.timer.now()
+        return context.Exchange(
+            request=http_server.Request('POST', route.prefix, (), b'', now),
+            facts=dialect.RequestFacts(
+                'r1', 'h', None, None, '', 800.0, 200.0, None, None, []
+            ),
+            answerer=_Caller(),
+            route=route,
+            service=service,
+            organisation=desired.Organisation('almaty', None),
+            ends_at=now + route.timeout_s,
+        )
+
+    @stateful.invariant()
+    def nothing_reaches_a_target_that_wants_nothing(self):
+        assert self.targets.too_early == []
+
+
+def _address(name):
+    return f'{name}:80'
+
+
+TestLeftAlone = LeftAloneMachine.TestCase
+TestLeftAlone.settings = hypothesis.settings(
+    deadline=None, max_examples=60, stateful_step_count=30
+)
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -5,6 +5,7 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import silent_orders
+from cactusmux_relay import backoffs
 from cactusmux_relay import context
 from cactusmux_relay import cost_model
 from cactusmux_relay import dialect
@@ -36,16 +37,19 @@
         self.first = _target('first', 0, 40, 'a')
         self.second = _target('second', 40, 80, 'b')
         state = relay_rig.desired_state()
-        self._book = target_book.TargetBook()
+        self.book = target_book.TargetBook()
         self._services = state.service_by_name
-        self._book.replace([self.first, self.second], self._services)
+        self.book.replace([self.first, self.second], self._services)
+        metric = metrics.MemoryMetrics()
+        self.held = backoffs.Backoffs(self.book, self.timer, metric)
         self.finder = path_finder.PathFinder(
-            self._book,
+            self.book,
             self.ledger,
             down_targets.DownTargets(self.timer),
             pace_book.PaceBook(silent_orders.SilentOrders(), self.timer),
             self.timer,
-            metrics.MemoryMetrics(),
+            metric,
+            self.held,
         )
         self._service = state.service_by_name[sample_engine.SERVICE]
         self._route = state.routes[0]
@@ -66,7 +70,11 @@
     def add(self, target):
         """Adds a target that holds layers."""
         members = [self.first, self.second, target]
-        self._book.replace(members, self._services)
+        self.book.replace(members, self._services)
+
+    def wait_s(self):
+        """Returns for how long no path can be had."""
+        return self.finder.wait_s(self._service)
 
     def choose(self, wait_s):
         """Returns the choice and after how many seconds it was made."""
@@ -113,3 +121,41 @@
     choice, after_s = _Search(busy_share=0.8).choose(0.2)
     assert choice.path is None
     assert after_s >= 0.2
+
+
+def test_path_avoids_who_is_to_be_left_alone():
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.held.note(search.first, 2.0, None)
+    choice, after_s = search.choose(0.05)
+    assert [stage.target.id for stage in choice.path] == ['other', 'second']
+    assert after_s == 0.0
+
+
+def test_request_is_not_held_where_layers_are_left_alone_for_longer():
+    search = _Search(busy_share=0.02)
+    search.held.note(search.first, 2.0, None)
+    choice, after_s = search.choose(1.0)
+    assert choice.path is None
+    assert after_s == 0.0
+    assert search.wait_s() == 2.0
+
+
+def test_who_may_wait_waits_for_a_stage_that_may_be_asked_again_soon():
+    search = _Search(busy_share=0.02)
+    search.held.note(search.first, 0.4, None)
+    choice, after_s = search.choose(1.0)
+    assert choice.path is not None
+    assert after_s == pytest.approx(0.4, abs=path_finder.ROOM_POLL_S)
+    assert search.wait_s() == 0.0
+
+
+def test_wait_is_until_all_layers_may_be_asked_again():
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.held.note(search.first, 3.0, None)
+    assert search.wait_s() == 0.0
+    search.held.note(search.second, 2.0, None)
+    assert search.wait_s() == 2.0
+    search.held.note(search.book.target_by_id['other'], 5.0, None)
+    assert search.wait_s() == 3.0
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -109,7 +109,58 @@
         ),
     )
     facts = DIALECT.answer_facts(head)
-    assert facts == ('9c41', False, True, '10.0.0.1:80', False)
+    assert facts == dialect.AnswerFacts(
+        request_id='9c41',
+        is_signed=False,
+        not_run=True,
+        at_fault='10.0.0.1:80',
+        is_encoded=False,
+        retry_after_s=None,
+    )
+
+
+def _retry_after(status, value):
+    head = target_calls.AnswerHead(status, (ID, (b'retry-after', value)))
+    return DIALECT.answer_facts(head).retry_after_s
+
+
+@pytest.mark.parametrize(
+    'value, seconds',
+    [(b'2', 2.0), (b'0.25', 0.25), (b' 3 ', 3.0), (b'1e9', 1e9)],
+)
+def test_target_that_turns_away_says_for_how_long(value, seconds):
+    assert _retry_after(503, value) == seconds
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'0',
+        b'-1',
+        b'nan',
+        b'inf',
+        b'-inf',
+        b'1e999',
+        b'soon',
+        b'2, 3',
+        b'Fri, 04 Dec 2026 07:45:00 GMT',
+        b'\xb2',
+    ],
+)
+def test_time_to_be_left_alone_that_is_none_is_ignored(value):
+    assert _retry_after(503, value) is None
+
+
+@pytest.mark.parametrize('status', [200, 421, 429, 500])
+def test_only_who_turns_away_is_left_alone(status):
+    assert _retry_after(status, b'2') is None
+
+
+@hypothesis.given(strategies.binary(max_size=12))
+def test_time_to_be_left_alone_is_none_or_a_time(value):
+    seconds = _retry_after(503, value)
+    assert seconds is None or 0 < seconds < float('inf')
 
 
 def test_seal_passes_to_the_caller_and_connection_headers_do_not():
