Send no orders or reports to targets that are left alone

A target that turned a request away for some time wants nothing from the instance. Calls to it end at once with a failure of their own, as an order not sent isn't one unanswered; both callers already try again later. Broken once: the test fails.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/held_orders.py
@@ -0,0 +1,33 @@
+"""Orders and reports that leave alone the targets that asked for it."""
+
+from returns import result
+
+from . import backoffs
+from . import layer_orders
+from . import targets
+
+
+class HeldOrders(layer_orders.LayerOrders):
+    """Passes on calls, but none to a target that is to be left alone."""
+
+    def __init__(
+        self, orders: layer_orders.LayerOrders, held: backoffs.Backoffs
+    ) -> None:
+        self._orders = orders
+        self._held = held
+
+    def hold(
+        self, target: targets.Target, layers: targets.LayerRange, number: int
+    ) -> result.Result[None, layer_orders.OrderFailure]:
+        """Orders a target to hold exactly ``layers``."""
+        if self._held.left_s(target):
+            return result.Failure(layer_orders.OrderNotSent(target.id))
+        return self._orders.hold(target, layers, number)
+
+    def report(
+        self, target: targets.Target
+    ) -> result.Result[layer_orders.LayerReport, layer_orders.OrderFailure]:
+        """Asks a target what it holds."""
+        if self._held.left_s(target):
+            return result.Failure(layer_orders.OrderNotSent(target.id))
+        return self._orders.report(target)
--- a/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
@@ -43,7 +43,17 @@
         self.status = status
 
 
-OrderFailure = OrderUnanswered | OrderRefused
+class OrderNotSent(failures.CactusmuxError):
+    """The target is to be left alone for now; it got nothing."""
+
+    reason = 'order_not_sent'
+
+    def __init__(self, target_id: str) -> None:
+        super().__init__(f'target {target_id} is to be left alone')
+        self.target_id = target_id
+
+
+OrderFailure = OrderUnanswered | OrderRefused | OrderNotSent
 
 
 class LayerOrders(abc.ABC):
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -20,6 +20,7 @@
 from . import directory
 from . import down_targets
 from . import gauges
+from . import held_orders
 from . import http_server
 from . import layer_orders
 from . import live_streams
@@ -105,6 +106,7 @@
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
         self._held = backoffs.Backoffs(self._book, timer, metric)
+        orders = held_orders.HeldOrders(given.orders, self._held)
         self._ledger = load_ledger.LoadLedger(timer)
         self._down = down_targets.DownTargets(timer)
         self._roster = target_roster.TargetRoster(
@@ -116,7 +118,7 @@
             settings.repeat_allowance,
             settings.repeat_window_s,
         )
-        self._paces = pace_book.PaceBook(given.orders, timer)
+        self._paces = pace_book.PaceBook(orders, timer)
         self._live = live_streams.LiveStreams(
             timer, self._down, self._down.probe, self._paces.ask
         )
@@ -178,7 +180,7 @@
             given.store,
             self.in_force,
             self._book,
-            given.orders,
+            orders,
             self._lease.authority,
             timer,
             metric,
--- a/packages/cactusmux-relay/tests/test_backoffs.py
+++ b/packages/cactusmux-relay/tests/test_backoffs.py
@@ -3,7 +3,10 @@
 from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_fakes import relay_rig
+from cactusmux_fakes import silent_orders
 from cactusmux_relay import backoffs
+from cactusmux_relay import held_orders
+from cactusmux_relay import layer_orders
 from cactusmux_relay import target_book
 from cactusmux_relay import targets
 import pytest
@@ -101,3 +104,31 @@
     held.note(held.one, 2.0)
     assert held.backoffs.wait_s([held.one], lambda free: False) == 0.0
     assert held.backoffs.wait_s([]) == 0.0
+
+
+class _Orders(layer_orders.LayerOrders):
+    def __init__(self):
+        self.asked = []
+
+    def hold(self, target, layers, number):
+        self.asked.append(('hold', target.id))
+        return silent_orders.SilentOrders().hold(target, layers, number)
+
+    def report(self, target):
+        self.asked.append(('report', target.id))
+        return silent_orders.SilentOrders().report(target)
+
+
+def test_orders_and_reports_leave_targets_alone(held):
+    orders = _Orders()
+    polite = held_orders.HeldOrders(orders, held.backoffs)
+    held.note(held.one, 2.0)
+    for target in (held.one, held.two):
+        polite.report(target)
+        polite.hold(target, targets.LayerRange(0, 8), 1)
+    assert orders.asked == [('report', 'two'), ('hold', 'two')]
+    failure = polite.report(held.one).failure()
+    assert isinstance(failure, layer_orders.OrderNotSent)
+    held.timer.advance(2.0)
+    polite.report(held.one)
+    assert orders.asked[-1] == ('report', 'one')
