--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -14,12 +14,14 @@
 from cactusmux_routing import breakers
 import gevent
 
+from . import backoffs
 from . import copies
 from . import desired
 from . import dialect
 from . import directory
 from . import down_targets
 from . import gauges
+from . import held_orders
 from . import http_server
 from . import layer_orders
 from . import live_streams
@@ -105,6 +107,8 @@
         self._stop_begun_at = 0.0
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
+        self._held = backoffs.Backoffs(self._book, timer, metric)
+        orders = held_orders.HeldOrders(given.orders, self._held)
         self._ledger = load_ledger.LoadLedger(timer)
         self._down = down_targets.DownTargets(timer, rng)
         self._roster = target_roster.TargetRoster(
@@ -116,7 +120,7 @@
             settings.repeat_allowance,
             settings.repeat_window_s,
         )
-        self._paces = pace_book.PaceBook(given.orders, timer)
+        self._paces = pace_book.PaceBook(orders, timer)
         self._live = live_streams.LiveStreams(
             timer, self._down, self._down.probe, self._paces.ask
         )
@@ -182,7 +186,7 @@
             given.store,
             self.in_force,
             self._book,
-            given.orders,
+            orders,
             self._lease.authority,
             timer,
             metric,
@@ -198,7 +202,9 @@
         timer = self._timer
         connections = target_calls.TargetConnections(timer)
         connections.start()
-        sender = sending.Sender(connections, self._given.spelling, timer)
+        sender = sending.Sender(
+            connections, self._given.spelling, timer, self._held
+        )
         health = breakers.Breakers(timer, rng, metric, lambda lost: True)
         plain = plain_relay.PlainRelay(
             self._book,
@@ -210,9 +216,16 @@
             metric,
             rng,
             self._settings.zone,
+            self._held,
         )
         finder = path_finder.PathFinder(
-            self._book, self._ledger, self._down, self._paces, timer, metric
+            self._book,
+            self._ledger,
+            self._down,
+            self._paces,
+            timer,
+            metric,
+            self._held,
         )
         streams = stream_run.StreamParts(
             finder=finder,
