Give a target no new work once its answer says that it leaves

A target that leaves says so in all its answers. Until now only the state in its entry counted, so during an outage of the store, or when the target takes its entry away without a word, an instance passed on answers with the sign and went on sending there for as long as it believed the old entry.

The sign is kept beside the entries, by id and time of start: neither an entry that is written again, lapses and returns, nor a copy of another instance brings the target back; only a newer start does. What is remembered of targets that are gone is bounded. An answer to another request's id doesn't count. Paths, choice and placement read the same book, and requests under way go on. If all targets of a service leave, a stream that no target has run is refused at once (no_target) instead of waiting for room; a plain request was already.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -59,6 +59,7 @@
             not_run=head.header(b'not-run') is not None,
             at_fault=head.header(b'at-fault'),
             is_encoded=head.header(b'content-encoding') is not None,
+            is_leaving=head.header(b'leaving') is not None,
         )
 
     def caller_headers(
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -101,7 +101,7 @@
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
         connections = target_calls.TargetConnections(timer)
-        sender = sending.Sender(connections, spelling, timer)
+        sender = sending.Sender(connections, spelling, timer, self.book)
         live = live_streams.LiveStreams(
             timer, self.down, self.down.probe, lambda target: None
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -72,6 +72,7 @@
     :ivar not_run: the target didn't and won't run the request.
     :ivar at_fault: address of the target that is the cause.
     :ivar is_encoded: the body isn't the target's own bytes.
+    :ivar is_leaving: the target gets no new work.
     """
 
     request_id: str | None
@@ -79,6 +80,7 @@
     not_run: bool
     at_fault: str | None
     is_encoded: bool
+    is_leaving: bool
 
 
 class Dialect(abc.ABC):
--- a/packages/cactusmux-relay/src/cactusmux_relay/gauges.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gauges.py
@@ -40,6 +40,8 @@
         version = state.version if state else 0
         self._metric.gauge('believed.configuration_version', version)
         self._metric.gauge('believed.targets', len(self._book.target_by_id))
+        leaving = len(self._book.leaving())
+        self._metric.gauge('believed.targets_leaving', leaving)
         now = self._timer.now()
         for prefix, mirror in self._mirror_by_prefix.items():
             name = prefix.strip('/').replace('/', '_')
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -75,6 +75,10 @@
                 return choice
             self._timer.sleep(ROOM_POLL_S)
 
+    def is_closed(self, service: str) -> bool:
+        """Whether a service has targets, and all of them leave."""
+        return self._book.has_only_leaving(service)
+
     def _log_no_path(
         self,
         exchange: context.Exchange,
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -192,7 +192,9 @@
         timer = self._timer
         connections = target_calls.TargetConnections(timer)
         connections.start()
-        sender = sending.Sender(connections, self._given.spelling, timer)
+        sender = sending.Sender(
+            connections, self._given.spelling, timer, self._book
+        )
         health = breakers.Breakers(timer, rng, metric, lambda lost: True)
         plain = plain_relay.PlainRelay(
             self._book,
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -5,8 +5,10 @@
 from . import context
 from . import cost_model
 from . import dialect
+from . import leaving_targets
 from . import live_streams
 from . import outcomes
+from . import target_book
 from . import target_calls
 from . import targets
 
@@ -25,10 +27,12 @@
         connections: target_calls.TargetConnections,
         spelling: dialect.Dialect,
         timer: timers.TimerService,
+        book: target_book.TargetBook,
     ) -> None:
         self._connections = connections
         self._spelling = spelling
         self._timer = timer
+        self._book = book
 
     def send(
         self,
@@ -102,6 +106,9 @@
         facts = self._spelling.answer_facts(head)
         if facts.request_id not in (None, exchange.facts.request_id):
             return outcomes.MaybeRun(target.address, 'answer to another id')
+        if facts.is_leaving:
+            said = leaving_targets.Source.ANSWER
+            self._book.note_leaving(target.start, said)
         if facts.not_run or head.status == STATUS_MISDIRECTED:
             call.read_body(MAX_BUFFERED_BYTES)
             at_fault = facts.at_fault or target.address
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -95,6 +95,8 @@
 
     def _next_path(self) -> tuple[cost_model.Path, float]:
         service = self._exchange.service.name
+        if not self._runs and self._parts.finder.is_closed(service):
+            self._give_up(outcomes.Refusal.NO_TARGET)
         choice = self._parts.finder.choose(
             self._exchange, self._demand, self._avoided, self._room_wait_s()
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from . import desired
+from . import leaving_targets
 from . import segments
 from . import targets
 
@@ -11,6 +12,8 @@
     """Targets by service, and the segments of layers that they can run."""
 
     def __init__(self) -> None:
+        self._leaving = leaving_targets.LeavingTargets()
+        self._service_by_name: Mapping[str, desired.Service] = {}
         self._ready_by_service: dict[str, list[targets.Target]] = {}
         self._graph_by_service: dict[str, segments.SegmentGraph] = {}
         self.target_by_id: dict[str, targets.Target] = {}
@@ -21,8 +24,51 @@
         all_targets: Iterable[targets.Target],
         service_by_name: Mapping[str, desired.Service],
     ) -> None:
-        """Takes a new list of targets and recomputes the segments."""
-        self.target_by_id = {each.id: each for each in all_targets}
+        """Takes a new list of targets and recomputes the segments.
+
+        Targets that have said themselves that they leave do so whatever the
+        list says.
+        """
+        self.target_by_id = {
+            each.id: self._leaving.marked(each) for each in all_targets
+        }
+        self._leaving.forget(self.target_by_id)
+        self._service_by_name = service_by_name
+        self._index()
+
+    def note_leaving(
+        self, start: targets.Start, source: leaving_targets.Source
+    ) -> None:
+        """Gives a target no new work from now on, until it starts anew."""
+        if not self._leaving.note(start, source):
+            return
+        current = self.target_by_id.get(start.target_id)
+        if current is None or current.start != start or current.is_leaving:
+            return
+        self.target_by_id[current.id] = self._leaving.marked(current)
+        self._index()
+
+    def leaving(self) -> list[targets.Start]:
+        """Returns the targets that have said themselves that they leave."""
+        return self._leaving.present(self.target_by_id)
+
+    def ready(self, service: str) -> list[targets.Target]:
+        """Returns the targets of a service that may get new work."""
+        return self._ready_by_service.get(service, [])
+
+    def has_only_leaving(self, service: str) -> bool:
+        """Whether a service has targets and none that may get new work."""
+        if self.ready(service):
+            return False
+        return any(
+            each.service == service for each in self.target_by_id.values()
+        )
+
+    def graph(self, service: str) -> segments.SegmentGraph | None:
+        """Returns the segments of a model's service, ``None`` for others."""
+        return self._graph_by_service.get(service)
+
+    def _index(self) -> None:
         self.target_by_address = {}
         self._ready_by_service = {}
         for target in self.target_by_id.values():
@@ -32,17 +78,9 @@
             ready = self._ready_by_service.setdefault(target.service, [])
             ready.append(target)
         self._graph_by_service = {}
-        for name, service in service_by_name.items():
+        for name, service in self._service_by_name.items():
             if service.engine is None:
                 continue
             self._graph_by_service[name] = segments.SegmentGraph(
                 service.engine, self.ready(name)
             )
-
-    def ready(self, service: str) -> list[targets.Target]:
-        """Returns the targets of a service that may get new work."""
-        return self._ready_by_service.get(service, [])
-
-    def graph(self, service: str) -> segments.SegmentGraph | None:
-        """Returns the segments of a model's service, ``None`` for others."""
-        return self._graph_by_service.get(service)
--- a/packages/cactusmux-relay/src/cactusmux_relay/targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/targets.py
@@ -18,6 +18,13 @@
 NO_LAYERS = LayerRange(0, 0)
 
 
+class Start(NamedTuple):
+    """Which target, and which of its starts."""
+
+    target_id: str
+    born_ms: int
+
+
 class Target(NamedTuple):
     """One start of a target.
 
@@ -40,3 +47,8 @@
     card: str = ''
     layers: LayerRange = NO_LAYERS
     order_number: int = 0
+
+    @property
+    def start(self) -> Start:
+        """Returns what tells this start from others of the target."""
+        return Start(self.id, self.born_ms)
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -109,7 +109,25 @@
         ),
     )
     facts = DIALECT.answer_facts(head)
-    assert facts == ('9c41', False, True, '10.0.0.1:80', False)
+    assert facts == ('9c41', False, True, '10.0.0.1:80', False, False)
+
+
+@pytest.mark.parametrize(
+    'found, is_leaving',
+    [
+        ([], False),
+        ([(b'server-leaving', b'1')], True),
+        ([(b'server-leaving', b'0')], False),
+        ([(b'connection', b'close')], False),
+    ],
+)
+def test_target_says_in_its_answer_that_it_leaves(found, is_leaving):
+    for status in (200, 421, 500, 503):
+        head = target_calls.AnswerHead(status, (ID, *found))
+        assert DIALECT.answer_facts(head).is_leaving == is_leaving
+        assert DIALECT.caller_headers(head)[1:] == [
+            each for each in found if each[0] == b'server-leaving'
+        ]
 
 
 def test_seal_passes_to_the_caller_and_connection_headers_do_not():
--- a/tests/adapter/test_session.py
+++ b/tests/adapter/test_session.py
@@ -126,14 +126,23 @@
         self.engines = [_Engine('small'), _Engine('large'), _Engine('small')]
         self.portal = scripted_target.ScriptedTarget(self._portal)
         self.instances = []
+        self.portal_leaves = False
 
     def _portal(self, sock, request):
         seal = {'X-Cactusmux-Response-Seal': 'seal'}
+        if self.portal_leaves:
+            seal['Server-Leaving'] = '1'
         sock.sendall(scripted_target.answer(b'bought', 200, seal))
         return True
 
     def configure(self):
         self.store.put('op/config', CONFIG)
+        self.register_portal(1790228837515)
+        self.store.put('servers/i-torn', 'no server')
+        for index, engine in enumerate(self.engines):
+            self.store.put(f'servers/i-{index}', engine.entry('drafters'))
+
+    def register_portal(self, born):
         self.store.put(
             'servers/i-portal',
             {
@@ -142,11 +151,9 @@
                 'availability_zone': 'a',
                 'concurrency_slots': 6,
                 'state': 'ready',
+                'born': born,
             },
         )
-        self.store.put('servers/i-torn', 'no server')
-        for index, engine in enumerate(self.engines):
-            self.store.put(f'servers/i-{index}', engine.entry('drafters'))
 
     def start(self, name):
         store = kv_store.KvStore(self.store.address)
@@ -296,3 +303,25 @@
     left = [first._settings.entry_address]
     _until(lambda: first.directory.addresses('a') == left)
     assert not second.is_ready
+
+
+def test_server_that_says_it_leaves_gets_nothing_until_it_starts_anew(world):
+    world.configure()
+    world.portal_leaves = True
+    first, settings = world.start('front-a-1')
+    second, _ = world.start('front-a-2')
+    pair = (first, second)
+    _until(lambda: all(each._book.ready('portal') for each in pair))
+    said = _ask(settings, '/plain/x')
+    assert said.startswith(b'HTTP/1.1 200')
+    assert b'server-leaving: 1' in said.lower()
+    # The entry says ready, and is written once more.
+    world.register_portal(1790228837515)
+    for number in range(3):
+        refused = _ask(settings, '/plain/x', request_id=f'r{number}')
+        assert refused.startswith(b'HTTP/1.1 503')
+    assert len(world.portal.received) == 1
+    world.portal_leaves = False
+    world.register_portal(1790228837516)
+    _until(lambda: all(each._book.ready('portal') for each in pair))
+    assert _ask(settings, '/plain/x').startswith(b'HTTP/1.1 200')
