--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -61,6 +61,7 @@
             at_fault=head.header(b'at-fault'),
             is_encoded=head.header(b'content-encoding') is not None,
             retry_after_s=float(retry_after) if retry_after else None,
+            is_leaving=head.header(b'leaving') is not None,
         )
 
     def caller_headers(
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -104,7 +104,7 @@
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
         connections = target_calls.TargetConnections(timer)
-        sender = sending.Sender(connections, spelling, timer, held)
+        sender = sending.Sender(connections, spelling, timer, held, self.book)
         self.health = breakers.Breakers(
             timer, rng, self.metric, lambda lost: True
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/backoffs.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/backoffs.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import metrics
@@ -19,11 +18,6 @@
 MAX_BACK_OFF_S = 300.0
 
 
-class _Start(NamedTuple):
-    id: str
-    born_ms: int
-
-
 class Backoffs:
     """Until when targets are to be left alone."""
 
@@ -36,7 +30,7 @@
         self._book = book
         self._timer = timer
         self._metric = metric
-        self._until_by_start: dict[_Start, float] = {}
+        self._until_by_start: dict[targets.Start, float] = {}
 
     def note(
         self, target: targets.Target, seconds: float, at_fault: str | None
@@ -54,7 +48,7 @@
     def _hold(self, target: targets.Target, seconds: float) -> None:
         now = self._timer.now()
         until = now + min(seconds, MAX_BACK_OFF_S)
-        start = _start_of(target)
+        start = target.start
         known_until = self._until_by_start.get(start, now)
         if until <= known_until:
             return
@@ -77,14 +71,14 @@
             return frozenset()
         self._forget_past()
         return frozenset(
-            start.id
+            start.target_id
             for start in self._until_by_start
             if self._is_current(start)
         )
 
     def left_s(self, target: targets.Target) -> float:
         """Returns for how many seconds a target is to be left alone."""
-        until = self._until_by_start.get(_start_of(target), 0.0)
+        until = self._until_by_start.get(target.start, 0.0)
         return max(0.0, until - self._timer.now())
 
     def wait_s(
@@ -116,10 +110,6 @@
             if until <= now:
                 del self._until_by_start[start]
 
-    def _is_current(self, start: _Start) -> bool:
-        target = self._book.target_by_id.get(start.id)
+    def _is_current(self, start: targets.Start) -> bool:
+        target = self._book.target_by_id.get(start.target_id)
         return target is not None and target.born_ms == start.born_ms
-
-
-def _start_of(target: targets.Target) -> _Start:
-    return _Start(target.id, target.born_ms)
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -74,6 +74,7 @@
     :ivar is_encoded: the body isn't the target's own bytes.
     :ivar retry_after_s: for so long the target, which turned the request
         away, wants nothing more from us; ``None`` if unsaid.
+    :ivar is_leaving: the target gets no new work.
     """
 
     request_id: str | None
@@ -81,6 +82,7 @@
     not_run: bool
     at_fault: str | None
     is_encoded: bool
+    is_leaving: bool
     retry_after_s: float | None = None
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -120,6 +120,10 @@
             lambda free: _hold_all(free, engine.layers),
         )
 
+    def is_closed(self, service: str) -> bool:
+        """Whether a service has targets, and all of them leave."""
+        return self._book.has_only_leaving(service)
+
     def _log_no_path(
         self,
         exchange: context.Exchange,
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -203,7 +203,11 @@
         connections = target_calls.TargetConnections(timer)
         connections.start()
         sender = sending.Sender(
-            connections, self._given.spelling, timer, self._held
+            connections,
+            self._given.spelling,
+            timer,
+            self._held,
+            self._book,
         )
         health = breakers.Breakers(timer, rng, metric, lambda lost: True)
         plain = plain_relay.PlainRelay(
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -6,8 +6,10 @@
 from . import context
 from . import cost_model
 from . import dialect
+from . import leaving_targets
 from . import live_streams
 from . import outcomes
+from . import target_book
 from . import target_calls
 from . import targets
 
@@ -27,11 +29,13 @@
         spelling: dialect.Dialect,
         timer: timers.TimerService,
         held: backoffs.Backoffs,
+        book: target_book.TargetBook,
     ) -> None:
         self._connections = connections
         self._spelling = spelling
         self._timer = timer
         self._held = held
+        self._book = book
 
     def send(
         self,
@@ -109,6 +113,9 @@
             self._held.note(target, facts.retry_after_s, facts.at_fault)
         if facts.request_id not in (None, exchange.facts.request_id):
             return outcomes.MaybeRun(target.address, 'answer to another id')
+        if facts.is_leaving:
+            said = leaving_targets.Source.ANSWER
+            self._book.note_leaving(target.start, said)
         if facts.not_run or head.status == STATUS_MISDIRECTED:
             call.read_body(MAX_BUFFERED_BYTES)
             at_fault = facts.at_fault or target.address
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -111,6 +111,8 @@
         if secured is not None and secured.path is not None:
             if self._parts.finder.is_usable(service, secured.path):
                 return secured.path, secured.pause_ms
+        if not self._runs and self._parts.finder.is_closed(service):
+            self._give_up(outcomes.Refusal.NO_TARGET)
         choice = self._parts.finder.choose(
             self._exchange, self._demand, self._avoided, self._room_wait_s()
         )
--- a/packages/cactusmux-relay/tests/test_left_alone_machine.py
+++ b/packages/cactusmux-relay/tests/test_left_alone_machine.py
@@ -156,7 +156,9 @@
         self._publish()
         self.held = backoffs.Backoffs(self.book, timer, metric)
         spelling = plain_dialect.PlainDialect()
-        sender = sending.Sender(self.targets, spelling, timer, self.held)
+        sender = sending.Sender(
+            self.targets, spelling, timer, self.held, self.book
+        )
         ledger = load_ledger.LoadLedger(timer)
         budget = repeat_budget.RepeatBudget(timer, 1.0, 1e6, 10.0)
         budget.set_instances(1)
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -115,6 +115,7 @@
         not_run=True,
         at_fault='10.0.0.1:80',
         is_encoded=False,
+        is_leaving=False,
         retry_after_s=None,
     )
 
@@ -163,6 +164,24 @@
     assert seconds is None or 0 < seconds < float('inf')
 
 
+@pytest.mark.parametrize(
+    'found, is_leaving',
+    [
+        ([], False),
+        ([(b'server-leaving', b'1')], True),
+        ([(b'server-leaving', b'0')], False),
+        ([(b'connection', b'close')], False),
+    ],
+)
+def test_target_says_in_its_answer_that_it_leaves(found, is_leaving):
+    for status in (200, 421, 500, 503):
+        head = target_calls.AnswerHead(status, (ID, *found))
+        assert DIALECT.answer_facts(head).is_leaving == is_leaving
+        assert DIALECT.caller_headers(head)[1:] == [
+            each for each in found if each[0] == b'server-leaving'
+        ]
+
+
 def test_seal_passes_to_the_caller_and_connection_headers_do_not():
     head = target_calls.AnswerHead(
         200,
