Have two instances a zone watch the configuration, the others take copies

Cause: the store sent each version to all 58 watches at once. As text it is ten times a packed copy and fills a small instance's link for 0.3 s, longer than a probe of a target waits.

In a fleet of more than 12 the first two instances of each zone by name watch the configuration (an instance that isn't listed does too); they tell all others at once, and these take packed copies after 0 to 0.4 s from any of those that told, drawn by lot: all asked the first one before. When no watcher hears of a change, the shared checks do, and whoever finds it tells all. Small fleets watch as before. Targets, instances and leases are watched by all.

Left: instances that start read the configuration from the store, and each reads it whole in its turn of the shared checks (once in 20 s): links are full then for as long as before.

--- a/packages/cactusmux-relay/src/cactusmux_relay/copies.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -25,6 +25,8 @@
 PATIENCE_S = 0.25
 # Spread, so that not all instances ask the same one at once.
 ANSWERED_PATIENCE_S = (0.5, 0.8)
+# Of an instance that doesn't watch by itself.
+COPIED_PATIENCE_S = (0.0, 0.4)
 # The store counts as answering if it has lately answered any call.
 ANSWER_AGE_S = 2.0
 CALL_S = 1.0
@@ -89,6 +91,7 @@
         self._rng = rng
         self._answered_at = answered_at
         self._pulling: set[str] = set()
+        self._tellers_by_prefix: dict[str, set[str]] = {}
         self._not_had: set[str] = set()
 
     def is_pulling(self, prefix: str) -> bool:
@@ -101,25 +104,34 @@
         """Takes the last changes known to the instance at ``address``."""
         for prefix, changed in changed_by_prefix.items():
             mirror = self._mirror_by_prefix.get(prefix)
-            if mirror is None or prefix in self._pulling:
+            if mirror is None:
                 continue
             if changed <= mirror.revision:
-                self._not_had.discard(prefix)
+                self._forget(prefix)
                 continue
-            self._pulling.add(prefix)
-            gevent.spawn(self._pull, mirror, prefix, address, changed)
+            self._tellers_by_prefix.setdefault(prefix, set()).add(address)
+            if prefix not in self._pulling:
+                self._pulling.add(prefix)
+                gevent.spawn(self._pull, mirror, prefix, changed)
+
+    def _forget(self, prefix: str) -> None:
+        if prefix not in self._pulling:
+            self._not_had.discard(prefix)
+            self._tellers_by_prefix.pop(prefix, None)
 
     def _pull(
         self,
         mirror: store_mirror.StoreMirror,
         prefix: str,
-        address: str,
         changed: int,
     ) -> None:
         try:
             self._timer.sleep(self.patience_s(prefix))
+            # All that told meanwhile share the answering.
+            tellers = self._tellers_by_prefix.pop(prefix)
             if mirror.revision >= changed:
                 return
+            address = self._rng.choice(sorted(tellers))
             copy = self._fetch(prefix, address)
             if copy is None:
                 self._not_had.add(prefix)
@@ -134,6 +146,8 @@
         mirror = self._mirror_by_prefix[prefix]
         if mirror.revision == stores.ABSENT or prefix in self._not_had:
             return 0.0
+        if not mirror.is_watching:
+            return self._rng.uniform(*COPIED_PATIENCE_S)
         age_s = self._timer.now() - self._answered_at()
         if not mirror.is_connected or age_s > ANSWER_AGE_S:
             return PATIENCE_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -42,6 +42,7 @@
 from . import target_roster
 from . import targets
 from . import watch_pace
+from . import watchers
 
 LEASE_NAME = 'placement'
 LEASE_SETTINGS = lease_types.LeaseSettings(
@@ -252,6 +253,7 @@
                 self._timer,
                 on_change,
                 functools.partial(self._batch_s, prefix),
+                functools.partial(self._watches, prefix),
             )
         self._roster.follow(mirrors[self._settings.target_prefix])
         return mirrors
@@ -311,11 +313,14 @@
 
     def _take_state(self) -> None:
         prefix = self._settings.state_prefix
-        for entry in self._mirror_by_prefix[prefix].entry_by_key.values():
+        mirror = self._mirror_by_prefix[prefix]
+        for entry in mirror.entry_by_key.values():
             state = self._given.decode_state(entry)
             if state is not None:
                 self.in_force.replace(state)
                 self._roster.update()
+        if not mirror.is_copied:
+            gevent.spawn(self._exchange.send_to_all)
 
     def _batch_s(self, prefix: str) -> float:
         """Changes of the configuration and of leases come at once."""
@@ -323,6 +328,12 @@
             return watch_pace.batch_s(len(self._instance_by_name))
         return watch_pace.SHORTEST_S
 
+    def _watches(self, prefix: str) -> bool:
+        if prefix != self._settings.state_prefix:
+            return True
+        instances = self._instance_by_name.values()
+        return watchers.watches(self._settings.name, instances)
+
     def _store_answered_at(self) -> float:
         heard_at = [
             mirror.heard_at for mirror in self._mirror_by_prefix.values()
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -85,6 +85,10 @@
         """The port that is listened on, once started."""
         return self._server.server_port
 
+    def send_to_all(self) -> None:
+        """Sends our news to all others, also in a large fleet."""
+        self._send(self._peers())
+
     def send(self) -> None:
         """Sends our news if they changed or it is time for a sign of life."""
         now = self._timer.now()
@@ -93,6 +97,10 @@
             if now - self._sent_at < SAMPLE_PERIOD_S:
                 return
             peers = self._rng.sample(peers, SAMPLE)
+        self._send(peers)
+
+    def _send(self, peers: list[str]) -> None:
+        now = self._timer.now()
         news = self._own_news()
         data = self._encoder.encode(news)
         if data == self._last_sent and now - self._sent_at < QUIET_PERIOD_S:
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -20,6 +20,8 @@
 from . import watch_pace
 
 WATCH_S = 20.0
+# How often a mirror that doesn't watch looks whether it is to.
+IDLE_S = 0.5
 BACKOFF_S = 0.25
 # Reads that fail begin this far apart at last: refused calls cost as others.
 LONGEST_RETRY_S = 1.0
@@ -43,8 +45,10 @@
 
     :param batch_s: asked after each change how long further ones are waited
         for, to bring them in one call.
+    :param watches: whether to watch; copies bring the changes otherwise.
     :ivar revision: as of which the entries are known.
     :ivar changed: the last change that is known.
+    :ivar is_copied: whether another instance brought that change.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         timer: timers.TimerService,
         on_change: Callable[[], None],
         batch_s: Callable[[], float] = lambda: watch_pace.SHORTEST_S,
+        watches: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._reader = reader
@@ -62,9 +67,11 @@
         self._timer = timer
         self._on_change = on_change
         self._batch_s = batch_s
+        self._watches = watches
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
         self.changed = stores.ABSENT
+        self.is_copied = False
         self._watched = stores.ABSENT
         self._must_read = True
         self._asks_at = 0.0
@@ -87,6 +94,11 @@
             return True
         return self._timer.now() - self.connected_at > SETTLE_S
 
+    @property
+    def is_watching(self) -> bool:
+        """Whether changes are to come by our own watch."""
+        return self._watches()
+
     @property
     def batch_left_s(self) -> float:
         """How long no watch is waiting, since a change has just come."""
@@ -99,7 +111,9 @@
 
     def take(self, copy: Copy) -> bool:
         """Takes another instance's copy; tells whether it held news."""
-        if copy.revision <= self.revision or not self._replace(copy):
+        if copy.revision <= self.revision:
+            return False
+        if not self._replace(copy, is_copied=True):
             return False
         events.info('copy_taken', prefix=self._prefix, revision=copy.revision)
         return True
@@ -110,6 +124,9 @@
 
     def step(self) -> None:
         """Reads all entries, or waits for changes once they are read."""
+        if not self._must_read and not self._watches():
+            self._timer.sleep(IDLE_S)
+            return
         if not self._must_read:
             self._must_read = not self._watch()
             return
@@ -191,6 +208,7 @@
         if not is_changed:
             return
         self.revision = watched.revision
+        self.is_copied = False
         self._on_change()
         batch_s = self._batch_s()
         self._asks_at = self._timer.now() + batch_s
@@ -221,7 +239,7 @@
             for each in snapshot.entries
         )
 
-    def _replace(self, copy: Copy) -> bool:
+    def _replace(self, copy: Copy, is_copied: bool = False) -> bool:
         """Takes a whole copy; tells whether it held anything new."""
         entry_by_key = {each.key: each for each in copy.entries}
         is_first = self.revision == stores.ABSENT
@@ -231,6 +249,7 @@
         if entry_by_key == self.entry_by_key and not is_first:
             return False
         self.entry_by_key = entry_by_key
+        self.is_copied = is_copied
         self._on_change()
         return True
 
--- a/packages/cactusmux-relay/tests/test_copies.py
+++ b/packages/cactusmux-relay/tests/test_copies.py
@@ -39,8 +39,9 @@
         self.store = faulty_store.FaultyStore(
             self.memory, self.timer, random.Random(1)
         )
+        self.watches = True
         self.source = self._new_mirror()
-        self.mirror = self._new_mirror()
+        self.mirror = self._new_mirror(lambda: self.watches)
         self.timer.bring = self.mirror.step
         self.answered_at = 0.0
         self.puller = copies.CopyPuller(
@@ -61,9 +62,14 @@
     def address(self):
         return f'127.0.0.1:{self.server.port}'
 
-    def _new_mirror(self):
+    def _new_mirror(self, watches=lambda: True):
         return store_mirror.StoreMirror(
-            self.store, self.store, PREFIX, self.timer, lambda: None
+            self.store,
+            self.store,
+            PREFIX,
+            self.timer,
+            lambda: None,
+            watches=watches,
         )
 
     def _handle(self, request, answerer):
@@ -231,3 +237,49 @@
     world.mirror._asks_at = world.timer.now() + batch_s
     patience_s = world.puller.patience_s(PREFIX)
     assert patience_s >= batch_s + copies.ANSWERED_PATIENCE_S[0]
+
+
+def test_mirror_that_does_not_watch_lives_by_copies(world):
+    """A large configuration filled the links of all instances at once."""
+    world.mirror.step()
+    world.watches = False
+    before = world.store.calls_by_kind.get('watch', 0)
+    world.write('a')
+    world.mirror.step()
+    assert world.store.calls_by_kind.get('watch', 0) == before
+    world.source.step()
+    world.tell()
+    world.wait_until_pulled()
+    assert world.mirror.entry_by_key == world.source.entry_by_key
+
+
+def test_mirror_that_begins_to_watch_goes_on_from_its_copy(world):
+    world.mirror.step()
+    world.watches = False
+    world.write('a')
+    world.source.step()
+    world.tell()
+    world.wait_until_pulled()
+    world.write('b')
+    world.watches = True
+    world.mirror.step()
+    assert set(world.mirror.entry_by_key) == {'p/a', 'p/b'}
+
+
+def test_copies_are_asked_of_all_instances_that_told(world):
+    """All asked the first one that told, and filled its link."""
+    asked = set()
+    for seed in range(20):
+        puller = copies.CopyPuller(
+            {PREFIX: world.mirror},
+            world.timer,
+            random.Random(seed),
+            lambda: 0.0,
+        )
+        puller._fetch = lambda prefix, address: asked.add(address)
+        for address in ('x:1', 'y:1', 'z:1'):
+            puller.note_changes(address, {PREFIX: 5})
+        with gevent.Timeout(WAIT_S):
+            while puller.is_pulling(PREFIX):
+                gevent.sleep(0.01)
+    assert asked == {'x:1', 'y:1', 'z:1'}
--- a/packages/cactusmux-relay/tests/test_store_mirror.py
+++ b/packages/cactusmux-relay/tests/test_store_mirror.py
@@ -225,6 +225,20 @@
     assert world.values() == {'p/a': b'1', 'p/b': b'2'}
 
 
+def test_change_from_the_store_is_told_from_a_copied_one(world):
+    other = world.new_mirror()
+    world.mirror.step()
+    other.step()
+    world.write('a', b'1')
+    other.step()
+    world.mirror.take(other.copy())
+    assert world.mirror.is_copied
+    assert not other.is_copied
+    world.write('b', b'1')
+    world.mirror.check()
+    assert not world.mirror.is_copied
+
+
 def test_deletion_found_by_reading_anew_is_told(world):
     other = world.new_mirror()
     world.write('a', b'1')
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_watchers.py
@@ -0,0 +1,39 @@
+from cactusmux_relay import membership
+from cactusmux_relay import watch_pace
+from cactusmux_relay import watchers
+
+ZONES = ('a', 'b', 'c')
+
+
+def _fleet(count):
+    return [
+        membership.Instance(f'i{number}', ZONES[number % 3], 'r', 'e', 'x')
+        for number in range(count)
+    ]
+
+
+def _watching(fleet):
+    return [each for each in fleet if watchers.watches(each.name, fleet)]
+
+
+def test_all_of_a_small_fleet_watch():
+    fleet = _fleet(watch_pace.SMALL_FLEET)
+    assert _watching(fleet) == fleet
+
+
+def test_few_of_each_zone_of_a_large_fleet_watch():
+    zones = [each.zone for each in _watching(_fleet(58))]
+    assert sorted(zones) == sorted(ZONES * watchers.WATCHERS_A_ZONE)
+
+
+def test_another_stands_in_for_a_watcher_that_is_gone():
+    fleet = _fleet(58)
+    gone = _watching(fleet)[0]
+    left = [each for each in fleet if each != gone]
+    zones = [each.zone for each in _watching(left)]
+    assert sorted(zones) == sorted(ZONES * watchers.WATCHERS_A_ZONE)
+
+
+def test_instance_that_is_not_listed_watches():
+    assert watchers.watches('new', _fleet(58))
+    assert watchers.watches('new', [])
