Let an instance that hears of no other watch the configuration itself

An instance that takes copies of the configuration learns of a change from the news of others. Cut off from these but not from the store it would have learned of it only in its turn of the shared checks, 20 s later in a fleet of 58, against the 2 to 3 s in which a change has to be in force.

An instance that has heard nothing for 1 s watches by itself until it does again. test_instance_that_hears_of_no_other_is_deaf fails without it.

--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -348,7 +348,7 @@
         return watch_pace.SHORTEST_S
 
     def _watches(self, prefix: str) -> bool:
-        if prefix != self._settings.state_prefix:
+        if prefix != self._settings.state_prefix or self._exchange.is_deaf:
             return True
         instances = self._instance_by_name.values()
         return watchers.watches(self._settings.name, instances)
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -23,6 +23,8 @@
 MAX_TOLD_ALL = 12
 SAMPLE = 8
 SAMPLE_PERIOD_S = 0.5
+# In a large fleet each hears some eight others within a sample's period.
+DEAF_S = 1.0
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
@@ -74,6 +76,7 @@
         self._last_sent = b''
         self._sent_at = 0.0
         self.heard_at_by_name: dict[str, float] = {}
+        self._heard_at = 0.0
 
     def start(self) -> None:
         """Begins to listen and to send."""
@@ -89,6 +92,11 @@
         """Sends our news to all others, also in a large fleet."""
         self._send(self._peers())
 
+    @property
+    def is_deaf(self) -> bool:
+        """Whether no other instance was heard of for a while."""
+        return self._timer.now() - self._heard_at > DEAF_S
+
     def send(self) -> None:
         """Sends our news if they changed or it is time for a sign of life."""
         now = self._timer.now()
@@ -127,5 +135,6 @@
         except msgspec.MsgspecError:
             events.warning('news_unreadable', size=len(data))
             return
-        self.heard_at_by_name[news.name] = self._timer.now()
+        self._heard_at = self._timer.now()
+        self.heard_at_by_name[news.name] = self._heard_at
         self._on_news(news)
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -18,6 +18,7 @@
 from cactusmux_relay import soft_exchange
 from cactusmux_relay import targets
 import gevent
+import msgspec
 from returns import result
 
 
@@ -447,6 +448,25 @@
     assert heard[-1] == news
 
 
+def test_instance_that_hears_of_no_other_is_deaf():
+    """It has to watch the store by itself then."""
+    timer = timers.ManualTimers()
+    exchange = soft_exchange.SoftExchange(
+        '127.0.0.1:0',
+        timer,
+        lambda: _news('a'),
+        lambda: [],
+        lambda news: None,
+        random.Random(1),
+    )
+    timer.advance(10.0)
+    assert exchange.is_deaf
+    exchange._receive(msgspec.msgpack.encode(_news('b')), None)
+    assert not exchange.is_deaf
+    timer.advance(soft_exchange.DEAF_S + 0.1)
+    assert exchange.is_deaf
+
+
 def test_large_fleet_is_told_by_samples():
     timer = timers.ManualTimers()
     asked = []
