Test what is remembered of targets that leave

Two of the broken lines of leaving_targets had passed the tests: a start that a newer one has replaced was kept, and a start told of before its entry was dropped.

--- a/packages/cactusmux-relay/tests/test_leaving_targets.py
+++ b/packages/cactusmux-relay/tests/test_leaving_targets.py
@@ -189,6 +189,7 @@
     book.replace([target], {})
     book.note_leaving(targets.Start('x', 2), leaving_targets.Source.PEER)
     assert [each.id for each in book.ready(SERVICE)] == ['x']
+    book.replace([target], {})
     book.replace([_born(target, 2)], {})
     assert book.ready(SERVICE) == []
 
@@ -214,6 +215,16 @@
     assert book.graph(SERVICE).segments == ()
 
 
+def test_start_that_a_newer_one_has_replaced_is_forgotten():
+    leaving = leaving_targets.LeavingTargets()
+    target = sample_engine.target('x')
+    leaving.note(target.start, ANSWER)
+    leaving.forget({'x': target})
+    assert leaving.known_count == 1
+    leaving.forget({'x': _born(target, 2)})
+    assert leaving.known_count == 0
+
+
 def test_what_is_remembered_of_targets_that_are_gone_is_bounded():
     leaving = leaving_targets.LeavingTargets()
     here = sample_engine.target('here')
