Tell the other instances of targets that said that they leave

Each instance learned of it from answers of its own only; the holder of the placement lease, which replaces the target, may get none. The news carry id and time of start, of present targets only. Older instances ignore the field and send none. Without the field sent, or without it taken, the session test fails.

--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -21,6 +21,7 @@
 from . import gauges
 from . import http_server
 from . import layer_orders
+from . import leaving_targets
 from . import live_streams
 from . import load_ledger
 from . import membership
@@ -359,6 +360,7 @@
             down=sorted(self._down.ids),
             pace_by_target=self._paces.own(),
             refused=self._refused.own(),
+            leaving=self._book.leaving(),
         )
 
     def _take_news(self, news: soft_exchange.News) -> None:
@@ -372,6 +374,8 @@
         )
         self._paces.note_told(news.pace_by_target)
         self._refused.note_told(news.refused)
+        for start in news.leaving:
+            self._book.note_leaving(start, leaving_targets.Source.PEER)
         self.directory.note_stopping(news.name, news.is_stopping)
         for target_id in news.down:
             target = self._book.target_by_id.get(target_id)
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -15,6 +15,8 @@
 from gevent import socket
 import msgspec
 
+from . import targets
+
 PERIOD_S = 0.25
 # Unchanged news are repeated this seldom, as a sign of life.
 QUIET_PERIOD_S = 0.5
@@ -33,6 +35,7 @@
     :ivar down: ids of targets that it found down.
     :ivar pace_by_target: of the targets that it found slow.
     :ivar refused: keys of requests that it has just refused.
+    :ivar leaving: starts of targets that have said that they leave.
     """
 
     name: str
@@ -44,6 +47,7 @@
     down: list[str]
     pace_by_target: dict[str, float]
     refused: list[int] = []
+    leaving: list[targets.Start] = []
 
 
 class SoftExchange:
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -13,6 +13,7 @@
 from cactusmux_relay import soft_exchange
 from cactusmux_relay import targets
 import gevent
+import msgspec
 from returns import result
 
 
@@ -289,3 +290,14 @@
     watched.down.probe(gone)
     watched.down.update({})
     assert watched.down.known_count == 0
+
+
+def test_news_carry_who_leaves_and_older_news_do_not():
+    news = soft_exchange.News(
+        'i', False, {}, {}, {}, {}, [], {}, [], [targets.Start('x', 7)]
+    )
+    decode = msgspec.msgpack.Decoder(soft_exchange.News).decode
+    encoded = msgspec.msgpack.encode(news)
+    assert decode(encoded).leaving == [targets.Start('x', 7)]
+    fields = msgspec.msgpack.decode(encoded)
+    assert decode(msgspec.msgpack.encode(fields[:-1])).leaving == []
--- a/tests/adapter/test_session.py
+++ b/tests/adapter/test_session.py
@@ -321,6 +321,7 @@
         refused = _ask(settings, '/plain/x', request_id=f'r{number}')
         assert refused.startswith(b'HTTP/1.1 503')
     assert len(world.portal.received) == 1
+    _until(lambda: not second._book.ready('portal'))
     world.portal_leaves = False
     world.register_portal(1790228837516)
     _until(lambda: all(each._book.ready('portal') for each in pair))
