Take the sign that a target leaves from its reports too

The holder of the placement lease asks all targets in turn, and a target once more just before an order: it moves layers off a leaving target before the entry says so, and orders none onto it. The report tells which start of the target speaks; only that one counts. Answers of HTTP calls carry their headers for it.

--- a/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
@@ -39,10 +39,18 @@
 
 
 class Answer(NamedTuple):
-    """A whole HTTP answer."""
+    """A whole HTTP answer; names of headers are in lower case."""
 
     status: int
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def header(self, name: str) -> str | None:
+        """Returns the first value of a header, ``None`` if it is absent."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
 
 
 class HttpCaller:
@@ -82,8 +90,12 @@
             with timeout:
                 answer = self._client.request(method, path, body)
                 # A response not read to its end keeps its connection.
+                body = bytes(answer.read())
+                headers = tuple(
+                    (name.lower(), value) for name, value in answer.headers
+                )
                 return result.Success(
-                    Answer(answer.status_code, bytes(answer.read()))
+                    Answer(answer.status_code, body, headers)
                 )
         except _NoConnection:
             return result.Failure(CallNotSent(self._address, path))
--- a/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
@@ -14,12 +14,16 @@
 
     :ivar is_busy: an order is in progress.
     :ivar pace: 1 is usual, 2 twice as slow.
+    :ivar is_leaving: it gets no new work.
+    :ivar born_ms: time of its start, 0 if unsaid.
     """
 
     layers: targets.LayerRange
     order_number: int
     is_busy: bool
     pace: float
+    is_leaving: bool = False
+    born_ms: int = 0
 
 
 class OrderUnanswered(failures.CactusmuxError):
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/leaving_reports.py
@@ -0,0 +1,38 @@
+"""Learns from the reports of targets that they leave."""
+
+from returns import result
+
+from . import layer_orders
+from . import leaving_targets
+from . import target_book
+from . import targets
+
+
+class LeavingReports(layer_orders.LayerOrders):
+    """Passes all calls on and notes who reports that it leaves."""
+
+    def __init__(
+        self, orders: layer_orders.LayerOrders, book: target_book.TargetBook
+    ) -> None:
+        self._orders = orders
+        self._book = book
+
+    def hold(
+        self, target: targets.Target, layers: targets.LayerRange, number: int
+    ) -> result.Result[None, layer_orders.OrderFailure]:
+        """Orders a target to hold exactly ``layers``."""
+        return self._orders.hold(target, layers, number)
+
+    def report(
+        self, target: targets.Target
+    ) -> result.Result[layer_orders.LayerReport, layer_orders.OrderFailure]:
+        """Asks a target what it holds."""
+        asked = self._orders.report(target)
+        match asked:
+            case result.Success(report) if report.is_leaving:
+                born_ms = report.born_ms or target.born_ms
+                self._book.note_leaving(
+                    targets.Start(target.id, born_ms),
+                    leaving_targets.Source.REPORT,
+                )
+        return asked
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -270,7 +270,7 @@
         self, target: targets.Target, layers: targets.LayerRange
     ) -> bool:
         reported = self._report(target)
-        if reported is None:
+        if reported is None or reported.is_leaving:
             return False
         if reported.layers == layers or reported.is_busy:
             return True
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -21,6 +21,7 @@
 from . import gauges
 from . import http_server
 from . import layer_orders
+from . import leaving_reports
 from . import leaving_targets
 from . import live_streams
 from . import load_ledger
@@ -115,7 +116,8 @@
             settings.repeat_allowance,
             settings.repeat_window_s,
         )
-        self._paces = pace_book.PaceBook(given.orders, timer)
+        orders = leaving_reports.LeavingReports(given.orders, self._book)
+        self._paces = pace_book.PaceBook(orders, timer)
         self._live = live_streams.LiveStreams(
             timer, self._down, self._down.probe, self._paces.ask
         )
@@ -177,7 +179,7 @@
             given.store,
             self.in_force,
             self._book,
-            given.orders,
+            orders,
             self._lease.authority,
             timer,
             metric,
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -8,6 +8,7 @@
 from cactusmux_fakes import sample_engine
 from cactusmux_relay import down_targets
 from cactusmux_relay import layer_orders
+from cactusmux_relay import leaving_targets
 from cactusmux_relay import load_ledger
 from cactusmux_relay import membership
 from cactusmux_relay import pace_book
@@ -34,6 +35,7 @@
         self.number_by_id = {}
         self.orders = []
         self.is_silent = False
+        self.leaving = set()
 
     def hold(self, target, layers, number):
         self.orders.append((target.id, layers, number))
@@ -52,6 +54,7 @@
                 self.number_by_id.get(target.id, 0),
                 False,
                 1.0,
+                target.id in self.leaving,
             )
         )
 
@@ -179,6 +182,27 @@
     assert len(keeping.engines.orders) > before
 
 
+def test_target_that_said_it_leaves_is_replaced_and_gets_no_order(keeping):
+    keeping.settle()
+    leaving = keeping.members[keeping.engines.orders[3][0]]
+    before = len(keeping.engines.orders)
+    keeping.book.note_leaving(leaving.start, leaving_targets.Source.ANSWER)
+    keeping.settle()
+    later = [target_id for target_id, _, _ in keeping.engines.orders[before:]]
+    assert later
+    assert leaving.id not in later
+    graph = keeping.book.graph(sample_engine.SERVICE)
+    assert graph.cheapest(lambda segment: 1.0, lambda zone, other: 0.0)
+
+
+def test_target_that_reports_it_leaves_just_before_its_order_gets_none(
+    keeping,
+):
+    keeping.engines.leaving = set(keeping.members)
+    keeping.settle()
+    assert keeping.engines.orders == []
+
+
 def test_orders_are_bound_to_the_number_that_was_reported(keeping):
     keeping.settle()
     for target_id, _, number in keeping.engines.orders:
--- a/tests/adapter/test_kv_store.py
+++ b/tests/adapter/test_kv_store.py
@@ -228,6 +228,20 @@
     assert orders.report(target) == unanswered
 
 
+def test_report_says_that_the_target_leaves_and_when_it_was_born():
+    data = msgspec.json.encode({'born': 1790228837515})
+    said = scripted_target.answer(data, 200, {'Server-Leaving': '1'})
+
+    def script(sock, _request):
+        sock.sendall(said)
+        return False
+
+    server = scripted_target.ScriptedTarget(script)
+    target = sample_engine.target('i-1', address=server.address)
+    report = engines.EngineOrders().report(target).unwrap()
+    assert (report.is_leaving, report.born_ms) == (True, 1790228837515)
+
+
 @pytest.mark.parametrize('body', [{}, {'revision': None}, ['torn']])
 def test_write_whose_answer_is_not_whole_may_have_run(body):
     store, _ = _store((200, body))
--- a/tests/adapter/test_session.py
+++ b/tests/adapter/test_session.py
@@ -71,6 +71,7 @@
         self.layers = {'from': 0, 'target': 0, 'version': 1}
         self.card = card
         self.orders = 0
+        self.leaves = False
         self.streams = []
         self.target = scripted_target.ScriptedTarget(self._script)
 
@@ -90,7 +91,9 @@
                 'pace': 1.0,
                 'layers': self.layers,
             }
-            sock.sendall(scripted_target.answer(msgspec.json.encode(report)))
+            said = {'Server-Leaving': '1'} if self.leaves else {}
+            body = msgspec.json.encode(report)
+            sock.sendall(scripted_target.answer(body, 200, said))
             return True
         self.streams.append(request)
         seal = {
@@ -326,3 +329,13 @@
     world.register_portal(1790228837516)
     _until(lambda: all(each._book.ready('portal') for each in pair))
     assert _ask(settings, '/plain/x').startswith(b'HTTP/1.1 200')
+
+
+def test_server_that_reports_that_it_leaves_gets_no_new_work(world):
+    world.configure()
+    instance, _ = world.start('front-a-1')
+    _until(_layers_are_there(world))
+    world.engines[0].leaves = True
+    _until(lambda: instance._book.leaving())
+    ready = {each.id for each in instance._book.ready('drafters')}
+    assert ready == {'i-1', 'i-2'}
