--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -24,6 +24,8 @@
 from . import held_orders
 from . import http_server
 from . import layer_orders
+from . import leaving_reports
+from . import leaving_targets
 from . import live_streams
 from . import load_ledger
 from . import membership
@@ -109,7 +111,8 @@
         self.in_force = request_core.InForce()
         self._book = target_book.TargetBook()
         self._held = backoffs.Backoffs(self._book, timer, metric)
-        orders = held_orders.HeldOrders(given.orders, self._held)
+        reports = leaving_reports.LeavingReports(given.orders, self._book)
+        orders = held_orders.HeldOrders(reports, self._held)
         self._ledger = load_ledger.LoadLedger(timer)
         self._down = down_targets.DownTargets(timer, rng)
         self._roster = target_roster.TargetRoster(
@@ -404,6 +407,7 @@
             down=sorted(self._down.ids),
             pace_by_target=self._paces.own(),
             refused=self._refused.own(),
+            leaving=self._book.leaving(),
         )
 
     def _take_news(self, news: soft_exchange.News) -> None:
@@ -417,6 +421,8 @@
         )
         self._paces.note_told(news.pace_by_target)
         self._refused.note_told(news.refused)
+        for start in news.leaving:
+            self._book.note_leaving(start, leaving_targets.Source.PEER)
         self.directory.note_stopping(news.name, news.is_stopping)
         for target_id in news.down:
             target = self._book.target_by_id.get(target_id)
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -519,3 +519,14 @@
     exchange._send_to = lambda data, peer: told.append(peer)
     exchange.send_to_all()
     assert len(set(told)) == 57
+
+
+def test_news_carry_who_leaves_and_older_news_do_not():
+    news = soft_exchange.News(
+        'i', False, {}, {}, {}, {}, [], {}, [], [targets.Start('x', 7)]
+    )
+    decode = msgspec.msgpack.Decoder(soft_exchange.News).decode
+    encoded = msgspec.msgpack.encode(news)
+    assert decode(encoded).leaving == [targets.Start('x', 7)]
+    fields = msgspec.msgpack.decode(encoded)
+    assert decode(msgspec.msgpack.encode(fields[:-1])).leaving == []
