--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -1,29 +1,23 @@
 """Wires one instance of the relay from a deployment's translations."""
 
-from collections.abc import Callable
 import functools
 import random
-from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_control import lease_types
 from cactusmux_control import leases
-from cactusmux_platform import stores
 from cactusmux_routing import breakers
 import gevent
 
 from . import backoffs
 from . import copies
-from . import desired
-from . import dialect
 from . import directory
 from . import down_targets
 from . import gauges
 from . import held_orders
 from . import http_server
-from . import layer_orders
 from . import leaving_reports
 from . import leaving_targets
 from . import live_streams
@@ -35,6 +29,7 @@
 from . import placement_keeper
 from . import plain_relay
 from . import refused_callers
+from . import relay_settings
 from . import repeat_budget
 from . import request_core
 from . import sending
@@ -44,7 +39,6 @@
 from . import target_book
 from . import target_calls
 from . import target_roster
-from . import targets
 from . import watch_pace
 from . import watchers
 
@@ -57,48 +51,13 @@
 LATEST_LONG_WORK_S = 2.8
 
 
-class RelaySettings(NamedTuple):
-    """An instance's place, its addresses and the bounds on repeats.
-
-    :ivar entry_address: where callers connect.
-    :ivar exchange_address: of news (UDP) and copies (TCP) between instances.
-    :ivar state_prefix: of the store's keys of the desired state.
-    :ivar target_prefix: of the store's keys of targets.
-    :ivar callers_come_s: how long callers may come after a planned stop.
-    """
-
-    name: str
-    zone: str
-    region: str
-    entry_address: str
-    exchange_address: str
-    state_prefix: str
-    target_prefix: str
-    repeat_ratio: float
-    repeat_allowance: float
-    repeat_window_s: float
-    callers_come_s: float
-    stop_within_s: float
-
-
-class Translations(NamedTuple):
-    """What a deployment provides: its store, its spelling, its targets."""
-
-    store: stores.ConfigStore
-    reader: stores.SnapshotReader
-    spelling: dialect.Dialect
-    decode_state: Callable[[stores.Entry], desired.DesiredState | None]
-    decode_target: Callable[[stores.Entry], targets.Target | None]
-    orders: layer_orders.LayerOrders
-
-
 class RelayInstance:
     """All parts of one instance."""
 
     def __init__(
         self,
-        settings: RelaySettings,
-        given: Translations,
+        settings: relay_settings.RelaySettings,
+        given: relay_settings.Translations,
         timer: timers.TimerService,
         metric: metrics.Metrics,
         rng: random.Random,
--- a/tests/adapter/test_session.py
+++ b/tests/adapter/test_session.py
@@ -12,6 +12,7 @@
 from cactusmux_base import timers
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import relay_instance
+from cactusmux_relay import relay_settings
 import gevent
 from gevent import socket
 import msgspec
@@ -160,7 +161,7 @@
 
     def start(self, name):
         store = kv_store.KvStore(self.store.address)
-        settings = relay_instance.RelaySettings(
+        settings = relay_settings.RelaySettings(
             name=name,
             zone='a',
             region='r',
@@ -174,7 +175,7 @@
             callers_come_s=0.1,
             stop_within_s=5.0,
         )
-        given = relay_instance.Translations(
+        given = relay_settings.Translations(
             store=store,
             reader=store,
             spelling=headers.HeaderDialect(),
