Test two breaks that no test noticed

Not noticed were a secured path whose target is down or to be left alone, and a repeat that isn't given back. Tests for both; tests only.

--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -239,6 +239,18 @@
     assert budget.take('s')
 
 
+def test_repeat_that_reached_no_target_is_given_back():
+    budget = repeat_budget.RepeatBudget(timers.ManualTimers(), 0.0, 2.0, 10.0)
+    budget.set_instances(1)
+    assert budget.take('s')
+    assert not budget.has_left('s')
+    budget.give_back('s')
+    assert budget.has_left('s')
+    budget.give_back('s')
+    assert budget.take('s')
+    assert not budget.take('s')
+
+
 def test_loads_of_an_instance_that_fell_silent_age_out():
     timer = timers.ManualTimers()
     ledger = load_ledger.LoadLedger(timer)
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -44,10 +44,11 @@
         self.book.replace([self.first, self.second], self._services)
         metric = metrics.MemoryMetrics()
         self.held = backoffs.Backoffs(self.book, self.timer, metric)
+        self.down = down_targets.DownTargets(self.timer, random.Random(1))
         self.finder = path_finder.PathFinder(
             self.book,
             self.ledger,
-            down_targets.DownTargets(self.timer, random.Random(1)),
+            self.down,
             pace_book.PaceBook(silent_orders.SilentOrders(), self.timer),
             self.timer,
             metric,
@@ -74,6 +75,10 @@
         members = [self.first, self.second, target]
         self.book.replace(members, self._services)
 
+    def is_usable(self, path):
+        """Returns whether a path that was chosen may still be used."""
+        return self.finder.is_usable(self._service.name, path)
+
     def wait_s(self):
         """Returns for how long no path can be had."""
         return self.finder.wait_s(self._service)
@@ -134,6 +139,26 @@
     assert after_s == 0.0
 
 
+def test_chosen_path_is_not_used_once_a_stage_may_not_be():
+    search = _Search(busy_share=0.02)
+    choice, _ = search.choose(0.05)
+    assert search.is_usable(choice.path)
+    search.held.note(search.first, 2.0, None)
+    assert not search.is_usable(choice.path)
+    search.timer.advance(2.1)
+    assert search.is_usable(choice.path)
+    search.down.mark(search.second, 'test')
+    assert not search.is_usable(choice.path)
+
+
+def test_chosen_path_is_not_used_once_a_stage_holds_other_layers():
+    search = _Search(busy_share=0.02)
+    choice, _ = search.choose(0.05)
+    search.second = _target('second', 50, 80, 'b')
+    search.add(_target('other', 0, 40, 'a'))
+    assert not search.is_usable(choice.path)
+
+
 def test_request_is_not_held_where_layers_are_left_alone_for_longer():
     search = _Search(busy_share=0.02)
     search.held.note(search.first, 2.0, None)
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -201,15 +201,13 @@
 
 
 def test_handing_a_stream_over_takes_one_repeat(rig):
-    taken = []
-    take = rig.budget.take
-    rig.budget.take = lambda service: taken.append(service) or take(service)
+    paid = _paid_repeats(rig.budget)
     silent = _mute_after(2, 30.0)
     other = _target(HEAD + _chunks(EVENTS[2:]) + END)
     rig.use_engines(silent.address, other.address)
     _, _, complete = _ask(rig)
     assert complete
-    assert len(taken) == 1
+    assert sum(paid) == 1
 
 
 def test_streams_handed_over_together_are_spread(rig):
@@ -262,6 +260,24 @@
     assert body == b''.join(EVENTS)
 
 
+def _paid_repeats(budget):
+    """Notes 1 for each repeat that is taken, -1 for each given back."""
+    paid = []
+    take, give_back = budget.take, budget.give_back
+
+    def noted_take(service):
+        is_taken = take(service)
+        paid.append(int(is_taken))
+        return is_taken
+
+    def noted_give_back(service):
+        paid.append(-1)
+        give_back(service)
+
+    budget.take, budget.give_back = noted_take, noted_give_back
+    return paid
+
+
 def test_own_full_link_does_not_break_off_a_stream_handed_over(
     rig, monkeypatch
 ):
@@ -275,6 +291,7 @@
             raise target_calls.NotSent(address, is_refused=False)
         return connect(connections, address)
 
+    paid = _paid_repeats(rig.budget)
     mute = _mute_after(2, 30.0)
     others = [_target(HEAD + _chunks(EVENTS[2:]) + END) for _ in range(6)]
     rig.use_engines(mute.address, *[each.address for each in others])
@@ -284,6 +301,7 @@
     _, body, complete = _ask(rig)
     assert complete
     assert body == b''.join(EVENTS)
+    assert sum(paid) == 1
 
 
 def test_target_that_rejected_once_takes_a_stream_later(rig):
