Don't wait again for a watch that changes have come past

Cause: while the store is silent all watches hang, for up to 21 s after it is back.

A mirror now notes that a change has come past its watch; the short patience holds until the watch answers. Ruled out: a late news or a full link (8 instances, 1,000 Mbit/s).

Left: the hung watch itself isn't given up sooner.

--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -49,6 +49,8 @@
     :ivar revision: as of which the entries are known.
     :ivar changed: the last change that is known.
     :ivar is_copied: whether another instance brought that change.
+    :ivar is_deaf: whether a change has come past our watch since it last
+        answered.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.revision = stores.ABSENT
         self.changed = stores.ABSENT
         self.is_copied = False
+        self.is_deaf = False
         self._watched = stores.ABSENT
         self._must_read = True
         self._asks_at = 0.0
@@ -115,6 +118,7 @@
             return False
         if not self._replace(copy, is_copied=True):
             return False
+        self.is_deaf = True
         events.info('copy_taken', prefix=self._prefix, revision=copy.revision)
         return True
 
@@ -151,6 +155,7 @@
                 if snapshot.revision < self.revision:
                     return snapshot.revision
                 if self._replace(self._copy_of(snapshot)):
+                    self.is_deaf = True
                     events.warning(
                         'watch_missed_change',
                         prefix=self._prefix,
@@ -255,6 +260,7 @@
 
     def _note_answer(self) -> None:
         self.heard_at = self._timer.now()
+        self.is_deaf = False
         self._retry_s = BACKOFF_S
         if self.is_connected:
             return
--- a/packages/cactusmux-relay/tests/test_copies.py
+++ b/packages/cactusmux-relay/tests/test_copies.py
@@ -197,6 +197,30 @@
     assert world.mirror.entry_by_key == world.source.entry_by_key
 
 
+def test_deaf_watch_is_not_waited_for_long_again(world):
+    """After a silent outage a watch hangs for up to its whole wait."""
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    assert world.puller.patience_s(PREFIX) > copies.PATIENCE_S
+    world.write('a')
+    world.source.step()
+    world.tell()
+    world.wait_until_pulled()
+    world.answered_at = world.timer.now()
+    assert world.puller.patience_s(PREFIX) == copies.PATIENCE_S
+    world.write('b')
+    world.mirror.step()
+    assert world.puller.patience_s(PREFIX) > copies.PATIENCE_S
+
+
+def test_watch_that_a_check_has_found_deaf_is_not_waited_for_long(world):
+    world.mirror.step()
+    world.answered_at = world.timer.now()
+    world.write('a')
+    world.mirror.check()
+    assert world.puller.patience_s(PREFIX) == copies.PATIENCE_S
+
+
 def test_store_that_fell_silent_is_not_waited_for_long(world):
     """A watch that was cut off hangs as a quiet one does."""
     world.mirror.step()
@@ -227,7 +251,7 @@
     world.tell()
     world.wait_until_pulled()
     assert world.mirror.entry_by_key == world.source.entry_by_key
-    assert world.puller.patience_s(PREFIX) > copies.PATIENCE_S
+    assert world.puller.patience_s(PREFIX) == copies.PATIENCE_S
 
 
 def test_pull_waits_for_a_watch_that_is_not_asked_yet(world):
