Revert "Ask a watch anew every 5 s, so that a hung one ends sooner"

A watch that ends within the outage has its mirror read anew while entries have lapsed; the hung one kept what was known. Not traced further.

--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -19,8 +19,7 @@
 from . import tasks
 from . import watch_pace
 
-# A watch that hangs since a silent outage ends by itself after about this.
-WATCH_S = 5.0
+WATCH_S = 20.0
 # How often a mirror that doesn't watch looks whether it is to.
 IDLE_S = 0.5
 BACKOFF_S = 0.25
