Count suspended time in what runs out

A process that was suspended with its machine acted on a lease that had run out meanwhile: GeventTimers told time by the steady clock, which stands still during a suspension, and authority() compares with it.

Time is now read from CLOCK_BOOTTIME. Sleeps keep the loop's own clock: they end late after a suspension, what they guard is compared with now().

--- a/packages/cactusmux-base/src/cactusmux_base/timers.py
+++ b/packages/cactusmux-base/src/cactusmux_base/timers.py
@@ -64,7 +64,11 @@
     """
 
     def now(self) -> float:
-        return time.monotonic()
+        """Returns the time since the start, suspended time included.
+
+        What has been granted for a time runs out while we are suspended.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         return time.time()
--- a/packages/cactusmux-base/tests/test_timers.py
+++ b/packages/cactusmux-base/tests/test_timers.py
@@ -1,5 +1,7 @@
 """Tests of the timer service that tests elsewhere rely on."""
 
+import time
+
 from cactusmux_base import timers
 import gevent
 
@@ -50,3 +52,16 @@
     assert line.startswith('event=callback_failed')
     assert 'fail_always' in line
     assert 'unforeseen' in line
+
+
+def test_time_goes_on_while_the_machine_is_suspended(monkeypatch):
+    """The steady clock stands still meanwhile, what was granted runs out."""
+    timer = timers.GeventTimers()
+    before = timer.now()
+    clock = time.clock_gettime
+
+    def after_suspension(kind):
+        return clock(kind) + (7.0 if kind == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, 'clock_gettime', after_suspension)
+    assert timer.now() - before >= 7.0
