--- a/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
@@ -1,7 +1,8 @@
 """JSON calls by HTTP that tell whether a failed call was sent."""
 
+import errno
 import socket
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from cactusmux_base import failures
 import gevent
@@ -11,6 +12,10 @@
 from returns import result
 
 CONNECT_TIMEOUT_S = 1.0
+# Of a head and a body together; a server in trouble may send without end.
+MAX_ANSWER_BYTES = 32 << 20
+# A server that sends without a pause leaves the loop to others after so much.
+YIELD_BYTES = 262_144
 
 
 class CallNotSent(failures.CactusmuxError):
@@ -60,13 +65,18 @@
     """
 
     def __init__(
-        self, address: str, connections: int, longest_call_s: float
+        self,
+        address: str,
+        connections: int,
+        longest_call_s: float,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         """Prepares calls; connects at the first one.
 
         :param address: ``host:port``
         :param connections: calls that may be under way together
         :param longest_call_s: largest ``deadline_s`` of any call
+        :param max_answer_bytes: a longer answer counts as lost
         """
         host, _, port = address.rpartition(':')
         self._address = address
@@ -76,6 +86,7 @@
             concurrency=connections,
             connection_timeout=CONNECT_TIMEOUT_S,
             network_timeout=longest_call_s,
+            max_answer_bytes=max_answer_bytes,
         )
 
     def call(
@@ -115,7 +126,37 @@
     """No connection was had before the connect timeout."""
 
 
+class _BoundedSocket(gevent.socket.socket):
+    """Receives an answer of bounded length."""
+
+    left_bytes = MAX_ANSWER_BYTES
+    unyielded_bytes = 0
+
+    def recv(self, *args: Any) -> bytes:
+        """Receives; raises :class:`OSError` beyond the bound."""
+        data: bytes = super().recv(*args)
+        self.left_bytes -= len(data)
+        if self.left_bytes < 0:
+            raise OSError(errno.EMSGSIZE, 'answer is too long')
+        self.unyielded_bytes += len(data)
+        if self.unyielded_bytes >= YIELD_BYTES:
+            self.unyielded_bytes = 0
+            gevent.sleep(0)
+        return data
+
+
 class _Pool(connectionpool.ConnectionPool):
+    def __init__(
+        self, *args: Any, max_answer_bytes: int, **kwargs: Any
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self._max_answer_bytes = max_answer_bytes
+
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> _BoundedSocket:
+        return _BoundedSocket(family, socktype, protocol)
+
     def after_connect(self, sock: gevent.socket.socket) -> None:
         # The end of a large request would wait 40 ms for a delayed ACK.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -124,7 +165,9 @@
         timeout = gevent.Timeout(self.connection_timeout)
         try:
             with timeout:
-                return super().get_socket()
+                sock = super().get_socket()
+                sock.left_bytes = self._max_answer_bytes
+                return sock
         except (OSError, RuntimeError) as error:
             raise _NoConnection from error
         except gevent.Timeout as raised:
@@ -141,6 +184,7 @@
         concurrency: int,
         connection_timeout: float,
         network_timeout: float,
+        max_answer_bytes: int,
     ) -> None:
         super().__init__(host, port)
         self._connection_pool = _Pool(
@@ -151,4 +195,5 @@
             size=concurrency,
             connection_timeout=connection_timeout,
             network_timeout=network_timeout,
+            max_answer_bytes=max_answer_bytes,
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -24,6 +24,10 @@
 MAX_HEAD_BYTES = 65536
 # Larger bodies are sent beside reading the answer, which may come first.
 SEND_BESIDE_BYTES = 32768
+# Heads that only announce another one; a target sends one of them at most.
+MAX_INFORMATIONAL = 8
+# A target that sends without a pause leaves the loop to others after so much.
+YIELD_BYTES = 262_144
 MAX_IDLE_PER_TARGET = 32
 # Kept shorter than what a target announces, for what is on its way.
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -113,6 +117,7 @@
         self._sender: gevent.Greenlet | None = None
         self._complete = False
         self._is_cut = False
+        self._unyielded_bytes = 0
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._send(request)
 
@@ -138,7 +143,7 @@
 
     def read_head(self) -> AnswerHead:
         """Waits for the head of the answer; raises :class:`AnswerBroken`."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -147,6 +152,9 @@
                 self._note_keep_alive(head)
                 return head
             raise AnswerBroken(self._address, 'closed before an answer')
+        raise AnswerBroken(
+            self._address, f'over {MAX_INFORMATIONAL} informational heads'
+        )
 
     def parts(self) -> Iterator[bytes]:
         """Yields the body as it arrives; raises :class:`AnswerBroken`."""
@@ -210,6 +218,7 @@
                 data = self._sock.recv(RECEIVE_BYTES)
                 if self._is_cut:
                     raise AnswerBroken(self._address, 'cut by us')
+                self._yield_after(len(data))
                 self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise AnswerBroken(self._address, str(error)) from error
@@ -217,6 +226,13 @@
             detail = 'cut by us' if self._is_cut else 'reset'
             raise AnswerBroken(self._address, detail) from error
 
+    def _yield_after(self, received: int) -> None:
+        """Lets other tasks run; reading what is there never waits."""
+        self._unyielded_bytes += received
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            gevent.sleep(0)
+
     def _note_keep_alive(self, head: AnswerHead) -> None:
         announced = head.header(b'keep-alive') or ''
         for part in announced.split(','):
--- a/packages/cactusmux-relay/tests/test_event_stream.py
+++ b/packages/cactusmux-relay/tests/test_event_stream.py
@@ -1,6 +1,7 @@
 from cactusmux_relay import event_stream
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 
 def _event(number):
@@ -40,3 +41,20 @@
     splitter = event_stream.EventSplitter()
     assert splitter.feed(b'id: x\n\n')[0].id is None
     assert splitter.feed(b'data: x\n\n')[0].id is None
+
+
+def test_bytes_without_the_end_of_an_event_are_bounded():
+    splitter = event_stream.EventSplitter()
+    with pytest.raises(event_stream.EventTooLong):
+        for _ in range(1000):
+            splitter.feed(b'x' * 65536)
+    assert len(splitter.rest) <= event_stream.MAX_EVENT_BYTES + 65536
+
+
+def test_long_event_is_found_where_its_end_is_torn():
+    splitter = event_stream.EventSplitter()
+    assert splitter.feed(b'id: 7\r\ndata: ' + b'x' * 1000 + b'\r\n') == []
+    assert splitter.feed(b'\r') == []
+    found = splitter.feed(b'\nid: 8\n')
+    assert [each.id for each in found] == [7]
+    assert splitter.rest == b'id: 8\n'
--- a/packages/cactusmux-relay/tests/test_target_calls.py
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -168,3 +168,64 @@
     gevent.sleep(0.01)
     call.close()
     assert target.received == []
+
+
+def _endless(beginning, block):
+    """A target that sends until the connection is closed."""
+
+    def script(sock, _request):
+        sock.sendall(beginning)
+        try:
+            while True:
+                sock.sendall(block)
+        except OSError:
+            closed.append(sock)
+        return False
+
+    closed = []
+    return scripted_target.ScriptedTarget(script), closed
+
+
+@pytest.mark.parametrize(
+    ('beginning', 'block'),
+    [
+        (b'', b'x' * 65536),
+        (b'HTTP/1.1 200 OK\r\nX-A: ', b'x' * 65536),
+        (b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n' * 8000),
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 65536),
+        (b'', b'HTTP/1.1 103 Early\r\n\r\n' * 3000),
+    ],
+)
+def test_answer_without_end_breaks_off(connections, beginning, block):
+    target, closed = _endless(beginning, block)
+    with (
+        gevent.Timeout(10.0),
+        pytest.raises(target_calls.AnswerBroken),
+    ):
+        _ask(connections, target)
+    with gevent.Timeout(10.0):
+        while not closed:
+            gevent.sleep(0.01)
+    target.stop()
+
+
+def test_body_without_end_leaves_the_loop_to_others(connections):
+    """Bytes that are there already are read without ever waiting."""
+    turns = []
+
+    class _Full:
+        def recv(self, _size):
+            return b'5\r\nxxxxx\r\n' * 6000
+
+    target = _target(scripted_target.stream_head(), keep=True)
+    call = connections.call(target.address, REQUEST, False)
+    call.read_head()
+    own, call._sock = call._sock, _Full()
+    task = gevent.spawn(turns.append, 1)
+    for count, _ in enumerate(call.parts()):
+        if turns or count > 1_000_000:
+            break
+    task.kill()
+    own.close()
+    target.stop()
+    assert turns
