Choose a path again after the wait for a repeat

After a wait the path is chosen anew; without one the repeat is given back. A stream of bytes that are no events goes on elsewhere (test_stream_of_bytes_that_are_no_events_goes_on_elsewhere failed too).

--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -113,19 +113,39 @@
                 return secured.path, secured.pause_ms
         if not self._runs and self._parts.finder.is_closed(service):
             self._give_up(outcomes.Refusal.NO_TARGET)
-        choice = self._parts.finder.choose(
-            self._exchange, self._demand, self._avoided, self._room_wait_s()
+        found = self._choose(self._room_wait_s())
+        if found is not None and secured is None and self._sends:
+            found = self._paid_for(found, service)
+        if found is None:
+            self._give_up(outcomes.Refusal.NO_ROOM)
+        return found
+
+    def _paid_for(
+        self, found: tuple[cost_model.Path, float], service: str
+    ) -> tuple[cost_model.Path, float] | None:
+        """Takes a repeat for a path, or for another one after a wait."""
+        asked_at = self._parts.timer.now()
+        if not self._take_repeat(service):
+            self._give_up(outcomes.Refusal.REPEATS_SPENT)
+        if self._parts.timer.now() <= asked_at:
+            return found
+        # What was free before the wait may be full or gone by now.
+        found_again = self._choose(0.0)
+        if found_again is None:
+            self._parts.budget.give_back(service)
+        return found_again
+
+    def _choose(self, wait_s: float) -> tuple[cost_model.Path, float] | None:
+        """Returns a path with room and its expected pause, if any is left."""
+        finder = self._parts.finder
+        choice = finder.choose(
+            self._exchange, self._demand, self._avoided, wait_s
         )
         if choice.path is None and self._avoided:
             self._avoided = set()
-            choice = self._parts.finder.choose(
-                self._exchange, self._demand, self._avoided, 0.0
-            )
+            choice = finder.choose(self._exchange, self._demand, set(), 0.0)
         if choice.path is None:
-            self._give_up(outcomes.Refusal.NO_ROOM)
-        is_paid = secured is not None or not self._sends
-        if not is_paid and not self._take_repeat(service):
-            self._give_up(outcomes.Refusal.REPEATS_SPENT)
+            return None
         return choice.path, choice.pause_ms
 
     def _take_repeat(self, service: str) -> bool:
@@ -259,6 +279,8 @@
                 yield from splitter.feed(part)
         except target_calls.AnswerBroken as broken:
             raise _Broken(broken.detail) from broken
+        except event_stream.EventTooLong as endless:
+            raise _Broken(str(endless)) from endless
         if splitter.rest:
             raise _Broken('ended within an event')
 
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -1,8 +1,10 @@
 import itertools
 
 from cactusmux_fakes import relay_rig
+from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import hand_over
+from cactusmux_relay import leaving_targets
 from cactusmux_relay import refused_callers
 from cactusmux_relay import stream_run
 from cactusmux_relay import target_calls
@@ -453,3 +455,50 @@
     head, _, _ = _ask(rig, wait_s='0.04')
     assert head.status_code == 503
     assert b'retry-after' in dict(head.headers)
+
+
+def test_path_is_chosen_again_after_the_wait_for_a_repeat(rig):
+    """It was chosen before, and sent to though its target had left."""
+    first = _target(HEAD + _chunks(EVENTS[:2]))
+    leaving = _target(HEAD + _chunks(EVENTS[2:]) + END)
+    other = _target(HEAD + _chunks(EVENTS[2:]) + END)
+    rig.use_engines(first.address, leaving.address, other.address)
+    take = rig.budget.take
+    chosen = []
+
+    def take_later(service):
+        if not chosen:
+            chosen.append(service)
+            for each in rig.book.ready(sample_engine.SERVICE):
+                if each.address == leaving.address:
+                    rig.book.note_leaving(
+                        each.start, leaving_targets.Source.PEER
+                    )
+            return False
+        return take(service)
+
+    rig.budget.take = take_later
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+    assert leaving.received == []
+
+
+def test_stream_of_bytes_that_are_no_events_goes_on_elsewhere(rig):
+    """It was collected without bound until the deadline."""
+    endless = scripted_target.chunk(b'x' * 65536)
+
+    def script(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:2]))
+        try:
+            while True:
+                sock.sendall(endless)
+        except OSError:
+            return False
+
+    first = scripted_target.ScriptedTarget(script)
+    second = _target(HEAD + _chunks(EVENTS[2:]) + END)
+    rig.use_engines(first.address, second.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
