Let few instances watch the store, and end watches that hang

The renewals of the instance's own lease, each 1.2 s, show both the loss and the return: a watch begun before the last lost call, or that a change has come past, is now ended at the next answered one and asked anew from where it was (store_contact, note_store_answers). No shorter waits, no calls while nothing happens.

Two instances a zone watch now, for all prefixes, and send what comes on to the others of their zone as datagrams (deltas). One that is lost shows in the next one, whose beginning doesn't fit, or in the news; a copy is pulled then. A takeover goes by the leases as before. Only watchers try to get the placement lease: the others don't know when it ends.

Besides: registering takes two calls, not three; an entry is decoded once, not at each change of any other.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/fleet.py
@@ -0,0 +1,101 @@
+"""The instances that there are, and which of them watch the store."""
+
+from collections.abc import Iterable
+
+from cactusmux_base import timers
+from cactusmux_platform import stores
+
+from . import membership
+from . import watchers
+
+# An instance that doesn't find itself in the list for so long watches all:
+# nobody can tell it of changes.
+UNLISTED_S = 3.0
+
+
+class Fleet:
+    """Keeps the list of instances, this one included.
+
+    Entries lapse while the store is away, also those of sound instances: one
+    whose entry is missing is kept until the store has been back for some
+    seconds.
+
+    :ivar instance_by_name: the present instances.
+    """
+
+    def __init__(
+        self, own: membership.Instance, timer: timers.TimerService
+    ) -> None:
+        self._own = own
+        self._timer = timer
+        self._listed_at = timer.now()
+        self.instance_by_name: dict[str, membership.Instance] = {}
+        self._watcher_names: frozenset[str] = frozenset()
+
+    def update(
+        self, entries: Iterable[stores.Entry], is_settled: bool
+    ) -> bool:
+        """Takes the entries of the store.
+
+        :param is_settled: whether missing ones are really gone.
+        :returns: whether others live by what this instance brings, from
+            now on.
+        """
+        found = membership.decode_instances(list(entries))
+        instance_by_name = {each.name: each for each in found}
+        if not is_settled:
+            for name, known in self.instance_by_name.items():
+                instance_by_name.setdefault(name, known)
+        was_listed = self._own.name in self.instance_by_name
+        if was_listed:
+            self._listed_at = self._timer.now()
+        self.instance_by_name = instance_by_name
+        had_followers = self._has_followers
+        self._watcher_names = watchers.watcher_names(found)
+        return self._has_followers and not had_followers
+
+    @property
+    def _has_followers(self) -> bool:
+        return self._own.name in self._watcher_names and bool(
+            self.follower_addresses()
+        )
+
+    @property
+    def instances(self) -> list[membership.Instance]:
+        """The present instances."""
+        return list(self.instance_by_name.values())
+
+    @property
+    def watcher_count(self) -> int:
+        """Returns how many instances watch the store."""
+        return len(self._watcher_names)
+
+    def peer_addresses(self) -> list[str]:
+        """Returns the exchange addresses of the other instances."""
+        return [
+            each.exchange_address
+            for each in self.instance_by_name.values()
+            if each.name != self._own.name
+        ]
+
+    def follower_addresses(self) -> list[str]:
+        """Returns those of the zone's instances that don't watch."""
+        return [
+            each.exchange_address
+            for each in self.instance_by_name.values()
+            if each.zone == self._own.zone
+            and each.name != self._own.name
+            and each.name not in self._watcher_names
+        ]
+
+    def watches(self, prefix: str) -> bool:
+        """Whether this instance is to watch a prefix by itself.
+
+        Until it is listed it watches the list alone: by then it knows
+        whether there are others to bring it the rest.
+        """
+        if self._own.name in self.instance_by_name:
+            return self._own.name in self._watcher_names
+        if prefix == membership.PREFIX:
+            return True
+        return self._timer.now() - self._listed_at > UNLISTED_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/membership.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns import result
 
+from . import store_contact
 from . import tasks
 
 PREFIX = 'cactusmux/instances/'
@@ -39,7 +40,7 @@
 class Registration:
     """Keeps this instance's key while the instance takes requests.
 
-    :ivar answered_at: when the store last answered a renewal, 0 if never.
+    :param contact: told whether the store answers.
     """
 
     def __init__(
@@ -47,13 +48,14 @@
         store: stores.ConfigStore,
         timer: timers.TimerService,
         own: Instance,
+        contact: store_contact.StoreContact,
     ) -> None:
         self._store = store
         self._timer = timer
         self._own = own
+        self._contact = contact
         self._registered: _Registered | None = None
         self._is_stopped = False
-        self.answered_at = 0.0
 
     def start(self) -> None:
         """Registers and renews, in a task of its own."""
@@ -81,18 +83,20 @@
     def _register(self) -> bool:
         match self._store.grant_lease(LEASE_TTL_S):
             case result.Success(lease_id):
-                return self._write(lease_id)
+                return self._write(lease_id, stores.ABSENT)
+        self._contact.note_unanswered()
         return False
 
-    def _write(self, lease_id: int) -> bool:
+    def _write(self, lease_id: int, expected: int) -> bool:
+        """Writes our key, also in place of one of an earlier lease."""
         key = PREFIX + self._own.name
         value = msgspec.json.encode(self._own)
-        expected = stores.ABSENT
-        match self._store.get(key):
-            case result.Success(entry) if entry is not None:
-                expected = entry.revision
         written = self._store.compare_and_swap(key, value, expected, lease_id)
         match written:
+            case result.Failure(stores.Conflict(found=found)) if (
+                expected == stores.ABSENT and found is not None
+            ):
+                return self._write(lease_id, found.revision)
             case result.Success(entry):
                 self._registered = _Registered(lease_id, entry.revision)
                 events.info('instance_registered', name=self._own.name)
@@ -104,11 +108,14 @@
     def _renew(self, registered: _Registered) -> bool:
         match self._store.renew_lease(registered.lease_id):
             case result.Success(_):
-                self.answered_at = self._timer.now()
+                self._contact.note_answered()
                 return True
             case result.Failure(stores.LeaseLost()):
                 events.warning('registration_lost', name=self._own.name)
                 self._registered = None
+                self._contact.note_answered()
+            case _:
+                self._contact.note_unanswered()
         return False
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -13,8 +13,10 @@
 
 from . import backoffs
 from . import copies
+from . import deltas
 from . import directory
 from . import down_targets
+from . import fleet
 from . import gauges
 from . import held_orders
 from . import http_server
@@ -34,19 +36,21 @@
 from . import request_core
 from . import sending
 from . import soft_exchange
+from . import store_contact
 from . import store_mirror
 from . import stream_run
 from . import target_book
 from . import target_calls
 from . import target_roster
 from . import watch_pace
-from . import watchers
 
 LEASE_NAME = 'placement'
 LEASE_SETTINGS = lease_types.LeaseSettings(
     ttl_s=2.0, margin_s=0.4, period_s=0.5, delivery_s=0.8
 )
 STOP_POLL_S = 0.05
+# How often instances that are kept after an outage are looked at again.
+REVIEW_PERIOD_S = 0.5
 # After the begin of a planned stop long requests are taken for so long.
 LATEST_LONG_WORK_S = 2.8
 
@@ -95,30 +99,36 @@
             timer,
             lambda: self.in_force.limits,
         )
-        self._mirror_by_prefix = self._make_mirrors()
-        self._checks = mirror_checks.MirrorChecks(
-            tuple(self._mirror_by_prefix.values()),
-            lambda: len(self._instance_by_name),
-            timer,
-            rng,
-        )
-        self._own = membership.Instance(
+        own = membership.Instance(
             settings.name,
             settings.zone,
             settings.region,
             settings.entry_address,
             settings.exchange_address,
         )
+        self._fleet = fleet.Fleet(own, timer)
+        self._mirror_by_prefix = self._make_mirrors()
+        self._checks = mirror_checks.MirrorChecks(
+            tuple(self._mirror_by_prefix.values()),
+            lambda: len(self._fleet.instance_by_name),
+            timer,
+            rng,
+        )
+        contact = store_contact.StoreContact(timer)
+        for mirror in self._mirror_by_prefix.values():
+            contact.subscribe(mirror.note_store_answers)
+        self._contact = contact
         self._registration = membership.Registration(
-            given.store, timer, self._own
+            given.store, timer, own, contact
         )
         self._exchange = soft_exchange.SoftExchange(
             settings.exchange_address,
             timer,
             self._own_news,
-            self._peer_addresses,
+            self._fleet.peer_addresses,
             self._take_news,
             rng,
+            self._take_delta,
         )
         self._copy_server = http_server.HttpServer(
             settings.exchange_address,
@@ -132,7 +142,6 @@
         self.directory = directory.Directory(
             self._exchange, timer, settings.name
         )
-        self._instance_by_name: dict[str, membership.Instance] = {}
         self._lease = leases.LeaseHolder(
             given.store,
             timer,
@@ -235,6 +244,7 @@
                 on_change,
                 functools.partial(self._batch_s, prefix),
                 functools.partial(self._watches, prefix),
+                self._tell_delta,
             )
         self._roster.follow(mirrors[self._settings.target_prefix])
         return mirrors
@@ -244,6 +254,7 @@
         for mirror in self._mirror_by_prefix.values():
             mirror.start()
         self._checks.start()
+        self._timer.every(REVIEW_PERIOD_S, self._review_instances)
         self._copy_server.start()
         self._exchange.start()
         self._entry.start()
@@ -306,20 +317,31 @@
     def _batch_s(self, prefix: str) -> float:
         """Changes of the configuration and of leases come at once."""
         if prefix in (self._settings.target_prefix, membership.PREFIX):
-            return watch_pace.batch_s(len(self._instance_by_name))
+            return watch_pace.batch_s(self._fleet.watcher_count)
         return watch_pace.SHORTEST_S
 
     def _watches(self, prefix: str) -> bool:
-        if prefix != self._settings.state_prefix or self._exchange.is_deaf:
-            return True
-        instances = self._instance_by_name.values()
-        return watchers.watches(self._settings.name, instances)
+        return self._exchange.is_deaf or self._fleet.watches(prefix)
+
+    def _tell_delta(self, delta: deltas.Delta) -> None:
+        """Sends what our watch has brought to those that don't watch.
+
+        A configuration is too large for a datagram: its copies are pulled.
+        """
+        if delta.prefix != self._settings.state_prefix:
+            addresses = self._fleet.follower_addresses()
+            self._exchange.send_delta(delta, addresses)
+
+    def _take_delta(self, delta: deltas.Delta) -> None:
+        mirror = self._mirror_by_prefix.get(delta.prefix)
+        if mirror is not None:
+            mirror.take_delta(delta)
 
     def _store_answered_at(self) -> float:
         heard_at = [
             mirror.heard_at for mirror in self._mirror_by_prefix.values()
         ]
-        return max(self._registration.answered_at, *heard_at)
+        return max(self._contact.answered_at, *heard_at)
 
     def _take_leases(self) -> None:
         """Takes over at once when the lease has become free."""
@@ -329,22 +351,32 @@
     def _may_acquire_lease(self) -> bool:
         mirror = self._mirror_by_prefix[leases.LEASE_PREFIX]
         key = leases.LEASE_PREFIX + LEASE_NAME
-        return mirror.is_connected and key not in mirror.entry_by_key
+        if not mirror.is_watching or not mirror.is_connected:
+            return False
+        return key not in mirror.entry_by_key
 
     def _take_instances(self) -> None:
-        entries = self._mirror_by_prefix[membership.PREFIX].entry_by_key
-        instances = membership.decode_instances(list(entries.values()))
-        self._instance_by_name = {each.name: each for each in instances}
+        mirror = self._mirror_by_prefix[membership.PREFIX]
+        entries = mirror.entry_by_key.values()
+        if self._fleet.update(entries, mirror.is_settled):
+            self._tell_all()
+        instances = self._fleet.instances
         self._budget.set_instances(len(instances))
         self._ledger.set_instances(len(instances))
         self.directory.update(instances)
 
-    def _peer_addresses(self) -> list[str]:
-        return [
-            each.exchange_address
-            for each in self._instance_by_name.values()
-            if each.name != self._settings.name
-        ]
+    def _tell_all(self) -> None:
+        """Has others take our copies, where entries may have gone unseen."""
+        for prefix, mirror in self._mirror_by_prefix.items():
+            if prefix != self._settings.state_prefix:
+                mirror.tell_all()
+
+    def _review_instances(self) -> None:
+        """Drops instances that haven't come back after an outage."""
+        mirror = self._mirror_by_prefix[membership.PREFIX]
+        is_kept = len(mirror.entry_by_key) < len(self._fleet.instance_by_name)
+        if is_kept and mirror.is_settled:
+            self._take_instances()
 
     def _own_news(self) -> soft_exchange.News:
         loads = self._ledger.own()
@@ -387,7 +419,7 @@
             target = self._book.target_by_id.get(target_id)
             if target is not None:
                 self._down.probe(target)
-        peer = self._instance_by_name.get(news.name)
+        peer = self._fleet.instance_by_name.get(news.name)
         if peer is not None:
             self._puller.note_changes(
                 peer.exchange_address, news.changed_by_prefix
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -15,12 +15,15 @@
 from gevent import socket
 import msgspec
 
+from . import deltas
 from . import targets
 
 PERIOD_S = 0.25
 # Unchanged news are repeated this seldom, as a sign of life.
 QUIET_PERIOD_S = 0.5
 MAX_DATAGRAM_BYTES = 60000
+# Larger ones fill small links; a copy is smaller when packed.
+MAX_DELTA_BYTES = 16000
 # With more other instances than this, news go to a sample of them.
 MAX_TOLD_ALL = 12
 SAMPLE = 8
@@ -29,7 +32,7 @@
 DEAF_S = 1.0
 
 
-class News(msgspec.Struct, array_like=True, frozen=True):
+class News(msgspec.Struct, array_like=True, frozen=True, tag='news'):
     """What an instance tells the others.
 
     :ivar changed_by_prefix: the last changes in its mirrors of the store.
@@ -67,16 +70,18 @@
         peers: Callable[[], list[str]],
         on_news: Callable[[News], None],
         rng: random.Random,
+        on_delta: Callable[[deltas.Delta], None] = deltas.ignore,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._timer = timer
         self._own_news = own_news
         self._peers = peers
         self._on_news = on_news
+        self._on_delta = on_delta
         self._rng = rng
         self._server = server.DatagramServer((host, int(port)), self._receive)
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(News)
+        self._decoder = msgspec.msgpack.Decoder(News | deltas.Delta)
         self._last_sent = b''
         self._sent_at = 0.0
         self.heard_at_by_name: dict[str, float] = {}
@@ -84,6 +89,7 @@
 
     def start(self) -> None:
         """Begins to listen and to send."""
+        self._heard_at = self._timer.now()
         self._server.start()
         self._timer.every(PERIOD_S, self.send)
 
@@ -127,6 +133,18 @@
             host, _, port = address.rpartition(':')
             self._send_to(data, (host, int(port)))
 
+    def send_delta(self, delta: deltas.Delta, addresses: list[str]) -> None:
+        """Sends what our watch has brought; lost ones show in the news."""
+        if not addresses:
+            return
+        data = self._encoder.encode(delta)
+        if len(data) > MAX_DELTA_BYTES:
+            events.info('delta_too_long', prefix=delta.prefix, size=len(data))
+            return
+        for address in addresses:
+            host, _, port = address.rpartition(':')
+            self._send_to(data, (host, int(port)))
+
     def _send_to(self, data: bytes, peer: tuple[str, int]) -> None:
         try:
             self._server.sendto(data, peer)
@@ -135,10 +153,13 @@
 
     def _receive(self, data: bytes, _peer: socket.socket) -> None:
         try:
-            news = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.MsgspecError:
             events.warning('news_unreadable', size=len(data))
             return
         self._heard_at = self._timer.now()
-        self.heard_at_by_name[news.name] = self._heard_at
-        self._on_news(news)
+        if isinstance(message, deltas.Delta):
+            self._on_delta(message)
+            return
+        self.heard_at_by_name[message.name] = self._heard_at
+        self._on_news(message)
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -1,13 +1,14 @@
 """A copy of all keys under a prefix of the configuration store.
 
-It is kept by a watch. While the store doesn't answer this instance, newer
-copies of other instances are taken instead. The copy with the higher
-revision wins, whichever side it comes from. Others are told the last change
-rather than that revision: the store has one counter for all prefixes, and
-a copy that is merely known as of later holds nothing new.
+It is kept by a watch, or by what the watches of other instances bring. While
+the store doesn't answer this instance, newer copies of others are taken
+instead. The copy with the higher revision wins, whichever side it comes
+from. Others are told the last change rather than that revision: the store
+has one counter for all prefixes, and a copy that is merely known as of later
+holds nothing new.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from cactusmux_base import events
@@ -16,6 +17,7 @@
 import gevent
 from returns import result
 
+from . import deltas
 from . import tasks
 from . import watch_pace
 
@@ -33,11 +35,20 @@
     """All entries under a prefix, as of a revision of the store.
 
     :ivar changed: the last change among them, at most ``revision``.
+    :ivar settles_in_s: until then missing entries may come back.
     """
 
     entries: tuple[stores.Entry, ...]
     revision: int
     changed: int
+    settles_in_s: float = 0.0
+
+
+class _Pending(NamedTuple):
+    """A watch that is waiting, and since when."""
+
+    task: gevent.Greenlet
+    begun_at: float
 
 
 class StoreMirror:
@@ -45,7 +56,9 @@
 
     :param batch_s: asked after each change how long further ones are waited
         for, to bring them in one call.
-    :param watches: whether to watch; copies bring the changes otherwise.
+    :param watches: whether to watch; other instances bring the changes
+        otherwise.
+    :param on_brought: told of what our own watch has brought.
     :ivar revision: as of which the entries are known.
     :ivar changed: the last change that is known.
     :ivar is_copied: whether another instance brought that change.
@@ -62,6 +75,7 @@
         on_change: Callable[[], None],
         batch_s: Callable[[], float] = lambda: watch_pace.SHORTEST_S,
         watches: Callable[[], bool] = lambda: True,
+        on_brought: Callable[[deltas.Delta], None] = deltas.ignore,
     ) -> None:
         self._store = store
         self._reader = reader
@@ -70,6 +84,9 @@
         self._on_change = on_change
         self._batch_s = batch_s
         self._watches = watches
+        self._on_brought = on_brought
+        self._pending: _Pending | None = None
+        self._deaf_at = 0.0
         self.entry_by_key: dict[str, stores.Entry] = {}
         self.revision = stores.ABSENT
         self.changed = stores.ABSENT
@@ -80,8 +97,8 @@
         self._asks_at = 0.0
         self._retry_s = BACKOFF_S
         self.is_connected = False
-        self.connected_at = 0.0
-        self.failed_at = 0.0
+        self._has_failed = False
+        self._settles_at = 0.0
         self.heard_at = 0.0
 
     def start(self) -> None:
@@ -91,11 +108,11 @@
     @property
     def is_settled(self) -> bool:
         """Whether a missing entry is really gone."""
-        if not self.is_connected:
-            return False
-        if self.failed_at == 0.0:
-            return True
-        return self._timer.now() - self.connected_at > SETTLE_S
+        return self.is_connected and self._settles_in_s <= 0.0
+
+    @property
+    def _settles_in_s(self) -> float:
+        return max(0.0, self._settles_at - self._timer.now())
 
     @property
     def is_watching(self) -> bool:
@@ -110,18 +127,70 @@
     def copy(self) -> Copy:
         """Returns all entries, for another instance."""
         entries = tuple(self.entry_by_key.values())
-        return Copy(entries, self.revision, self.changed)
+        return Copy(entries, self.revision, self.changed, self._settles_in_s)
+
+    def tell_all(self) -> None:
+        """Has the others take our copy, as if all in it were new.
+
+        What was removed before our first read no entry of ours shows.
+        """
+        self.changed = self.revision
 
     def take(self, copy: Copy) -> bool:
         """Takes another instance's copy; tells whether it held news."""
         if copy.revision <= self.revision:
             return False
+        self._settle_within(copy.settles_in_s)
         if not self._replace(copy, is_copied=True):
             return False
-        self.is_deaf = True
+        self._note_deaf()
         events.info('copy_taken', prefix=self._prefix, revision=copy.revision)
         return True
 
+    def take_delta(self, delta: deltas.Delta) -> bool:
+        """Takes what another instance's watch has brought.
+
+        Returns whether that is known now; ``False`` where earlier changes
+        are missing, which only a copy can bring.
+        """
+        if delta.revision <= self.revision:
+            return True
+        if delta.after > self.revision:
+            return False
+        self._settle_within(delta.settles_in_s)
+        is_changed = self._merge(delta.changes)
+        self.revision = delta.revision
+        self._watched = max(self._watched, delta.revision)
+        if is_changed:
+            self.is_copied = True
+            self._on_change()
+        return True
+
+    def note_store_answers(self, lost_at: float) -> None:
+        """Ends a watch that may hang; called when the store has answered.
+
+        One that was waiting when a call beside it was lost may wait on a
+        connection that is silent for good, and so may one that a change
+        has come past. It is asked anew from where it was.
+
+        :param lost_at: when the last call that got no answer ended.
+        """
+        pending = self._pending
+        if pending is None:
+            return
+        is_lost = pending.begun_at <= lost_at
+        is_passed = self.is_deaf and pending.begun_at <= self._deaf_at
+        if not is_lost and not is_passed:
+            return
+        events.info('watch_ended', prefix=self._prefix, is_lost=is_lost)
+        if is_lost:
+            self._settle_within(SETTLE_S)
+        pending.task.kill(block=False)
+
+    def _settle_within(self, seconds: float) -> None:
+        """Takes missing entries for gone only after so long."""
+        self._settles_at = max(self._settles_at, self._timer.now() + seconds)
+
     def _run(self) -> None:
         while True:
             tasks.run_step(self._prefix, self.step, self._timer)
@@ -155,7 +224,7 @@
                 if snapshot.revision < self.revision:
                     return snapshot.revision
                 if self._replace(self._copy_of(snapshot)):
-                    self.is_deaf = True
+                    self._note_deaf()
                     events.warning(
                         'watch_missed_change',
                         prefix=self._prefix,
@@ -177,8 +246,9 @@
 
     def _watch(self) -> bool:
         """Waits for changes; tells whether the watch may go on."""
-        watched = self._store.watch(self._prefix, self._watched, WATCH_S)
-        match watched:
+        match self._wait_for_changes():
+            case None:
+                return True
             case result.Success(changes):
                 self._note_answer()
                 self._apply(changes)
@@ -192,6 +262,20 @@
         # After an outage changes may have been missed or undone.
         return False
 
+    def _wait_for_changes(
+        self,
+    ) -> result.Result[stores.Watched, stores.StoreError] | None:
+        """Asks the watch; ``None`` if it was ended from outside."""
+        task = gevent.spawn(
+            self._store.watch, self._prefix, self._watched, WATCH_S
+        )
+        self._pending = _Pending(task, self._timer.now())
+        try:
+            found = task.get()
+        finally:
+            self._pending = None
+        return None if isinstance(found, gevent.GreenletExit) else found
+
     def _apply(self, watched: stores.Watched) -> None:
         if watched.revision < self.revision:
             # Another instance's newer copy was taken while we waited.
@@ -199,8 +283,27 @@
         # A deaf watch passes over changes: one that tells of none goes on
         # from there, but the copy isn't known to be that new.
         self._watched = watched.revision
+        if not self._merge(watched.changes):
+            return
+        delta = deltas.Delta(
+            self._prefix,
+            self.revision,
+            watched.revision,
+            watched.changes,
+            self._settles_in_s,
+        )
+        self.revision = watched.revision
+        self.is_copied = False
+        self._on_change()
+        self._on_brought(delta)
+        batch_s = self._batch_s()
+        self._asks_at = self._timer.now() + batch_s
+        self._timer.sleep(batch_s)
+
+    def _merge(self, changes: Iterable[stores.Change]) -> bool:
+        """Takes changes in their order; tells whether any was new."""
         is_changed = False
-        for change in watched.changes:
+        for change in changes:
             known = self.entry_by_key.get(change.key)
             if known is not None and known.revision >= change.revision:
                 continue
@@ -210,14 +313,7 @@
                 self.entry_by_key.pop(change.key, None)
             else:
                 self.entry_by_key[change.key] = change.entry
-        if not is_changed:
-            return
-        self.revision = watched.revision
-        self.is_copied = False
-        self._on_change()
-        batch_s = self._batch_s()
-        self._asks_at = self._timer.now() + batch_s
-        self._timer.sleep(batch_s)
+        return is_changed
 
     def _copy_of(self, snapshot: stores.Snapshot) -> Copy:
         """Returns a read with its last change.
@@ -258,6 +354,12 @@
         self._on_change()
         return True
 
+    def _note_deaf(self) -> None:
+        """Notes that a change has come past our watch."""
+        if not self.is_deaf:
+            self._deaf_at = self._timer.now()
+        self.is_deaf = True
+
     def _note_answer(self) -> None:
         self.heard_at = self._timer.now()
         self.is_deaf = False
@@ -265,11 +367,12 @@
         if self.is_connected:
             return
         self.is_connected = True
-        self.connected_at = self._timer.now()
+        if self._has_failed:
+            self._settle_within(SETTLE_S)
         events.info('store_regained', prefix=self._prefix)
 
     def _note_failure(self, failure: stores.StoreError) -> None:
-        self.failed_at = self._timer.now()
+        self._has_failed = True
         if not self.is_connected:
             return
         self.is_connected = False
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
@@ -1,6 +1,7 @@
 """The present targets: from the store's entries and from fresher reports."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import timers
@@ -15,6 +16,14 @@
 # How often kept entries are looked at again.
 REVIEW_PERIOD_S = 0.5
 
+
+class _Decoded(NamedTuple):
+    """An entry and what it says; ``None`` if it names no target."""
+
+    entry: stores.Entry
+    target: targets.Target | None
+
+
 Decode = Callable[[stores.Entry], targets.Target | None]
 
 
@@ -40,6 +49,7 @@
         self._timer = timer
         self._decode = decode
         self._mirror: store_mirror.StoreMirror | None = None
+        self._decoded_by_key: dict[str, _Decoded] = {}
         self._entry_target_by_id: dict[str, targets.Target] = {}
         self._reported_by_id: dict[str, targets.Target] = {}
 
@@ -52,11 +62,7 @@
         """Reads all entries anew; called on each change of the mirror."""
         if self._mirror is None:
             return
-        found: dict[str, targets.Target] = {}
-        for entry in self._mirror.entry_by_key.values():
-            target = self._decode(entry)
-            if target is not None:
-                found[target.id] = target
+        found = self._read_entries(self._mirror.entry_by_key)
         if not self._mirror.is_settled:
             for target_id, known in self._entry_target_by_id.items():
                 found.setdefault(target_id, known)
@@ -66,6 +72,22 @@
         self._entry_target_by_id = found
         self._publish()
 
+    def _read_entries(
+        self, entry_by_key: Mapping[str, stores.Entry]
+    ) -> dict[str, targets.Target]:
+        """Decodes the entries that have changed since they were last read."""
+        known_by_key = self._decoded_by_key
+        self._decoded_by_key = {}
+        found: dict[str, targets.Target] = {}
+        for key, entry in entry_by_key.items():
+            known = known_by_key.get(key)
+            if known is None or known.entry != entry:
+                known = _Decoded(entry, self._decode(entry))
+            self._decoded_by_key[key] = known
+            if known.target is not None:
+                found[known.target.id] = known.target
+        return found
+
     def note_report(self, target: targets.Target) -> None:
         """Takes a target's layers before its entry tells of them."""
         self._reported_by_id[target.id] = target
--- a/packages/cactusmux-relay/src/cactusmux_relay/watchers.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/watchers.py
@@ -1,7 +1,8 @@
-"""Which instances watch the configuration, the others take their copies.
+"""Which instances watch the store, the others live by what these bring.
 
-A large configuration that the store sends to all instances at once fills the
-links of small ones, and as text it is ten times the size of a packed copy.
+Each change wakes all watches. With many instances that costs as many calls
+as there are instances, and a large configuration that the store sends to
+all of them at once fills the links of small ones.
 """
 
 from collections.abc import Iterable
@@ -13,19 +14,18 @@
 WATCHERS_A_ZONE = 2
 
 
-def watches(name: str, instances: Iterable[membership.Instance]) -> bool:
-    """Whether the instance ``name`` watches by itself.
-
-    All of a small fleet do, and one that isn't listed (yet) does.
-    """
+def watcher_names(
+    instances: Iterable[membership.Instance],
+) -> frozenset[str]:
+    """Returns the names of those that watch: all of a small fleet."""
     names_by_zone: dict[str, list[str]] = {}
-    zone_by_name: dict[str, str] = {}
     for each in instances:
         names_by_zone.setdefault(each.zone, []).append(each.name)
-        zone_by_name[each.name] = each.zone
-    if len(zone_by_name) <= watch_pace.SMALL_FLEET:
-        return True
-    zone = zone_by_name.get(name)
-    if zone is None:
-        return True
-    return name in sorted(names_by_zone[zone])[:WATCHERS_A_ZONE]
+    all_names = [name for names in names_by_zone.values() for name in names]
+    if len(all_names) <= watch_pace.SMALL_FLEET:
+        return frozenset(all_names)
+    return frozenset(
+        name
+        for names in names_by_zone.values()
+        for name in sorted(names)[:WATCHERS_A_ZONE]
+    )
