Move layers only on the word of two instances

The holder of the placement lease moved layers once it alone held a target to be down; their targets then cut the streams through what they gave up. Requests still avoid a target on our own word, which costs nothing to take back. Placing now counts a target as down when it refused a connection itself, or when another instance has found the same within 3 s; an instance that is alone decides alone. test_layers_stay_while_only_one_instance_holds_a_target_to_be_down failed before.

--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -3,6 +3,9 @@
 A refused connection tells at once. One that isn't accepted in time may be
 held up by our own link: then a race against others has to tell. A target is
 up again when it has started anew, or when it accepts a connection.
+
+Requests avoid a target on our own word. What can't be taken back, such as
+moving its layers, waits until another instance has found the same.
 """
 
 from collections.abc import Callable
@@ -22,6 +25,8 @@
 RECHECK_PERIOD_S = 0.7
 # Targets that suspected ones are raced against.
 REFERENCES = 3
+# What another instance found counts for so long after it was told.
+TOLD_AGE_S = 3.0
 # Targets suspected within this time run in one race.
 COLLECT_S = 0.005
 
@@ -36,6 +41,8 @@
         self._rng = rng
         self._suspect_by_id: dict[str, targets.Target] = {}
         self._target_by_id: dict[str, targets.Target] = {}
+        self._refused_ids: set[str] = set()
+        self._told_at_by_id: dict[str, float] = {}
         self._probed_at_by_id: dict[str, float] = {}
         self._known: list[targets.Target] = []
         self._callbacks: list[Callback] = []
@@ -53,13 +60,40 @@
         """Ids of the targets that are down."""
         return frozenset(self._target_by_id)
 
+    def confirmed_ids(self, is_alone: bool) -> frozenset[str]:
+        """Ids of the targets that are down by more than our own word.
+
+        :param is_alone: whether there is no other instance to ask.
+        """
+        if is_alone:
+            return self.ids
+        oldest = self._timer.now() - TOLD_AGE_S
+        return frozenset(
+            target_id
+            for target_id in self._target_by_id
+            if target_id in self._refused_ids
+            or self._told_at_by_id.get(target_id, oldest) > oldest
+        )
+
+    def note_told(self, target: targets.Target) -> None:
+        """Takes another instance's word that a target is down; probes it."""
+        self._told_at_by_id[target.id] = self._timer.now()
+        self.probe(target)
+
     @property
     def known_count(self) -> int:
         """Returns of how many targets something is remembered."""
         return len(self._target_by_id.keys() | self._probed_at_by_id.keys())
 
-    def mark(self, target: targets.Target, cause: str) -> None:
-        """Notes that a target is down."""
+    def mark(
+        self, target: targets.Target, cause: str, is_refused: bool = True
+    ) -> None:
+        """Notes that a target is down.
+
+        :param is_refused: by the target itself, which needs no second word.
+        """
+        if is_refused:
+            self._refused_ids.add(target.id)
         if target.id in self._target_by_id:
             return
         self._target_by_id[target.id] = target
@@ -80,8 +114,9 @@
             current = target_by_id.get(target_id)
             if current is None or current.born_ms != down.born_ms:
                 self._mark_up(target_id, 'started anew or gone')
-        for target_id in self._probed_at_by_id.keys() - target_by_id.keys():
-            del self._probed_at_by_id[target_id]
+        for known in (self._probed_at_by_id, self._told_at_by_id):
+            for target_id in known.keys() - target_by_id.keys():
+                del known[target_id]
 
     def probe(self, target: targets.Target) -> None:
         """Finds out in a task of its own whether a target is down."""
@@ -115,7 +150,8 @@
             if tried is None:
                 events.info('probe_inconclusive', target=target.id)
             elif tried.outcome is not connects.Outcome.ACCEPTED:
-                self.mark(target, tried.cause)
+                is_refused = tried.outcome is connects.Outcome.REFUSED
+                self.mark(target, tried.cause, is_refused)
 
     def _references(self) -> list[targets.Target]:
         """Draws targets that are neither down nor suspected."""
@@ -142,5 +178,6 @@
         return connects.connect(target.address, timeout_s, self._timer)
 
     def _mark_up(self, target_id: str, cause: str) -> None:
+        self._refused_ids.discard(target_id)
         if self._target_by_id.pop(target_id, None) is not None:
             events.info('target_up', target=target_id, cause=cause)
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_keeper.py
@@ -67,11 +67,13 @@
         on_report: Callable[[targets.Target], None],
         down: down_targets.DownTargets,
         paces: pace_book.PaceBook,
+        is_alone: Callable[[], bool],
     ) -> None:
         """Prepares the keeper.
 
         :param authority: of this instance for so many seconds from now.
         :param on_report: told of a target's layers as soon as they change.
+        :param is_alone: whether there is no other instance.
         """
         self._store = store
         self._in_force = in_force
@@ -84,6 +86,7 @@
         self._on_report = on_report
         self._down = down
         self._paces = paces
+        self._is_alone = is_alone
         self._asked = 0
         self._placement_by_service: dict[str, placing.Placement] = {}
         self._revision_by_service: dict[str, int] = {}
@@ -155,8 +158,9 @@
             changed = placing.place(engine, members, self._rng, self._pause)
         else:
             self._ask_paces(members)
+            down = self._down.confirmed_ids(self._is_alone())
             pool = chain_pool.pool_of(
-                engine, members, self._down.ids, self._paces.slow()
+                engine, members, down, self._paces.slow()
             )
             changed = self._repair(name, pool, placement)
         old_chains = placement.chains if placement else ()
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -166,6 +166,7 @@
             self._roster.note_report,
             self._down,
             self._paces,
+            lambda: len(self._fleet.instance_by_name) <= 1,
         )
 
     def _make_core(
@@ -418,7 +419,7 @@
         for target_id in news.down:
             target = self._book.target_by_id.get(target_id)
             if target is not None:
-                self._down.probe(target)
+                self._down.note_told(target)
         peer = self._fleet.instance_by_name.get(news.name)
         if peer is not None:
             self._puller.note_changes(
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -68,6 +68,7 @@
         self.store = store or memory_store.MemoryStore(self.timer)
         self.engines = engines or _Engines()
         self.authority = AUTHORITY
+        self.is_alone = False
         self.book = target_book.TargetBook()
         self.members = {each.id: each for each in sample_engine.pool()}
         self.in_force = request_core.InForce()
@@ -85,6 +86,7 @@
             self._note,
             self.down,
             pace_book.PaceBook(self.engines, self.timer),
+            lambda: self.is_alone,
         )
         self._publish()
 
@@ -183,6 +185,22 @@
     assert len(keeping.engines.orders) > before
 
 
+def test_layers_stay_while_only_one_instance_holds_a_target_to_be_down(
+    keeping,
+):
+    """One false finding made nine sound targets give up their layers."""
+    keeping.settle()
+    before = len(keeping.engines.orders)
+    target = keeping.members[keeping.engines.orders[3][0]]
+    keeping.down.mark(target, 'overtaken by others', is_refused=False)
+    keeping.settle()
+    assert len(keeping.engines.orders) == before
+    keeping.down.note_told(target)
+    keeping.step()
+    keeping.step()
+    assert len(keeping.engines.orders) > before
+
+
 def test_target_that_said_it_leaves_is_replaced_and_gets_no_order(keeping):
     keeping.settle()
     leaving = keeping.members[keeping.engines.orders[3][0]]
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -299,6 +299,31 @@
     assert down.ids == {'t1'}
 
 
+def test_silent_target_is_confirmed_by_another_instance(monkeypatch):
+    found = _targets(5)
+    outcomes = {each.address: connects.Outcome.ACCEPTED for each in found}
+    outcomes[found[0].address] = connects.Outcome.UNANSWERED
+    _connects_as(monkeypatch, outcomes)
+    timer = timers.ManualTimers()
+    down = _down_targets(timer)
+    _probe(down, found, found[0])
+    assert down.confirmed_ids(is_alone=False) == frozenset()
+    assert down.confirmed_ids(is_alone=True) == {'t1'}
+    down.note_told(found[0])
+    assert down.confirmed_ids(is_alone=False) == {'t1'}
+    timer.advance(down_targets.TOLD_AGE_S + 0.1)
+    assert down.confirmed_ids(is_alone=False) == frozenset()
+
+
+def test_target_that_refuses_needs_no_second_word(monkeypatch):
+    found = _targets(2)
+    refused = {each.address: connects.Outcome.REFUSED for each in found}
+    _connects_as(monkeypatch, refused)
+    down = _down_targets(timers.ManualTimers())
+    _probe(down, found, found[0])
+    assert down.confirmed_ids(is_alone=False) == {'t1'}
+
+
 class _Orders(layer_orders.LayerOrders):
     def __init__(self):
         self.pace = 1.0
