Keep lapsed entries whichever call is the first to find them gone

At 11.37 s a check reads servers/ and takes 20 sound targets for gone: its mirror's watch hangs, so nothing had told it that the store was away, and it counted as settled. At 12.16 s the new holder of the placement lease merges two chains of 13.7 and 18.5 requests a second into one of 8.9; the streams through them are cut, and the rest is too slow for the load. The same way stood open to a watch that ends as compacted and is read anew.

Now each answer of the store, from whichever call, is told to the contact before it is used. The first one after a lost call, or after 3 s without any (a paused process), unsettles all copies for 2.5 s. Tests that failed before: test_check_after_an_outage_does_not_take_lapsed_entries_for_gone (both), test_long_gap_between_answers_counts_as_an_outage.

--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -107,6 +107,7 @@
             settings.exchange_address,
         )
         self._fleet = fleet.Fleet(own, timer)
+        self._contact = store_contact.StoreContact(timer)
         self._mirror_by_prefix = self._make_mirrors()
         self._checks = mirror_checks.MirrorChecks(
             tuple(self._mirror_by_prefix.values()),
@@ -114,12 +115,8 @@
             timer,
             rng,
         )
-        contact = store_contact.StoreContact(timer)
-        for mirror in self._mirror_by_prefix.values():
-            contact.subscribe(mirror.note_store_answers)
-        self._contact = contact
         self._registration = membership.Registration(
-            given.store, timer, own, contact
+            given.store, timer, own, self._contact
         )
         self._exchange = soft_exchange.SoftExchange(
             settings.exchange_address,
@@ -246,6 +243,7 @@
                 functools.partial(self._batch_s, prefix),
                 functools.partial(self._watches, prefix),
                 self._tell_delta,
+                self._contact,
             )
         self._roster.follow(mirrors[self._settings.target_prefix])
         return mirrors
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_contact.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_contact.py
@@ -10,6 +10,10 @@
 from cactusmux_base import events
 from cactusmux_base import timers
 
+# The lease is renewed more often: without an answer for so long the store, or
+# this process, has been away.
+GAP_S = 3.0
+
 Callback = Callable[[float], None]
 
 
@@ -31,11 +35,21 @@
         self._callbacks.append(callback)
 
     def note_answered(self) -> None:
-        """Notes that the store has answered a call."""
-        self.answered_at = self._timer.now()
-        if self._is_lost:
-            self._is_lost = False
-            events.info('store_answers_again')
+        """Notes that the store has answered; call before the answer is used.
+
+        What it says may lack entries that lapsed while it was away.
+        """
+        now = self._timer.now()
+        is_gap = 0.0 < self.answered_at < now - GAP_S
+        if is_gap and not self._is_lost:
+            self._lost_at = now
+        if is_gap or self._is_lost:
+            events.info(
+                'store_answers_again',
+                after_s=round(now - self.answered_at, 3),
+            )
+        self._is_lost = False
+        self.answered_at = now
         for callback in self._callbacks:
             callback(self._lost_at)
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -18,6 +18,7 @@
 from returns import result
 
 from . import deltas
+from . import store_contact
 from . import tasks
 from . import watch_pace
 
@@ -59,6 +60,7 @@
     :param watches: whether to watch; other instances bring the changes
         otherwise.
     :param on_brought: told of what our own watch has brought.
+    :param contact: told of each answer before it is used.
     :ivar revision: as of which the entries are known.
     :ivar changed: the last change that is known.
     :ivar is_copied: whether another instance brought that change.
@@ -76,6 +78,7 @@
         batch_s: Callable[[], float] = lambda: watch_pace.SHORTEST_S,
         watches: Callable[[], bool] = lambda: True,
         on_brought: Callable[[deltas.Delta], None] = deltas.ignore,
+        contact: store_contact.StoreContact | None = None,
     ) -> None:
         self._store = store
         self._reader = reader
@@ -85,6 +88,9 @@
         self._batch_s = batch_s
         self._watches = watches
         self._on_brought = on_brought
+        self._contact = contact or store_contact.StoreContact(timer)
+        self._contact.subscribe(self.note_store_answers)
+        self._lost_at = 0.0
         self._pending: _Pending | None = None
         self._deaf_at = 0.0
         self.entry_by_key: dict[str, stores.Entry] = {}
@@ -97,7 +103,6 @@
         self._asks_at = 0.0
         self._retry_s = BACKOFF_S
         self.is_connected = False
-        self._has_failed = False
         self._settles_at = 0.0
         self.heard_at = 0.0
 
@@ -167,25 +172,24 @@
         return True
 
     def note_store_answers(self, lost_at: float) -> None:
-        """Ends a watch that may hang; called when the store has answered.
+        """Takes it that the store was away; called when it has answered.
 
-        One that was waiting when a call beside it was lost may wait on a
-        connection that is silent for good, and so may one that a change
-        has come past. It is asked anew from where it was.
+        A watch that was waiting when a call beside it was lost may wait on
+        a connection that is silent for good, and so may one that a change
+        has come past. It is ended, and asked anew from where it was.
 
         :param lost_at: when the last call that got no answer ended.
         """
+        if lost_at > self._lost_at:
+            self._lost_at = lost_at
+            self._settle_within(SETTLE_S)
         pending = self._pending
         if pending is None:
             return
         is_lost = pending.begun_at <= lost_at
-        is_passed = self.is_deaf and pending.begun_at <= self._deaf_at
-        if not is_lost and not is_passed:
-            return
-        events.info('watch_ended', prefix=self._prefix, is_lost=is_lost)
-        if is_lost:
-            self._settle_within(SETTLE_S)
-        pending.task.kill(block=False)
+        if is_lost or (self.is_deaf and pending.begun_at <= self._deaf_at):
+            events.info('watch_ended', prefix=self._prefix, is_lost=is_lost)
+            pending.task.kill(block=False)
 
     def _settle_within(self, seconds: float) -> None:
         """Takes missing entries for gone only after so long."""
@@ -221,6 +225,7 @@
         """
         match self._reader.read_prefix(self._prefix):
             case result.Success(snapshot):
+                self._contact.note_answered()
                 if snapshot.revision < self.revision:
                     return snapshot.revision
                 if self._replace(self._copy_of(snapshot)):
@@ -254,6 +259,7 @@
                 self._apply(changes)
                 return True
             case result.Failure(stores.WatchCompacted()):
+                self._contact.note_answered()
                 events.info('watch_compacted', prefix=self._prefix)
                 return False
             case result.Failure(failure):
@@ -361,18 +367,17 @@
         self.is_deaf = True
 
     def _note_answer(self) -> None:
+        self._contact.note_answered()
         self.heard_at = self._timer.now()
         self.is_deaf = False
         self._retry_s = BACKOFF_S
         if self.is_connected:
             return
         self.is_connected = True
-        if self._has_failed:
-            self._settle_within(SETTLE_S)
         events.info('store_regained', prefix=self._prefix)
 
     def _note_failure(self, failure: stores.StoreError) -> None:
-        self._has_failed = True
+        self._contact.note_unanswered()
         if not self.is_connected:
             return
         self.is_connected = False
--- a/packages/cactusmux-relay/tests/test_followers.py
+++ b/packages/cactusmux-relay/tests/test_followers.py
@@ -49,7 +49,6 @@
         self.sent = []
         self.watcher = self.new_mirror(True, self.sent.append)
         self.follower = self.new_mirror(False)
-        self.contact.subscribe(self.watcher.note_store_answers)
 
     def new_mirror(self, watches, on_brought=deltas.ignore):
         return store_mirror.StoreMirror(
@@ -60,6 +59,7 @@
             lambda: None,
             watches=lambda: watches,
             on_brought=on_brought,
+            contact=self.contact,
         )
 
     def write(self, key, value=b'1'):
@@ -149,6 +149,43 @@
     assert world.watcher.is_settled
 
 
+@pytest.mark.parametrize('loses_history', [False, True])
+def test_check_after_an_outage_does_not_take_lapsed_entries_for_gone(
+    world, loses_history
+):
+    """Entries lapse in an outage, and a check was the first to see that."""
+    world.write('a')
+    world.watcher.step()
+    world.contact.note_unanswered()
+    world.remove('a')
+    if loses_history:
+        world.store.faults = faulty_store.Faults(watch_compacted=True)
+        world.watcher.step()
+        world.watcher.step()
+    else:
+        world.watcher.check()
+        world.follower.check()
+        assert not world.follower.is_settled
+    assert world.watcher.entry_by_key == {}
+    assert not world.watcher.is_settled
+    world.timer.advance(store_mirror.SETTLE_S + 0.1)
+    assert world.watcher.is_settled
+
+
+def test_long_gap_between_answers_counts_as_an_outage(world):
+    """A process that was paused finds entries lapsed as after an outage."""
+    world.contact.note_answered()
+    world.timer.advance(1.2)
+    world.contact.note_answered()
+    assert world.watcher.is_settled
+    task = world.hang()
+    world.timer.advance(store_contact.GAP_S + 0.1)
+    world.contact.note_answered()
+    assert not world.watcher.is_settled
+    with gevent.Timeout(WAIT_S / 2):
+        task.join()
+
+
 def test_follower_knows_what_the_watch_of_another_brought(world):
     world.write('a')
     world.write('b')
