Spread the choice of paths where loads are known by samples

In a large fleet each instance hears some 32 others within 2 s and lets them stand for all.

test_many_instances_do_not_all_choose_the_same_path_at_first plays the load on the model; test_instances_that_know_the_same_choose_different_paths the choice.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -137,6 +137,7 @@
                     timer,
                     self.metric,
                     held,
+                    rng,
                 ),
                 ledger=ledger,
                 sender=sender,
--- a/packages/cactusmux-model/src/cactusmux_model/callers.py
+++ b/packages/cactusmux-model/src/cactusmux_model/callers.py
@@ -1,6 +1,7 @@
 """Callers and the router between them and the pool."""
 
 from collections.abc import Generator
+import functools
 import random
 from typing import NamedTuple
 
@@ -8,6 +9,8 @@
 from cactusmux_relay import cost_model
 from cactusmux_relay import load_ledger
 from cactusmux_relay import path_choice
+from cactusmux_relay import path_finder
+from cactusmux_relay import soft_exchange
 import simpy
 
 from . import deployments
@@ -87,6 +90,22 @@
         self.event_at = now
 
 
+def _draw(ledger: load_ledger.LoadLedger, rng: random.Random) -> float:
+    """Draws as the router does where loads are known by samples."""
+    if not ledger.is_sampled:
+        return 0.0
+    spread = path_finder.PRICE_SPREAD
+    return rng.uniform(-spread, spread)
+
+
+def _copied(own: load_ledger.OwnLoads) -> load_ledger.OwnLoads:
+    return load_ledger.OwnLoads(
+        dict(own.tokens_by_target),
+        dict(own.requests_by_target),
+        own.pipe_tokens,
+    )
+
+
 def _end(ended: simpy.Event, is_whole: bool) -> None:
     ended.succeed(is_whole)
 
@@ -147,18 +166,21 @@
         self._times = 1.0
 
     def _spread_news(self) -> Generator[simpy.Event, None, None]:
+        """Has all instances tell the others, a sample in a large fleet."""
+        rng = random.Random(self._rng.random())
+        is_sampled = self._ledgers[0].is_sampled
+        period_s = self._deployment.news_s
+        if is_sampled:
+            period_s = max(period_s, soft_exchange.SAMPLE_PERIOD_S)
         while True:
-            yield self._env.timeout(self._deployment.news_s)
+            yield self._env.timeout(period_s)
             for number, ledger in enumerate(self._ledgers):
-                own = ledger.own()
-                told = load_ledger.OwnLoads(
-                    dict(own.tokens_by_target),
-                    dict(own.requests_by_target),
-                    own.pipe_tokens,
-                )
-                for other in self._ledgers:
-                    if other is not ledger:
-                        other.note_peer(str(number), told)
+                others = [each for each in self._ledgers if each is not ledger]
+                if is_sampled:
+                    others = rng.sample(others, soft_exchange.SAMPLE)
+                told = _copied(ledger.own())
+                for other in others:
+                    other.note_peer(str(number), told)
 
     def _arrive(
         self,
@@ -184,7 +206,7 @@
         is_whole = False
         for _ in range(MAX_TRIES):
             ledger = rng.choice(self._ledgers)
-            is_whole = yield from self._serve(request, ledger)
+            is_whole = yield from self._serve(request, ledger, rng)
             if is_whole or request.event_at:
                 break
             request.refusals += 1
@@ -211,14 +233,19 @@
         )
 
     def _serve(
-        self, request: _Request, ledger: load_ledger.LoadLedger
+        self,
+        request: _Request,
+        ledger: load_ledger.LoadLedger,
+        rng: random.Random,
     ) -> Generator[simpy.Event, None, bool]:
         """One try: paths one after the other, until one ends well."""
         begun = 0
         rejections = 0
         avoided: set[str] = set()
         while begun < MAX_RUNS and rejections < MAX_REJECTIONS:
-            path = yield from self._find_path(request, ledger, avoided, begun)
+            path = yield from self._find_path(
+                request, ledger, avoided, begun, rng
+            )
             if path is None:
                 return False
             ids = [part.target.id for part in path]
@@ -271,6 +298,7 @@
         ledger: load_ledger.LoadLedger,
         avoided: set[str],
         begun: int,
+        rng: random.Random,
     ) -> Generator[simpy.Event, None, cost_model.Path | None]:
         wait_s = self._policy.room_wait_s
         if begun or request.refusals:
@@ -288,6 +316,7 @@
                 ledger.all_loads(world.pace_by_target),
                 frozenset(world.down | avoided),
                 limit,
+                functools.partial(_draw, ledger, rng),
             )
             path = self._policy.choose(question)
             if path is not None or self._env.now >= until:
--- a/packages/cactusmux-model/src/cactusmux_model/policies.py
+++ b/packages/cactusmux-model/src/cactusmux_model/policies.py
@@ -1,6 +1,7 @@
 """Ways to choose a path, to be compared with each other."""
 
 import abc
+from collections.abc import Callable
 from typing import NamedTuple
 
 from cactusmux_base import failures
@@ -29,6 +30,7 @@
     :ivar load: as an instance of the router believes it to be.
     :ivar excluded: ids of targets that are not to be used.
     :ivar pipe_limit: share of a pipe in use up to which paths cross it.
+    :ivar draw: gives the exponent by which a target's price is changed.
     """
 
     engine: desired.Engine
@@ -37,6 +39,7 @@
     load: path_choice.Load
     excluded: frozenset[str]
     pipe_limit: float
+    draw: Callable[[], float]
 
 
 class PathPolicy(abc.ABC):
@@ -63,6 +66,13 @@
     returning_room_wait_s = ROOM_WAIT_S
 
 
+class Unspread(Marginal):
+    """The router's own choice, alike on all instances that know the same."""
+
+    def choose(self, asked: Question) -> cost_model.Path | None:
+        return super().choose(asked._replace(draw=lambda: 0.0))
+
+
 class FreeCrossing(Marginal):
     """The router's own choice, with pipes used up to half at once."""
 
@@ -106,6 +116,7 @@
 CLASS_BY_NAME: dict[str, type[PathPolicy]] = {
     'marginal': Marginal,
     'impatient': Impatient,
+    'unspread': Unspread,
     'free_crossing': FreeCrossing,
     'least_filled': LeastFilled,
     'shortest': Shortest,
--- /dev/null
+++ b/packages/cactusmux-model/tests/test_many_instances.py
@@ -0,0 +1,42 @@
+"""What callers get where many instances know little of each other."""
+
+import pathlib
+
+from cactusmux_model import deployments
+from cactusmux_model import experiments
+from cactusmux_model import policies
+from cactusmux_model import pool_world
+import msgspec
+
+DEPLOYMENT = pathlib.Path(__file__).parents[3] / 'deploy/models/mixed-205.json'
+# Just after a start at a heavy hour nobody has told anybody of a load.
+TIMES = 1.8
+LENGTH_S = 1.2
+SEED = 1
+
+
+def _heavy_start():
+    found = deployments.read(DEPLOYMENT.read_bytes()).unwrap()
+    heavy = {
+        name: msgspec.structs.replace(kind, per_s=kind.per_s * TIMES)
+        for name, kind in found.request_by_kind.items()
+    }
+    return msgspec.structs.replace(
+        found, length_s=LENGTH_S, request_by_kind=heavy
+    )
+
+
+def _worth(deployment, placement, policy):
+    outcomes = experiments.play(
+        deployment, policies.by_name(policy).unwrap(), placement, SEED
+    )
+    return experiments.summarise(deployment, outcomes).worth
+
+
+def test_many_instances_do_not_all_choose_the_same_path_at_first():
+    deployment = _heavy_start()
+    placement = pool_world.place(deployment)
+    alike = _worth(deployment, placement, 'unspread')
+    spread = _worth(deployment, placement, 'marginal')
+    assert alike < 0.9
+    assert spread > 0.97
--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -139,12 +139,16 @@
             total += round(loads.requests_by_target.get(target_id, 0) * share)
         return total
 
+    @property
+    def is_sampled(self) -> bool:
+        """Whether only some of the other instances are heard of."""
+        return self._instances - 1 > soft_exchange.MAX_TOLD_ALL
+
     def _represented(self, heard: int) -> float:
         """Returns for how many instances each one heard of stands."""
-        others = self._instances - 1
-        if not heard or others <= soft_exchange.MAX_TOLD_ALL:
+        if not heard or not self.is_sampled:
             return 1.0
-        return max(1.0, others / heard)
+        return max(1.0, (self._instances - 1) / heard)
 
     def _fresh(self) -> list[OwnLoads]:
         oldest = self._timer.now() - PEER_LOAD_AGE_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -7,7 +7,7 @@
 would make all of them late.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import math
 from typing import NamedTuple
 
@@ -87,6 +87,10 @@
 _FULL = _Terms(0.0, math.inf)
 
 
+def _undrawn() -> float:
+    return 0.0
+
+
 def choose(
     engine: desired.Engine,
     graph: segments.SegmentGraph,
@@ -94,11 +98,14 @@
     load: Load,
     excluded: Iterable[str] = (),
     pipe_limit: float = PIPE_LIMIT,
+    draw: Callable[[], float] = _undrawn,
 ) -> Choice:
     """Returns the cheapest path that has room and is fast enough.
 
     :param excluded: ids of targets that are not to be used.
     :param pipe_limit: share of a pipe in use up to which paths cross it.
+    :param draw: gives the exponent by which a target's price is changed, so
+        that instances that know the same don't all choose the same path.
     """
     without = frozenset(excluded)
     # A target's segments differ only by their layers.
@@ -111,6 +118,9 @@
             terms = _FULL
             if target.id not in without:
                 terms = _terms(engine, segment, demand.tokens, load)
+                if terms is not _FULL:
+                    factor = terms.factor * math.exp(draw())
+                    terms = terms._replace(factor=factor)
             terms_by_target[target.id] = terms
         if terms is _FULL:
             return None
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -1,6 +1,7 @@
 """Finds a path for a request, and learns from targets that reject one."""
 
 from collections.abc import Iterable
+import random
 
 from cactusmux_base import events
 from cactusmux_base import metrics
@@ -18,6 +19,8 @@
 from . import target_book
 from . import targets
 
+# Largest change of a price, as an exponent.
+PRICE_SPREAD = 0.3
 ROOM_POLL_S = 0.01
 # For the answer of a request whose time ends while it waits.
 ANSWER_S = 0.02
@@ -37,6 +40,7 @@
         timer: timers.TimerService,
         metric: metrics.Metrics,
         held: backoffs.Backoffs,
+        rng: random.Random,
     ) -> None:
         self._book = book
         self._ledger = ledger
@@ -45,6 +49,7 @@
         self._timer = timer
         self._metric = metric
         self._held = held
+        self._rng = rng
         self._full_until_by_id: dict[str, float] = {}
 
     def choose(
@@ -77,6 +82,7 @@
                     self._ledger.all_loads(self._paces.slow()),
                     self._excluded() | avoided,
                     pipe_limit,
+                    self._draw,
                 )
                 if choice.path is not None:
                     return choice
@@ -85,6 +91,15 @@
                 return choice
             self._timer.sleep(ROOM_POLL_S)
 
+    def _draw(self) -> float:
+        """Draws how a price is changed, where loads are known by samples.
+
+        Many instances then choose at once by what few of them have told.
+        """
+        if not self._ledger.is_sampled:
+            return 0.0
+        return self._rng.uniform(-PRICE_SPREAD, PRICE_SPREAD)
+
     def is_usable(self, service: str, path: cost_model.Path) -> bool:
         """Whether a path that was chosen earlier may still be used."""
         excluded = self._excluded()
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -200,6 +200,7 @@
             timer,
             metric,
             self._held,
+            rng,
         )
         streams = stream_run.StreamParts(
             finder=finder,
--- a/packages/cactusmux-relay/tests/test_left_alone_machine.py
+++ b/packages/cactusmux-relay/tests/test_left_alone_machine.py
@@ -178,7 +178,7 @@
         )
         paces = pace_book.PaceBook(silent_orders.SilentOrders(), timer)
         finder = path_finder.PathFinder(
-            self.book, ledger, down, paces, timer, metric, self.held
+            self.book, ledger, down, paces, timer, metric, self.held, rng
         )
         self.streams = stream_run.StreamParts(
             finder=finder,
--- a/packages/cactusmux-relay/tests/test_path_choice.py
+++ b/packages/cactusmux-relay/tests/test_path_choice.py
@@ -1,3 +1,5 @@
+import random
+
 from cactusmux_fakes import sample_engine
 from cactusmux_relay import path_choice
 from cactusmux_relay import segments
@@ -92,3 +94,41 @@
         ENGINE, graph, DEMAND, load, (), path_choice.LAST_PIPE_LIMIT
     )
     assert _ids(loose) == ['first', 'other']
+
+
+def _copies(count):
+    """Like copies of the model, each on one target."""
+    return segments.SegmentGraph(
+        ENGINE._replace(layers=20),
+        [_target(f'c{number}', 0, 20, 'a100', 'a') for number in range(count)],
+    )
+
+
+def test_instances_that_know_the_same_choose_different_paths():
+    """All of a large fleet chose the same one until they heard of it."""
+    rng = random.Random(1)
+    chosen = set()
+    for _ in range(40):
+        choice = path_choice.choose(
+            ENGINE,
+            _copies(4),
+            DEMAND,
+            _load(),
+            draw=lambda: rng.uniform(-0.3, 0.3),
+        )
+        chosen.update(_ids(choice))
+    assert chosen == {'c0', 'c1', 'c2', 'c3'}
+
+
+def test_spread_prices_lead_to_no_full_target():
+    load = _load(tokens={'c0': 1e6, 'c1': 1e6, 'c2': 1e6})
+    rng = random.Random(1)
+    for _ in range(20):
+        choice = path_choice.choose(
+            ENGINE,
+            _copies(4),
+            DEMAND,
+            load,
+            draw=lambda: rng.uniform(-0.3, 0.3),
+        )
+        assert _ids(choice) == ['c3']
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -53,6 +53,7 @@
             self.timer,
             metric,
             self.held,
+            random.Random(1),
         )
         self._service = state.service_by_name[sample_engine.SERVICE]
         self._route = state.routes[0]
