Probe no other stages of a stream whose silence is explained; free pipes

A stream that stays silent through a target known to be down, for want of a path or a repeat, had all its other stages probed every 0.4 s by each instance. It suspects none now; another one that is dark shows by streams that don't pass through the first.

A send that a target rejected counted as a crossing of each pipe on its path all the same. A rejected send takes its crossings back, as the engine model has done all along.

Tests, failing before: test_stream_that_waits_for_a_way_round_suspects_no_ other_targets, test_path_that_rejected_fills_no_pipe.

--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -138,7 +138,11 @@
             for target_id in stream.target_ids:
                 last_at = last_at_by_target.get(target_id, 0.0)
                 last_at_by_target[target_id] = max(last_at, stream.last_at)
+        down_ids = self._down.ids
         for stream in silent:
+            if not down_ids.isdisjoint(stream.target_ids):
+                # Why it is silent is known; it waits for another path.
+                continue
             for stage in stream.path:
                 heard_at = last_at_by_target.get(stage.target.id, 0.0)
                 if now - heard_at <= MIN_SILENCE_S:
--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -35,7 +35,7 @@
         self._at = 0.0
 
     def add(self, now: float, tokens: float) -> None:
-        self._rate = self.rate(now) + tokens / PIPE_WINDOW_S
+        self._rate = max(0.0, self.rate(now) + tokens / PIPE_WINDOW_S)
         self._at = now
 
     def rate(self, now: float) -> float:
@@ -73,7 +73,10 @@
             self._tokens_by_target[each] -= tokens
 
     def note_crossings(self, path: cost_model.Path, tokens: float) -> None:
-        """Notes that tokens will go through the pipes of a path."""
+        """Notes that tokens will go through the pipes of a path.
+
+        :param tokens: negative ones take back what was noted just before.
+        """
         now = self._timer.now()
         for stage, following in zip(path, path[1:], strict=False):
             zones = (stage.target.zone, following.target.zone)
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -200,6 +200,8 @@
         )
         match outcome:
             case outcomes.NotRun():
+                # Nothing went through its pipes.
+                self._parts.ledger.note_crossings(path, -self._demand.tokens)
                 self._note_not_run(outcome)
             case outcomes.MaybeRun(_, detail):
                 self._runs += 1
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -502,3 +502,20 @@
     _, body, complete = _ask(rig)
     assert complete
     assert body == b''.join(EVENTS)
+
+
+def test_path_that_rejected_fills_no_pipe(rig):
+    """Rejected sends filled the estimate, and paths were refused for it."""
+    noted = []
+    note = rig.ledger.note_crossings
+
+    def noted_crossings(path, tokens):
+        noted.append(tokens)
+        note(path, tokens)
+
+    rig.ledger.note_crossings = noted_crossings
+    full = _target(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+    rig.use_engines(full.address)
+    _ask(rig)
+    assert len(noted) > 1
+    assert sum(noted) == 0.0
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -108,6 +108,21 @@
     assert not other.call.is_cut
 
 
+def test_stream_that_waits_for_a_way_round_suspects_no_other_targets():
+    """Each instance kept probing all stages of the streams that it kept."""
+    watched = _Watched()
+    stream = watched.add('x', 'y', secure_next=lambda: False)
+    watched.play(stream, [0.05] * 4)
+    watched.timer.advance(0.2)
+    watched.live.check()
+    assert watched.suspected == ['x', 'y']
+    watched.down.mark(sample_engine.target('y'), 'test')
+    watched.suspected.clear()
+    watched.timer.advance(0.5)
+    watched.live.check()
+    assert watched.suspected == []
+
+
 def test_stream_whose_events_arrive_is_not_cut_for_a_down_target():
     watched = _Watched()
     stream = watched.add('x')
