Move news of loads and targets out of the wiring

What an instance tells the others of its work, and takes of theirs, is fleet_news now. No change of behaviour; tests of the adapter's sessions run as before.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/fleet_news.py
@@ -0,0 +1,79 @@
+"""What an instance tells the others of its work, and takes of theirs."""
+
+from collections.abc import Callable, Mapping
+
+from . import down_targets
+from . import leaving_targets
+from . import load_ledger
+from . import pace_book
+from . import refused_callers
+from . import soft_exchange
+from . import store_mirror
+from . import target_book
+
+
+class FleetNews:
+    """Makes our news, and hands those of others on to who needs them."""
+
+    def __init__(
+        self,
+        name: str,
+        is_stopping: Callable[[], bool],
+        mirror_by_prefix: Mapping[str, store_mirror.StoreMirror],
+        ledger: load_ledger.LoadLedger,
+        book: target_book.TargetBook,
+        down: down_targets.DownTargets,
+        paces: pace_book.PaceBook,
+        refused: refused_callers.RefusedCallers,
+    ) -> None:
+        self._name = name
+        self._is_stopping = is_stopping
+        self._mirror_by_prefix = mirror_by_prefix
+        self._ledger = ledger
+        self._book = book
+        self._down = down
+        self._paces = paces
+        self._refused = refused
+
+    def own(self) -> soft_exchange.News:
+        """Returns what the others are to know now."""
+        loads = self._ledger.own()
+        return soft_exchange.News(
+            name=self._name,
+            is_stopping=self._is_stopping(),
+            changed_by_prefix={
+                prefix: mirror.changed
+                for prefix, mirror in self._mirror_by_prefix.items()
+            },
+            tokens_by_target={
+                target_id: int(tokens)
+                for target_id, tokens in loads.tokens_by_target.items()
+            },
+            requests_by_target=dict(loads.requests_by_target),
+            pipe_tokens={
+                name: int(rate) for name, rate in loads.pipe_tokens.items()
+            },
+            down=sorted(self._down.ids),
+            pace_by_target=self._paces.own(),
+            refused=self._refused.own(),
+            leaving=self._book.leaving(),
+        )
+
+    def take(self, news: soft_exchange.News) -> None:
+        """Takes what another instance knows of loads and targets."""
+        self._ledger.note_peer(
+            news.name,
+            load_ledger.OwnLoads(
+                news.tokens_by_target,
+                news.requests_by_target,
+                news.pipe_tokens,
+            ),
+        )
+        self._paces.note_told(news.pace_by_target)
+        self._refused.note_told(news.refused)
+        for start in news.leaving:
+            self._book.note_leaving(start, leaving_targets.Source.PEER)
+        for target_id in news.down:
+            target = self._book.target_by_id.get(target_id)
+            if target is not None:
+                self._down.note_told(target)
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -17,11 +17,11 @@
 from . import directory
 from . import down_targets
 from . import fleet
+from . import fleet_news
 from . import gauges
 from . import held_orders
 from . import http_server
 from . import leaving_reports
-from . import leaving_targets
 from . import live_streams
 from . import load_ledger
 from . import membership
@@ -109,6 +109,16 @@
         self._fleet = fleet.Fleet(own, timer)
         self._contact = store_contact.StoreContact(timer)
         self._mirror_by_prefix = self._make_mirrors()
+        self._news = fleet_news.FleetNews(
+            settings.name,
+            lambda: self.is_stopping,
+            self._mirror_by_prefix,
+            self._ledger,
+            self._book,
+            self._down,
+            self._paces,
+            self._refused,
+        )
         self._checks = mirror_checks.MirrorChecks(
             tuple(self._mirror_by_prefix.values()),
             lambda: len(self._fleet.instance_by_name),
@@ -121,7 +131,7 @@
         self._exchange = soft_exchange.SoftExchange(
             settings.exchange_address,
             timer,
-            self._own_news,
+            self._news.own,
             self._fleet.peer_addresses,
             self._take_news,
             rng,
@@ -378,47 +388,9 @@
         if is_kept and mirror.is_settled:
             self._take_instances()
 
-    def _own_news(self) -> soft_exchange.News:
-        loads = self._ledger.own()
-        return soft_exchange.News(
-            name=self._settings.name,
-            is_stopping=self.is_stopping,
-            changed_by_prefix={
-                prefix: mirror.changed
-                for prefix, mirror in self._mirror_by_prefix.items()
-            },
-            tokens_by_target={
-                target_id: int(tokens)
-                for target_id, tokens in loads.tokens_by_target.items()
-            },
-            requests_by_target=dict(loads.requests_by_target),
-            pipe_tokens={
-                name: int(rate) for name, rate in loads.pipe_tokens.items()
-            },
-            down=sorted(self._down.ids),
-            pace_by_target=self._paces.own(),
-            refused=self._refused.own(),
-            leaving=self._book.leaving(),
-        )
-
     def _take_news(self, news: soft_exchange.News) -> None:
-        self._ledger.note_peer(
-            news.name,
-            load_ledger.OwnLoads(
-                news.tokens_by_target,
-                news.requests_by_target,
-                news.pipe_tokens,
-            ),
-        )
-        self._paces.note_told(news.pace_by_target)
-        self._refused.note_told(news.refused)
-        for start in news.leaving:
-            self._book.note_leaving(start, leaving_targets.Source.PEER)
+        self._news.take(news)
         self.directory.note_stopping(news.name, news.is_stopping)
-        for target_id in news.down:
-            target = self._book.target_by_id.get(target_id)
-            if target is not None:
-                self._down.note_told(target)
         peer = self._fleet.instance_by_name.get(news.name)
         if peer is not None:
             self._puller.note_changes(
