Answer what has arrived at a stop; judge callers by their progress

- test_request_that_has_just_arrived_at_a_stop_is_answered: a planned stop closed connections that were idle, also where a request had just arrived on them; the caller got a reset.
They are read for up to 0.2 s now.
- test_slow_caller_that_takes_bytes_is_not_cut: 10 s were the time for a whole answer, so a slow caller of a large one was cut like a stalled one.
- test_body_in_drops_ends: a body that came in drops had no end; it has 60 s.

A target's drops end with the request's deadline, and with the caller's own patience, as before.

--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -13,6 +13,7 @@
 from cactusmux_base import events
 from cactusmux_base import timers
 import gevent
+from gevent import select
 from gevent import server
 from gevent import socket
 import h11
@@ -22,9 +23,16 @@
 RECEIVE_BYTES = 65536
 # Callers that send the next request early; more than this isn't read.
 MAX_EARLY_BYTES = 262144
+# Of each piece of an answer: a slow caller that takes bytes isn't cut.
 SEND_TIMEOUT_S = 10.0
+SEND_PIECE_BYTES = 65536
+# A body that comes in drops ends by then, however small its pauses.
+BODY_TIMEOUT_S = 60.0
 # How long bytes in flight are read after an answer that ends a connection.
 LINGER_S = 0.5
+# At a stop, for requests that have arrived and aren't read yet.
+LAST_READS_S = 0.2
+LAST_READS_POLL_S = 0.01
 BACKLOG = 1024
 
 Header = tuple[bytes, bytes]
@@ -121,8 +129,16 @@
         self.is_closing = True
 
     def stop(self) -> None:
-        """Accepts no more connections and closes the idle ones."""
+        """Accepts no more connections and closes the idle ones.
+
+        Requests that have arrived by then are still answered.
+        """
         self._server.stop(timeout=0)
+        until = self._timer.now() + LAST_READS_S
+        while self._timer.now() < until and any(
+            each.is_busy or each.has_unread() for each in self._connections
+        ):
+            self._timer.sleep(LAST_READS_POLL_S)
         for connection in list(self._connections):
             if not connection.is_busy:
                 connection.close()
@@ -169,6 +185,16 @@
         self._early_bytes = 0
         self._caller_left = False
 
+    def has_unread(self) -> bool:
+        """Whether bytes of a request have arrived and aren't read yet."""
+        if self._h11.trailing_data[0]:
+            return True
+        try:
+            readable, _, _ = select.select([self._sock], [], [], 0)
+        except (OSError, ValueError):
+            return False
+        return bool(readable)
+
     def run(self) -> None:
         try:
             while self._serve_one():
@@ -263,6 +289,7 @@
 
     def _read_body(self) -> bytes | None:
         limits = self._limits()
+        deadline = self._timer.now() + BODY_TIMEOUT_S
         parts: list[bytes] = []
         size = 0
         while True:
@@ -277,7 +304,8 @@
                 continue
             if event is not h11.NEED_DATA:
                 return None
-            data = self._receive(limits.idle_timeout_s)
+            left_s = deadline - self._timer.now()
+            data = self._receive(min(limits.idle_timeout_s, left_s))
             if not data:
                 return None
             self._h11.receive_data(data)
@@ -347,11 +375,10 @@
         self.close()
 
     def _write(self, event: h11.Event) -> None:
-        data = self._h11.send(event)
-        if not data:
-            return
-        with gevent.Timeout(SEND_TIMEOUT_S, TimeoutError):
-            self._sock.sendall(data)
+        data = memoryview(self._h11.send(event) or b'')
+        for start in range(0, len(data), SEND_PIECE_BYTES):
+            with gevent.Timeout(SEND_TIMEOUT_S, TimeoutError):
+                self._sock.sendall(data[start : start + SEND_PIECE_BYTES])
 
 
 def _check_size(head: h11.Request, most_bytes: int) -> None:
--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -197,3 +197,60 @@
     gevent.sleep(0.05)
     sock.close()
     assert server.gone.wait(timeout=2.0)
+
+
+def test_request_that_has_just_arrived_at_a_stop_is_answered(server):
+    """It was reset with its connection, which had been idle until then."""
+    sock = server.connect()
+    request = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+    sock.sendall(request)
+    first = sock.recv(1000)
+    assert first.startswith(b'HTTP/1.1 200')
+    server.server.close_after_answers()
+    sock.sendall(request)
+    server.server.stop()
+    second = _read_all(sock)
+    assert second.startswith(b'HTTP/1.1 200')
+    assert b'connection: close' in second.lower()
+
+
+def test_body_in_drops_ends(server, monkeypatch):
+    """A byte now and then kept a connection and its task for ever."""
+    monkeypatch.setattr(http_server, 'BODY_TIMEOUT_S', 0.3)
+    sock = server.connect()
+    sock.sendall(HEAD + b'Content-Length: 900\r\n\r\n')
+    is_closed = False
+    with gevent.Timeout(5.0):
+        while not is_closed:
+            gevent.sleep(0.05)
+            try:
+                sock.sendall(b'x')
+            except OSError:
+                is_closed = True
+    assert server.requests == []
+
+
+def test_slow_caller_that_takes_bytes_is_not_cut(monkeypatch):
+    """The time for a whole answer was that of a stalled one."""
+    body = b'x' * 12_000_000
+    monkeypatch.setattr(http_server, 'SEND_TIMEOUT_S', 1.0)
+    served = http_server.HttpServer(
+        '127.0.0.1:0',
+        lambda request, answerer: answerer.answer(200, [], body),
+        timers.GeventTimers(),
+    )
+    served.start()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    sock.connect(('127.0.0.1', served.port))
+    sock.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    received = 0
+    with gevent.Timeout(20.0):
+        while received < len(body):
+            gevent.sleep(0.02)
+            data = sock.recv(65536)
+            if not data:
+                break
+            received += len(data)
+    served.stop()
+    assert received >= len(body)
