Tell a configuration by the watchers, the ones with the widest links

The change fell into a compaction, in which watches are deaf, while 35 of 100 instances were cut off: a shared check had to find it.

- The finder told all others at once, and all 194 asked it for a copy: some 150 calls on 0.12 of a core and 20 Mbit/s, each given up after 1 s and asked again.
- News to all were left out where the same news had just gone to a sample (test_news_go_to_all_that_are_named_also_just_after_a_sample failed).

Whoever finds a change past the watches tells the watchers, and each watcher tells its zone's others, so that none is asked by more than some twenty. The watchers are the instances of a zone with the widest links (settings); by name they were -1 and -10, of which the second is small. The list of watchers holds while entries may come back, too: a small fleet would have stopped watching (test_instance_goes_on_watching_while_its_own_entry_has_lapsed).

--- a/packages/cactusmux-relay/src/cactusmux_relay/fleet.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/fleet.py
@@ -51,7 +51,7 @@
             self._listed_at = self._timer.now()
         self.instance_by_name = instance_by_name
         had_followers = self._has_followers
-        self._watcher_names = watchers.watcher_names(found)
+        self._watcher_names = watchers.watcher_names(self.instances)
         return self._has_followers and not had_followers
 
     @property
@@ -88,6 +88,32 @@
             and each.name not in self._watcher_names
         ]
 
+    def addresses_to_tell(self, is_copied: bool) -> list[str]:
+        """Returns who is to be told of a large change at once.
+
+        Each of them asks for a copy. In a large fleet nobody is asked by
+        all: watchers tell the others of their zone; who found a change past
+        the watches tells the watchers.
+
+        :param is_copied: whether another instance brought it.
+        """
+        is_small = self.watcher_count == len(self.instance_by_name)
+        if is_small or not self._watcher_names:
+            return [] if is_copied else self.peer_addresses()
+        told: list[str] = []
+        if self._own.name in self._watcher_names:
+            told = self.follower_addresses()
+        if not is_copied:
+            told = told + self._watcher_addresses()
+        return told
+
+    def _watcher_addresses(self) -> list[str]:
+        return [
+            each.exchange_address
+            for each in self.instance_by_name.values()
+            if each.name in self._watcher_names and each.name != self._own.name
+        ]
+
     def watches(self, prefix: str) -> bool:
         """Whether this instance is to watch a prefix by itself.
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/membership.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -23,6 +23,7 @@
 
     :ivar entry_address: where callers connect.
     :ivar exchange_address: where other instances send news and read copies.
+    :ivar link_mbps: of its machine's link, 0 if it isn't known.
     """
 
     name: str
@@ -30,6 +31,7 @@
     region: str
     entry_address: str
     exchange_address: str
+    link_mbps: float = 0.0
 
 
 class _Registered(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -105,6 +105,7 @@
             settings.region,
             settings.entry_address,
             settings.exchange_address,
+            settings.link_mbps,
         )
         self._fleet = fleet.Fleet(own, timer)
         self._contact = store_contact.StoreContact(timer)
@@ -321,8 +322,9 @@
             if state is not None:
                 self.in_force.replace(state)
                 self._roster.update()
-        if not mirror.is_copied:
-            gevent.spawn(self._exchange.send_to_all)
+        addresses = self._fleet.addresses_to_tell(mirror.is_copied)
+        if addresses:
+            gevent.spawn(self._exchange.send_to, addresses)
 
     def _batch_s(self, prefix: str) -> float:
         """Changes of the configuration and of leases come at once."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
@@ -19,6 +19,7 @@
     :ivar state_prefix: of the store's keys of the desired state.
     :ivar target_prefix: of the store's keys of targets.
     :ivar callers_come_s: how long callers may come after a planned stop.
+    :ivar link_mbps: of the machine's link, 0 if it isn't known.
     """
 
     name: str
@@ -33,6 +34,7 @@
     repeat_window_s: float
     callers_come_s: float
     stop_within_s: float
+    link_mbps: float = 0.0
 
 
 class Translations(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -98,9 +98,9 @@
         """The port that is listened on, once started."""
         return self._server.server_port
 
-    def send_to_all(self) -> None:
-        """Sends our news to all others, also in a large fleet."""
-        self._send(self._peers())
+    def send_to(self, addresses: list[str]) -> None:
+        """Sends our news to these instances now, whoever has had them."""
+        self._send(addresses, is_new=True)
 
     @property
     def is_deaf(self) -> bool:
@@ -117,11 +117,12 @@
             peers = self._rng.sample(peers, SAMPLE)
         self._send(peers)
 
-    def _send(self, peers: list[str]) -> None:
+    def _send(self, peers: list[str], is_new: bool = False) -> None:
         now = self._timer.now()
         news = self._own_news()
         data = self._encoder.encode(news)
-        if data == self._last_sent and now - self._sent_at < QUIET_PERIOD_S:
+        is_known = data == self._last_sent and not is_new
+        if is_known and now - self._sent_at < QUIET_PERIOD_S:
             return
         self.heard_at_by_name[news.name] = now
         self._last_sent = data
--- a/packages/cactusmux-relay/src/cactusmux_relay/watchers.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/watchers.py
@@ -17,15 +17,24 @@
 def watcher_names(
     instances: Iterable[membership.Instance],
 ) -> frozenset[str]:
-    """Returns the names of those that watch: all of a small fleet."""
-    names_by_zone: dict[str, list[str]] = {}
+    """Returns the names of those that watch: all of a small fleet.
+
+    In a large one those of each zone with the widest links, as the others
+    take copies of them.
+    """
+    by_zone: dict[str, list[membership.Instance]] = {}
     for each in instances:
-        names_by_zone.setdefault(each.zone, []).append(each.name)
-    all_names = [name for names in names_by_zone.values() for name in names]
-    if len(all_names) <= watch_pace.SMALL_FLEET:
-        return frozenset(all_names)
+        by_zone.setdefault(each.zone, []).append(each)
+    count = sum(len(members) for members in by_zone.values())
+    most = WATCHERS_A_ZONE
+    if count <= watch_pace.SMALL_FLEET:
+        most = count
     return frozenset(
-        name
-        for names in names_by_zone.values()
-        for name in sorted(names)[:WATCHERS_A_ZONE]
+        each.name
+        for members in by_zone.values()
+        for each in sorted(members, key=_rank)[:most]
     )
+
+
+def _rank(instance: membership.Instance) -> tuple[float, str]:
+    return -instance.link_mbps, instance.name
--- a/packages/cactusmux-relay/tests/test_followers.py
+++ b/packages/cactusmux-relay/tests/test_followers.py
@@ -283,6 +283,49 @@
     assert found.follower_addresses() == []
 
 
+def _told_by(own, is_copied):
+    instances = _large()
+    found = fleet.Fleet(instances[own], timers.ManualTimers())
+    found.update(_entries(instances), True)
+    return found.addresses_to_tell(is_copied)
+
+
+def test_configuration_found_past_deaf_watches_is_not_asked_of_its_finder():
+    """All 194 others asked the one small instance that had found it."""
+    finder = 20
+    assert len(_told_by(finder, is_copied=False)) == 6
+    assert _told_by(finder, is_copied=True) == []
+
+
+def test_configuration_reaches_every_instance_by_the_watchers():
+    told = set()
+    for watcher in range(6):
+        told.update(_told_by(watcher, is_copied=True))
+    followers = _large()[6:]
+    assert told == {each.exchange_address for each in followers}
+
+
+def test_watcher_that_brings_a_configuration_tells_the_other_watchers():
+    told = _told_by(0, is_copied=False)
+    assert len(told) == 8 + 5
+
+
+def test_all_of_a_small_fleet_are_told():
+    instances = _large()[:8]
+    found = fleet.Fleet(instances[5], timers.ManualTimers())
+    found.update(_entries(instances), True)
+    assert len(found.addresses_to_tell(is_copied=False)) == 7
+    assert found.addresses_to_tell(is_copied=True) == []
+
+
+def test_instance_goes_on_watching_while_its_own_entry_has_lapsed():
+    instances = _large()[:8]
+    found = fleet.Fleet(instances[5], timers.ManualTimers())
+    found.update(_entries(instances), True)
+    found.update(_entries(instances[:2]), False)
+    assert found.watches(PREFIX)
+
+
 def test_unlisted_instance_watches_the_list_alone_at_first():
     """All instances watched everything when they started together."""
     timer = timers.ManualTimers()
--- a/packages/cactusmux-relay/tests/test_watchers.py
+++ b/packages/cactusmux-relay/tests/test_watchers.py
@@ -1,6 +1,7 @@
 from cactusmux_relay import membership
 from cactusmux_relay import watch_pace
 from cactusmux_relay import watchers
+import msgspec
 
 ZONES = ('a', 'b', 'c')
 
@@ -33,3 +34,14 @@
     left = [each for each in fleet if each != gone]
     zones = [each.zone for each in _watching(left)]
     assert sorted(zones) == sorted(ZONES * watchers.WATCHERS_A_ZONE)
+
+
+def test_instances_with_the_widest_links_watch():
+    """All others of a zone take their copies from these."""
+    fleet = [
+        msgspec.structs.replace(each, link_mbps=200.0)
+        if each.name in ('i55', 'i56', 'i57')
+        else each
+        for each in _fleet(58)
+    ]
+    assert {'i55', 'i56', 'i57'} <= set(watchers.watcher_names(fleet))
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -545,19 +545,22 @@
     assert watched.down.known_count == 0
 
 
-def test_news_of_a_configuration_go_to_all_of_a_large_fleet():
-    """Told to samples only, they took a second to reach the last one."""
+def test_news_go_to_all_that_are_named_also_just_after_a_sample():
+    """What a sample had just been sent was not sent to the others."""
     told = []
+    others = [f'10.0.0.{n}:80' for n in range(57)]
     exchange = soft_exchange.SoftExchange(
         '127.0.0.1:0',
         timers.ManualTimers(),
         lambda: _news('own'),
-        lambda: [f'10.0.0.{n}:80' for n in range(57)],
+        lambda: others,
         lambda news: None,
         random.Random(1),
     )
     exchange._send_to = lambda data, peer: told.append(peer)
-    exchange.send_to_all()
+    exchange.send()
+    told.clear()
+    exchange.send_to(others)
     assert len(set(told)) == 57
 
 
