Rate chains by their pipes; put what is left of broken chains together

- From 24.7 s, when the last of four chains had broken, to 27.8 s nothing was repaired: each chain waited for targets that might come back.
Now, when most chains are broken, what is left of them makes a new chain at once.
- Chains over several zones were rated at 20 to 29.5 requests a second; a pipe of that deployment carries 4.75 (4,661 tokens a second, 980 tokens a request).
Repairs preferred them, and the placement of 28.1 s, both chains over zones, was never more than a fifth as good as rated.
A chain that crosses is now rated at no more than half a pipe.

Beside these: a reshuffle of two whole chains takes long, as three loads run at once (one target's took 11.7 s), and the next change of mind begins anew; that is left.

--- a/packages/cactusmux-relay/src/cactusmux_relay/chains.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chains.py
@@ -23,6 +23,8 @@
 CROSSING_MS = 5.0
 # What a chain loses besides by each crossing.
 CROSSING_FACTOR = 0.8
+# Share of a pipe between zones that one chain's requests may fill.
+PIPE_SHARE = 0.5
 ROOM_SEARCH_STEPS = 18
 # A request of twice the usual size always fits.
 LEAST_ROOM_REQUESTS = 4.0
@@ -198,6 +200,9 @@
     duration_ms = token_ms * engine.usual_answer + reading_ms
     rate = writing / duration_ms * cost_model.MS_PER_S
     most = MAX_READING_SHARE * cost_model.MS_PER_S / longest_ms
+    if crossings:
+        # All tokens of a request go through each pipe on its way.
+        most = min(most, PIPE_SHARE * engine.pipe_tokens_per_s / usual)
     return min(rate, most) * CROSSING_FACTOR**crossings
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/repairing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/repairing.py
@@ -3,7 +3,8 @@
 It answers losses one after the other while traffic goes on. A broken chain
 serves nothing, so it is mended in the quickest way that leaves a good rate:
 spares take over the missing layers, or the chain is shared anew among its
-targets and the spares. In a sound chain a spare takes over from slow or weak
+targets and the spares. Where most chains are broken, what is left of them
+makes a new one. In a sound chain a spare takes over from slow or weak
 targets. Sound targets keep their layers where they can: one that gives some
 up cuts the streams that pass through them.
 """
@@ -49,6 +50,7 @@
         ]
         free = [each for each in free if each.id not in taken] + own
         kept.append(mended)
+    _merge_broken(pool, kept, free)
     take_overs.merge_weakest(pool, kept, free)
     for _ in range(MAX_TAKE_OVERS):
         if not take_overs.take_over(pool, kept, free):
@@ -81,6 +83,33 @@
     return chain if _may_return(pool, chain) else ()
 
 
+def _merge_broken(
+    pool: chain_pool.Pool,
+    kept: list[placing.Chain],
+    free: list[targets.Target],
+) -> None:
+    """Makes one chain of what is left of several, where most are broken.
+
+    Broken chains wait for targets that may come back, while others serve.
+    When hardly any does, what is left is put together at once.
+    """
+    broken = [each for each in kept if chain_pool.chain_rate(pool, each) <= 0]
+    if len(broken) < 2 or len(broken) * 2 <= len(kept):
+        return
+    left = [
+        target
+        for chain in broken
+        for target in chain_pool.own_targets(pool, chain)
+    ]
+    merged = hole_filling.share_anew(pool, left + free)
+    if not merged or chain_pool.chain_rate(pool, merged) <= 0:
+        return
+    taken = {each.target_id for each in merged}
+    free[:] = [each for each in left + free if each.id not in taken]
+    kept[:] = [each for each in kept if each not in broken]
+    kept.append(merged)
+
+
 def _may_return(pool: chain_pool.Pool, chain: placing.Chain) -> bool:
     return all(
         each.target_id in pool.usable or each.target_id in pool.returning
--- a/packages/cactusmux-relay/tests/test_placing.py
+++ b/packages/cactusmux-relay/tests/test_placing.py
@@ -1,6 +1,7 @@
 import random
 
 from cactusmux_fakes import sample_engine
+from cactusmux_relay import chains
 from cactusmux_relay import cost_model
 from cactusmux_relay import placing
 
@@ -106,3 +107,27 @@
     ]
     for cell in placing.cells_of(members):
         assert len({each.zone for each in cell}) <= placing.ZONES_OF_CELL
+
+
+def test_chain_that_crosses_thin_pipes_is_rated_by_them():
+    """Chains over zones were rated at six times what their pipes carry."""
+    thin = ENGINE._replace(pipe_tokens_per_s=4661.0)
+    groups = (chains.Group('a100', 'a'), chains.Group('a100', 'b'))
+    usual = ENGINE.usual_prompt + ENGINE.usual_answer
+    wide_rate = chains.ChainRater(ENGINE, groups).rate((2, 2)).rate
+    thin_rate = chains.ChainRater(thin, groups).rate((2, 2)).rate
+    assert wide_rate > 10.0
+    assert thin_rate <= chains.PIPE_SHARE * thin.pipe_tokens_per_s / usual
+
+
+def test_pool_with_thin_pipes_is_placed_within_zones():
+    thin = ENGINE._replace(pipe_tokens_per_s=4661.0)
+    members = sample_engine.pool()
+    zone_by_id = {each.id: each.zone for each in members}
+    placement = placing.place(thin, members, random.Random(1))
+    local = [
+        chain
+        for chain in placement.chains
+        if len({zone_by_id[each.target_id] for each in chain}) == 1
+    ]
+    assert len(local) >= 3
--- a/packages/cactusmux-relay/tests/test_repairing.py
+++ b/packages/cactusmux-relay/tests/test_repairing.py
@@ -87,6 +87,35 @@
     assert 'new' in {*repaired.spares, *repaired.layers_by_target()}
 
 
+def _with_one_down_in_each_of(placement, members, count):
+    """Takes down the largest stage of so many chains."""
+    down = {
+        max(chain, key=lambda each: each.layers.size).target_id
+        for chain in placement.chains[:count]
+    }
+    spares = set(placement.spares)
+    present = [each for each in members if each.id not in spares]
+    return _pool(present, frozenset(down))
+
+
+def test_what_is_left_of_broken_chains_serves_while_most_are_broken():
+    """All waited 3 s for targets that might come back; nobody was served."""
+    members, placement = _placed()
+    pool = _with_one_down_in_each_of(placement, members, len(placement.chains))
+    before = max(_rates(pool, placement))
+    repaired = repairing.repair(pool, placement)
+    assert before == 0.0
+    assert max(_rates(pool, repaired)) > 0.0
+
+
+def test_broken_chain_waits_while_most_others_serve():
+    members, placement = _placed()
+    pool = _with_one_down_in_each_of(placement, members, 1)
+    repaired = repairing.repair(pool, placement)
+    sound = placement.chains[1:]
+    assert set(sound) <= set(repaired.chains)
+
+
 class Losses(stateful.RuleBasedStateMachine):
     """Targets go, fail, slow down and come back, one after the other."""
 
