Let a stopping instance of a large fleet watch nothing

Found by reading: a stopping instance takes its entry off the list, is told nothing any more, is deaf after 1 s and then watched all prefixes by itself until its end, some 6 s, an answer for each batch of changes. At a rolling stop of 195 instances that may be thousands of calls, which were meant to be gone. It takes no new callers and serves what it has; it watches nothing now. Small fleets watch on as before.

--- a/packages/cactusmux-relay/src/cactusmux_relay/fleet.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/fleet.py
@@ -65,6 +65,11 @@
         """The present instances."""
         return list(self.instance_by_name.values())
 
+    @property
+    def is_small(self) -> bool:
+        """Whether all instances watch by themselves."""
+        return self.watcher_count == len(self.instance_by_name)
+
     @property
     def watcher_count(self) -> int:
         """Returns how many instances watch the store."""
@@ -97,8 +102,7 @@
 
         :param is_copied: whether another instance brought it.
         """
-        is_small = self.watcher_count == len(self.instance_by_name)
-        if is_small or not self._watcher_names:
+        if self.is_small:
             return [] if is_copied else self.peer_addresses()
         told: list[str] = []
         if self._own.name in self._watcher_names:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -333,6 +333,9 @@
         return watch_pace.SHORTEST_S
 
     def _watches(self, prefix: str) -> bool:
+        if self.is_stopping and not self._fleet.is_small:
+            # It isn't listed any more, and takes no new callers.
+            return False
         return self._exchange.is_deaf or self._fleet.watches(prefix)
 
     def _tell_delta(self, delta: deltas.Delta) -> None:
--- a/packages/cactusmux-relay/tests/test_fleet.py
+++ b/packages/cactusmux-relay/tests/test_fleet.py
@@ -118,3 +118,13 @@
     assert len(found.instances) == 30
     found.update(_entries(instances[:2]), True)
     assert len(found.instances) == 2
+
+
+def test_fleet_is_small_while_all_watch():
+    instances = _large()
+    found = fleet.Fleet(instances[0], timers.ManualTimers())
+    assert found.is_small
+    found.update(_entries(instances[:12]), True)
+    assert found.is_small
+    found.update(_entries(instances), True)
+    assert not found.is_small
