Spread the shared checks of the store from the start; receive long datagrams

Cause: while dropped history leaves the watches deaf, only the shared checks find a change. Each instance waited a whole round (25 s at 72 instances) before its first check, so instances that start together left long times without any. Ruled out by logs of each state taken: stale reads, copies from instances that are behind, lost news.

Change: the first turn is by the instance's place in the list, and rounds have no jitter.

--- a/packages/cactusmux-relay/src/cactusmux_relay/fleet.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/fleet.py
@@ -6,6 +6,7 @@
 from cactusmux_platform import stores
 
 from . import membership
+from . import turns
 from . import watchers
 
 # An instance that doesn't find itself in the list for so long watches all:
@@ -65,6 +66,13 @@
         """The present instances."""
         return list(self.instance_by_name.values())
 
+    @property
+    def turn(self) -> turns.Turn:
+        """This instance's turn in what all instances share."""
+        names = self.instance_by_name.keys()
+        place = sum(name < self._own.name for name in names)
+        return turns.Turn(place, len(names))
+
     @property
     def is_small(self) -> bool:
         """Whether all instances watch by themselves."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
@@ -14,10 +14,12 @@
 
 from . import store_mirror
 from . import tasks
+from . import turns
 
 # All instances together check so often.
 PERIOD_S = 0.35
-JITTER = 0.2
+# After a start the list of instances is complete within this time.
+LIST_S = 2.0
 # Changes that are on their way on the watches aren't missed ones.
 ON_THE_WAY_S = 0.3
 
@@ -28,28 +30,35 @@
     def __init__(
         self,
         mirrors: Sequence[store_mirror.StoreMirror],
-        instances: Callable[[], int],
+        turn: Callable[[], turns.Turn],
         timer: timers.TimerService,
         rng: random.Random,
     ) -> None:
-        """Prepares the checks.
-
-        :param instances: how many instances share them.
-        """
         self._mirrors = mirrors
-        self._instances = instances
+        self._turn = turn
         self._timer = timer
         self._rng = rng
 
     def start(self) -> None:
         """Begins to check, in a task of its own."""
-        gevent.spawn(self._run)
+        gevent.spawn(self.run)
 
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Checks in this instance's turns, without end.
+
+        Instances mostly start together. Each one's first turn is by its
+        place: if all waited a whole round, a change that the watches miss
+        would go unseen for as long.
+        """
+        self._timer.sleep(LIST_S)
+        turn = self._turn()
+        wait_s = PERIOD_S * (turn.place + self._rng.random())
+        due_at = self._timer.now() + wait_s
         while True:
-            jitter = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
-            self._timer.sleep(PERIOD_S * max(1, self._instances()) * jitter)
+            self._timer.sleep(max(0.0, due_at - self._timer.now()))
             tasks.run_step('checks', self.check, self._timer)
+            # Without jitter, as that would add up until turns coincide.
+            due_at += PERIOD_S * max(1, self._turn().instances)
 
     def check(self) -> None:
         """Reads the sample, and the rest if something was missed."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -122,7 +122,7 @@
         )
         self._checks = mirror_checks.MirrorChecks(
             tuple(self._mirror_by_prefix.values()),
-            lambda: len(self._fleet.instance_by_name),
+            lambda: self._fleet.turn,
             timer,
             rng,
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -21,7 +21,7 @@
 PERIOD_S = 0.25
 # Unchanged news are repeated this seldom, as a sign of life.
 QUIET_PERIOD_S = 0.5
-MAX_DATAGRAM_BYTES = 60000
+MAX_DATAGRAM_BYTES = 60_000
 # Larger ones fill small links; a copy is smaller when packed.
 MAX_DELTA_BYTES = 16000
 # With more other instances than this, news go to a sample of them.
@@ -55,6 +55,16 @@
     leaving: list[targets.Start] = []
 
 
+class _DatagramServer(server.DatagramServer):
+    """Receives whole datagrams; gevent's own server cuts them at 8 KiB."""
+
+    def do_read(self) -> tuple[bytes, tuple[str, int]] | None:
+        try:
+            return self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return None
+
+
 class SoftExchange:
     """Sends our news to all other instances and hands on theirs.
 
@@ -79,7 +89,7 @@
         self._on_news = on_news
         self._on_delta = on_delta
         self._rng = rng
-        self._server = server.DatagramServer((host, int(port)), self._receive)
+        self._server = _DatagramServer((host, int(port)), self._receive)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(News | deltas.Delta)
         self._last_sent = b''
--- a/packages/cactusmux-relay/tests/test_store_mirror.py
+++ b/packages/cactusmux-relay/tests/test_store_mirror.py
@@ -5,6 +5,7 @@
 from cactusmux_fakes import memory_store
 from cactusmux_relay import mirror_checks
 from cactusmux_relay import store_mirror
+from cactusmux_relay import turns
 from cactusmux_relay import watch_pace
 from hypothesis import settings
 from hypothesis import stateful
@@ -136,7 +137,10 @@
     assert world.values() == {}
     world.mirror.revision = 0
     checks = mirror_checks.MirrorChecks(
-        [sample, world.mirror], lambda: 1, world.timer, random.Random(1)
+        [sample, world.mirror],
+        lambda: turns.Turn(0, 1),
+        world.timer,
+        random.Random(1),
     )
     checks.check()
     assert world.values() == {'p/a': b'1'}
@@ -150,7 +154,10 @@
     world.mirror.step()
     before = world.store.calls_by_kind['get_prefix']
     checks = mirror_checks.MirrorChecks(
-        [sample, world.mirror], lambda: 1, world.timer, random.Random(1)
+        [sample, world.mirror],
+        lambda: turns.Turn(0, 1),
+        world.timer,
+        random.Random(1),
     )
     checks.check()
     assert world.store.calls_by_kind['get_prefix'] == before + 1
@@ -291,7 +298,10 @@
     world.timer.after(watch_pace.LONGEST_S, world.mirror.step)
     before = world.store.calls_by_kind['get_prefix']
     checks = mirror_checks.MirrorChecks(
-        [sample, world.mirror], lambda: 58, world.timer, random.Random(1)
+        [sample, world.mirror],
+        lambda: turns.Turn(0, 58),
+        world.timer,
+        random.Random(1),
     )
     checks.check()
     assert world.values() == {'p/a': b'1'}
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -488,6 +488,37 @@
     assert heard[-1] == news
 
 
+def test_news_of_many_loads_arrive_whole():
+    """The server of the event library cuts datagrams at 8 KiB."""
+    heard = []
+    receiver = soft_exchange.SoftExchange(
+        '127.0.0.1:0',
+        timers.GeventTimers(),
+        lambda: _news('b'),
+        lambda: [],
+        heard.append,
+        random.Random(1),
+    )
+    receiver.start()
+    loads = {f'i-{number:010x}': 1234 for number in range(1600)}
+    sender = soft_exchange.SoftExchange(
+        '127.0.0.1:0',
+        timers.GeventTimers(),
+        lambda: _news('a', tokens_by_target=loads),
+        lambda: [f'127.0.0.1:{receiver.port}'],
+        heard.append,
+        random.Random(1),
+    )
+    sender.start()
+    sender.send()
+    for _ in range(400):
+        if heard:
+            break
+        gevent.sleep(0.005)
+    assert heard
+    assert heard[0].tokens_by_target == loads
+
+
 def test_instance_that_hears_of_no_other_is_deaf():
     """It has to watch the store by itself then."""
     timer = timers.ManualTimers()
