Let parts add their own news and soft exclusions; assemble the core apart

Cause: the parts to come each tell something to the other instances and each know targets that are better left out; they would all change the same lines.

The test of older news drops all fields from the leaving ones on, as one follows them now.

Measured: tests of cactusmux-relay and of the adapter; nothing uses the new seams yet.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -0,0 +1,116 @@
+"""Puts the parts together that serve requests."""
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_routing import breakers
+
+from . import backoffs
+from . import dialect
+from . import down_targets
+from . import live_streams
+from . import load_ledger
+from . import pace_book
+from . import path_finder
+from . import plain_relay
+from . import refused_callers
+from . import repeat_budget
+from . import request_core
+from . import sending
+from . import stream_run
+from . import target_book
+from . import target_calls
+
+
+class SharedParts(NamedTuple):
+    """What the request core shares with other parts of an instance.
+
+    :ivar takes_work: whether a new request that may last so many seconds may
+        still be begun.
+    """
+
+    zone: str
+    spelling: dialect.Dialect
+    in_force: request_core.InForce
+    book: target_book.TargetBook
+    ledger: load_ledger.LoadLedger
+    down: down_targets.DownTargets
+    paces: pace_book.PaceBook
+    held: backoffs.Backoffs
+    budget: repeat_budget.RepeatBudget
+    live: live_streams.LiveStreams
+    refused: refused_callers.RefusedCallers
+    timer: timers.TimerService
+    metric: metrics.Metrics
+    rng: random.Random
+    takes_work: Callable[[float], bool]
+
+
+def assemble(shared: SharedParts) -> request_core.RequestCore:
+    """Returns a core that serves plain requests and streams."""
+    connections = target_calls.TargetConnections(shared.timer)
+    connections.start()
+    sender = sending.Sender(
+        connections, shared.spelling, shared.timer, shared.held, shared.book
+    )
+    return request_core.RequestCore(
+        shared.in_force,
+        shared.spelling,
+        _plain_relay(shared, sender),
+        _stream_parts(shared, sender),
+        shared.budget,
+        shared.timer,
+        shared.metric,
+        shared.rng,
+        shared.takes_work,
+    )
+
+
+def _plain_relay(
+    shared: SharedParts, sender: sending.Sender
+) -> plain_relay.PlainRelay:
+    health = breakers.Breakers(
+        shared.timer, shared.rng, shared.metric, lambda lost: True
+    )
+    return plain_relay.PlainRelay(
+        shared.book,
+        shared.ledger,
+        sender,
+        shared.budget,
+        health,
+        shared.timer,
+        shared.metric,
+        shared.rng,
+        shared.zone,
+        shared.held,
+    )
+
+
+def _stream_parts(
+    shared: SharedParts, sender: sending.Sender
+) -> stream_run.StreamParts:
+    finder = path_finder.PathFinder(
+        shared.book,
+        shared.ledger,
+        shared.down,
+        shared.paces,
+        shared.timer,
+        shared.metric,
+        shared.held,
+        shared.rng,
+    )
+    return stream_run.StreamParts(
+        finder=finder,
+        ledger=shared.ledger,
+        sender=sender,
+        spelling=shared.spelling,
+        budget=shared.budget,
+        down=shared.down,
+        refused=shared.refused,
+        live=shared.live,
+        timer=shared.timer,
+        metric=shared.metric,
+    )
--- a/packages/cactusmux-relay/src/cactusmux_relay/fleet_news.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/fleet_news.py
@@ -1,10 +1,14 @@
 """What an instance tells the others of its work, and takes of theirs."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+
+from cactusmux_base import events
+import msgspec
 
 from . import down_targets
 from . import leaving_targets
 from . import load_ledger
+from . import news_topics
 from . import pace_book
 from . import refused_callers
 from . import soft_exchange
@@ -25,6 +29,7 @@
         down: down_targets.DownTargets,
         paces: pace_book.PaceBook,
         refused: refused_callers.RefusedCallers,
+        topics: Iterable[news_topics.NewsTopic] = (),
     ) -> None:
         self._name = name
         self._is_stopping = is_stopping
@@ -34,6 +39,7 @@
         self._down = down
         self._paces = paces
         self._refused = refused
+        self._topic_by_name = {each.name: each for each in topics}
 
     def own(self) -> soft_exchange.News:
         """Returns what the others are to know now."""
@@ -57,8 +63,15 @@
             pace_by_target=self._paces.own(),
             refused=self._refused.own(),
             leaving=self._book.leaving(),
+            data_by_topic=self._own_topics(),
         )
 
+    def _own_topics(self) -> dict[str, bytes]:
+        data_by_topic = {
+            name: topic.own() for name, topic in self._topic_by_name.items()
+        }
+        return {name: data for name, data in data_by_topic.items() if data}
+
     def take(self, news: soft_exchange.News) -> None:
         """Takes what another instance knows of loads and targets."""
         self._ledger.note_peer(
@@ -77,3 +90,19 @@
             target = self._book.target_by_id.get(target_id)
             if target is not None:
                 self._down.note_told(target)
+        self._take_topics(news)
+
+    def _take_topics(self, news: soft_exchange.News) -> None:
+        for name, data in news.data_by_topic.items():
+            topic = self._topic_by_name.get(name)
+            if topic is None:
+                continue
+            try:
+                topic.take(news.name, data)
+            except msgspec.MsgspecError as error:
+                events.warning(
+                    'news_topic_unreadable',
+                    topic=name,
+                    sender=news.name,
+                    cause=str(error),
+                )
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -1,6 +1,6 @@
 """Finds a path for a request, and learns from targets that reject one."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 import random
 
 from cactusmux_base import events
@@ -27,6 +27,9 @@
 # A target that was short of memory is left out for so long.
 FULL_S = 0.3
 
+# Tells which targets are to be used only if no path does without them.
+SoftExclusion = Callable[[], frozenset[str]]
+
 
 class PathFinder:
     """Chooses paths by what is known of targets and loads."""
@@ -41,7 +44,9 @@
         metric: metrics.Metrics,
         held: backoffs.Backoffs,
         rng: random.Random,
+        soft_exclusions: Sequence[SoftExclusion] = (),
     ) -> None:
+        self._soft_exclusions = tuple(soft_exclusions)
         self._book = book
         self._ledger = ledger
         self._down = down
@@ -72,25 +77,50 @@
             pipe_limit = path_choice.PIPE_LIMIT
             if is_last:
                 pipe_limit = path_choice.LAST_PIPE_LIMIT
-            graph = self._book.graph(exchange.service.name)
-            engine = exchange.service.engine
-            if graph is not None and engine is not None:
-                choice = path_choice.choose(
-                    engine,
-                    graph,
-                    demand,
-                    self._ledger.all_loads(self._paces.slow()),
-                    self._excluded() | avoided,
-                    pipe_limit,
-                    self._draw,
-                )
-                if choice.path is not None:
-                    return choice
+            choice = self._look(exchange, demand, avoided, pipe_limit)
+            if choice.path is not None:
+                return choice
             if is_last:
                 self._log_no_path(exchange, demand, choice)
                 return choice
             self._timer.sleep(ROOM_POLL_S)
 
+    def _look(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        avoided: set[str],
+        pipe_limit: float,
+    ) -> path_choice.Choice:
+        """Looks for a path once, with those softly excluded if need be."""
+        excluded = self._excluded() | avoided
+        soft = self._softly_excluded() - excluded
+        choice = self._search(exchange, demand, excluded | soft, pipe_limit)
+        if choice.path is None and soft:
+            choice = self._search(exchange, demand, excluded, pipe_limit)
+        return choice
+
+    def _search(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        excluded: set[str],
+        pipe_limit: float,
+    ) -> path_choice.Choice:
+        graph = self._book.graph(exchange.service.name)
+        engine = exchange.service.engine
+        if graph is None or engine is None:
+            return path_choice.Choice(None, 0.0, len(excluded), 0.0)
+        return path_choice.choose(
+            engine,
+            graph,
+            demand,
+            self._ledger.all_loads(self._paces.slow()),
+            excluded,
+            pipe_limit,
+            self._draw,
+        )
+
     def _draw(self) -> float:
         """Draws how a price is changed, where loads are known by samples.
 
@@ -120,6 +150,9 @@
     def _excluded(self) -> set[str]:
         return self._full() | self._down.ids | self._held.ids
 
+    def _softly_excluded(self) -> set[str]:
+        return set().union(*(each() for each in self._soft_exclusions))
+
     def wait_s(self, service: desired.Service) -> float:
         """Returns for how long targets left alone leave no path at all."""
         down = self._down.ids
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -8,11 +8,11 @@
 from cactusmux_base import timers
 from cactusmux_control import lease_types
 from cactusmux_control import leases
-from cactusmux_routing import breakers
 import gevent
 
 from . import backoffs
 from . import copies
+from . import core_assembly
 from . import deltas
 from . import directory
 from . import down_targets
@@ -27,20 +27,15 @@
 from . import membership
 from . import mirror_checks
 from . import pace_book
-from . import path_finder
 from . import placement_keeper
-from . import plain_relay
 from . import refused_callers
 from . import relay_settings
 from . import repeat_budget
 from . import request_core
-from . import sending
 from . import soft_exchange
 from . import store_contact
 from . import store_mirror
-from . import stream_run
 from . import target_book
-from . import target_calls
 from . import target_roster
 from . import watch_pace
 
@@ -180,61 +175,24 @@
     def _make_core(
         self, metric: metrics.Metrics, rng: random.Random
     ) -> request_core.RequestCore:
-        timer = self._timer
-        connections = target_calls.TargetConnections(timer)
-        connections.start()
-        sender = sending.Sender(
-            connections,
-            self._given.spelling,
-            timer,
-            self._held,
-            self._book,
-        )
-        health = breakers.Breakers(timer, rng, metric, lambda lost: True)
-        plain = plain_relay.PlainRelay(
-            self._book,
-            self._ledger,
-            sender,
-            self._budget,
-            health,
-            timer,
-            metric,
-            rng,
-            self._settings.zone,
-            self._held,
-        )
-        finder = path_finder.PathFinder(
-            self._book,
-            self._ledger,
-            self._down,
-            self._paces,
-            timer,
-            metric,
-            self._held,
-            rng,
-        )
-        streams = stream_run.StreamParts(
-            finder=finder,
-            ledger=self._ledger,
-            sender=sender,
-            spelling=self._given.spelling,
-            budget=self._budget,
-            down=self._down,
-            refused=self._refused,
-            live=self._live,
-            timer=timer,
-            metric=metric,
-        )
-        return request_core.RequestCore(
-            self.in_force,
-            self._given.spelling,
-            plain,
-            streams,
-            self._budget,
-            timer,
-            metric,
-            rng,
-            self._takes_work,
+        return core_assembly.assemble(
+            core_assembly.SharedParts(
+                zone=self._settings.zone,
+                spelling=self._given.spelling,
+                in_force=self.in_force,
+                book=self._book,
+                ledger=self._ledger,
+                down=self._down,
+                paces=self._paces,
+                held=self._held,
+                budget=self._budget,
+                live=self._live,
+                refused=self._refused,
+                timer=self._timer,
+                metric=metric,
+                rng=rng,
+                takes_work=self._takes_work,
+            )
         )
 
     def _make_mirrors(self) -> dict[str, store_mirror.StoreMirror]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -41,6 +41,7 @@
     :ivar pace_by_target: of the targets that it found slow.
     :ivar refused: keys of requests that it has just refused.
     :ivar leaving: starts of targets that have said that they leave.
+    :ivar data_by_topic: what single parts tell, see :mod:`news_topics`.
     """
 
     name: str
@@ -53,6 +54,7 @@
     pace_by_target: dict[str, float]
     refused: list[int] = []
     leaving: list[targets.Start] = []
+    data_by_topic: dict[str, bytes] = {}
 
 
 class _DatagramServer(server.DatagramServer):
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -603,4 +603,8 @@
     encoded = msgspec.msgpack.encode(news)
     assert decode(encoded).leaving == [targets.Start('x', 7)]
     fields = msgspec.msgpack.decode(encoded)
-    assert decode(msgspec.msgpack.encode(fields[:-1])).leaving == []
+    # The name of the message goes before its fields.
+    place = 1 + soft_exchange.News.__struct_fields__.index('leaving')
+    older = decode(msgspec.msgpack.encode(fields[:place]))
+    assert older.leaving == []
+    assert older.data_by_topic == {}
