Divide the pipes between zones among the instances of a large fleet

Loads are known by samples that are up to 2 s old.

Change: pipe_quota gives each instance limit x capacity / instances of a pipe. A crossing needs a level without debt and pays afterwards. Rights don't accumulate: a bucket of one request each would let 72 requests through at once after an idle time, so a right that isn't used lapses, and the levels start anywhere in that cycle. Requests that would be refused otherwise have a second share, the rest up to the last limit. Paths without a share of their pipe aren't chosen; a path within the zone, or within the usual share, goes first. Resumed streams and hand-overs take shares too; rejected sends and hand-overs that are released return them. Active in fleets of more than 13 instances where the capacity of pipes is known.

Tests of cactusmux-relay and the adapter pass.

--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -15,6 +15,7 @@
 from . import load_ledger
 from . import pace_book
 from . import path_finder
+from . import pipe_quota
 from . import plain_relay
 from . import refused_callers
 from . import repeat_budget
@@ -47,6 +48,7 @@
     metric: metrics.Metrics
     rng: random.Random
     takes_work: Callable[[float], bool]
+    quota: pipe_quota.PipeQuota
 
 
 def assemble(shared: SharedParts) -> request_core.RequestCore:
@@ -101,6 +103,7 @@
         shared.metric,
         shared.held,
         shared.rng,
+        quota=shared.quota,
     )
     return stream_run.StreamParts(
         finder=finder,
--- a/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
@@ -12,6 +12,7 @@
 from . import outcomes
 from . import path_choice
 from . import path_finder
+from . import pipe_quota
 from . import repeat_budget
 
 
@@ -32,6 +33,7 @@
         self._exchange = exchange
         self._demand = demand
         self._secured: path_choice.Choice | None = None
+        self._crossings: pipe_quota.Grant = ()
         self._kept_for: outcomes.Refusal | None = None
 
     def secure(self, avoided: set[str]) -> bool:
@@ -52,6 +54,9 @@
             return self.keep(outcomes.Refusal.NO_ROOM)
         self._budget.take(service)
         self._ledger.add(_ids(choice), self._demand.tokens)
+        self._crossings = self._finder.reserve_crossings(
+            self._exchange, choice.path, self._demand
+        )
         self._secured = choice
         return True
 
@@ -61,6 +66,8 @@
         self._secured = None
         if secured is not None:
             self._ledger.remove(_ids(secured), self._demand.tokens)
+            self._finder.return_crossings(self._crossings)
+            self._crossings = ()
         return secured
 
     def keep(self, reason: outcomes.Refusal) -> bool:
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -29,6 +29,9 @@
 # The same for a request that would be refused otherwise.
 LAST_PIPE_LIMIT = 0.5
 
+# The names of two zones, in order.
+Pipe = tuple[str, str]
+
 
 class Demand(NamedTuple):
     """What a request will need: tokens of its prompt and of its answer.
@@ -54,12 +57,14 @@
         path has room.
     :ivar excluded: how many targets were not to be used.
     :ivar fullest_pipe: share in use of the fullest pipe between zones.
+    :ivar withheld_pipes: how many pipes this instance has no share of now.
     """
 
     path: cost_model.Path | None
     pause_ms: float
     excluded: int
     fullest_pipe: float
+    withheld_pipes: int = 0
 
 
 class Load(NamedTuple):
@@ -91,6 +96,10 @@
     return 0.0
 
 
+def _unlimited(pipe: Pipe) -> bool:
+    return True
+
+
 def choose(
     engine: desired.Engine,
     graph: segments.SegmentGraph,
@@ -99,6 +108,7 @@
     excluded: Iterable[str] = (),
     pipe_limit: float = PIPE_LIMIT,
     draw: Callable[[], float] = _undrawn,
+    may_cross: Callable[[Pipe], bool] = _unlimited,
 ) -> Choice:
     """Returns the cheapest path that has room and is fast enough.
 
@@ -106,10 +116,12 @@
     :param pipe_limit: share of a pipe in use up to which paths cross it.
     :param draw: gives the exponent by which a target's price is changed, so
         that instances that know the same don't all choose the same path.
+    :param may_cross: whether this instance has a share of a pipe now.
     """
     without = frozenset(excluded)
     # A target's segments differ only by their layers.
     terms_by_target: dict[str, _Terms] = {}
+    has_share_by_pipe: dict[Pipe, bool] = {}
 
     def price(segment: segments.Segment) -> float | None:
         target = segment.target
@@ -132,6 +144,12 @@
         share = _pipe_share(engine, load, zone, next_zone)
         if share > pipe_limit:
             return None
+        name = pipe(zone, next_zone)
+        has_share = has_share_by_pipe.get(name)
+        if has_share is None:
+            has_share = has_share_by_pipe[name] = may_cross(name)
+        if not has_share:
+            return None
         return CROSSING_MS + CROSSING_WAIT_MS * share / (1.0 - share)
 
     path = graph.cheapest(price, crossing_price)
@@ -140,7 +158,11 @@
         path = None
     fullest = max(load.pipe_tokens.values(), default=0.0)
     return Choice(
-        path, pause_ms, len(without), fullest / engine.pipe_tokens_per_s
+        path,
+        pause_ms,
+        len(without),
+        fullest / engine.pipe_tokens_per_s,
+        sum(not each for each in has_share_by_pipe.values()),
     )
 
 
@@ -196,11 +218,21 @@
     )
 
 
-def pipe(zone: str, other: str) -> tuple[str, str]:
+def pipe(zone: str, other: str) -> Pipe:
     """Returns the name of the pipe between two zones."""
     return (zone, other) if zone < other else (other, zone)
 
 
+def crossed_pipes(path: cost_model.Path) -> list[Pipe]:
+    """Returns the pipes of a path, one as often as it is crossed."""
+    zones = [stage.target.zone for stage in path]
+    return [
+        pipe(zone, following)
+        for zone, following in zip(zones, zones[1:], strict=False)
+        if zone != following
+    ]
+
+
 def _pipe_share(
     engine: desired.Engine, load: Load, zone: str, next_zone: str
 ) -> float:
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -16,6 +16,7 @@
 from . import outcomes
 from . import pace_book
 from . import path_choice
+from . import pipe_quota
 from . import target_book
 from . import targets
 
@@ -45,6 +46,7 @@
         held: backoffs.Backoffs,
         rng: random.Random,
         soft_exclusions: Sequence[SoftExclusion] = (),
+        quota: pipe_quota.PipeQuota | None = None,
     ) -> None:
         self._soft_exclusions = tuple(soft_exclusions)
         self._book = book
@@ -55,6 +57,7 @@
         self._metric = metric
         self._held = held
         self._rng = rng
+        self._quota = quota or pipe_quota.PipeQuota(timer, metric, rng)
         self._full_until_by_id: dict[str, float] = {}
 
     def choose(
@@ -95,7 +98,16 @@
         """Looks for a path once, with those softly excluded if need be."""
         excluded = self._excluded() | avoided
         soft = self._softly_excluded() - excluded
-        choice = self._search(exchange, demand, excluded | soft, pipe_limit)
+        choice = path_choice.Choice(None, 0.0, 0, 0.0)
+        if self._quota.is_active and pipe_limit > path_choice.PIPE_LIMIT:
+            # A path within the usual share goes before one beyond it.
+            choice = self._search(
+                exchange, demand, excluded | soft, path_choice.PIPE_LIMIT
+            )
+        if choice.path is None:
+            choice = self._search(
+                exchange, demand, excluded | soft, pipe_limit
+            )
         if choice.path is None and soft:
             choice = self._search(exchange, demand, excluded, pipe_limit)
         return choice
@@ -119,6 +131,7 @@
             excluded,
             pipe_limit,
             self._draw,
+            lambda pipe: self._quota.may_cross(engine, pipe, pipe_limit),
         )
 
     def _draw(self) -> float:
@@ -130,6 +143,27 @@
             return 0.0
         return self._rng.uniform(-PRICE_SPREAD, PRICE_SPREAD)
 
+    def reserve_crossings(
+        self,
+        exchange: context.Exchange,
+        path: cost_model.Path,
+        demand: path_choice.Demand,
+    ) -> pipe_quota.Grant:
+        """Takes this instance's share of the pipes of a chosen path.
+
+        To be called before another task may choose a path.
+        """
+        engine = exchange.service.engine
+        if engine is None:
+            return ()
+        return self._quota.take(
+            engine, path, demand.tokens, exchange.facts.request_id
+        )
+
+    def return_crossings(self, grant: pipe_quota.Grant) -> None:
+        """Returns what was reserved for tokens that weren't sent."""
+        self._quota.give_back(grant)
+
     def is_usable(self, service: str, path: cost_model.Path) -> bool:
         """Whether a path that was chosen earlier may still be used."""
         excluded = self._excluded()
@@ -178,6 +212,8 @@
         demand: path_choice.Demand,
         choice: path_choice.Choice,
     ) -> None:
+        if choice.withheld_pipes:
+            self._metric.count('relay.pipe_quota.withheld')
         events.info(
             'no_path',
             id=exchange.facts.request_id,
@@ -185,6 +221,7 @@
             pause_ms=int(choice.pause_ms),
             excluded=choice.excluded,
             fullest_pipe=round(choice.fullest_pipe, 2),
+            withheld_pipes=choice.withheld_pipes,
         )
 
     def note_not_run(
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -27,6 +27,7 @@
 from . import membership
 from . import mirror_checks
 from . import pace_book
+from . import pipe_quota
 from . import placement_keeper
 from . import refused_callers
 from . import relay_settings
@@ -87,6 +88,7 @@
             timer, self._down, self._down.probe, self._paces.ask
         )
         self._refused = refused_callers.RefusedCallers(timer, rng)
+        self._quota = pipe_quota.PipeQuota(timer, metric, rng)
         core = self._make_core(metric, rng)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -192,6 +194,7 @@
                 metric=metric,
                 rng=rng,
                 takes_work=self._takes_work,
+                quota=self._quota,
             )
         )
 
@@ -336,6 +339,7 @@
         instances = self._fleet.instances
         self._budget.set_instances(len(instances))
         self._ledger.set_instances(len(instances))
+        self._quota.set_instances(len(instances))
         self.directory.update(instances)
 
     def _tell_all(self) -> None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -18,6 +18,7 @@
 from . import outcomes
 from . import path_choice
 from . import path_finder
+from . import pipe_quota
 from . import refused_callers
 from . import repeat_budget
 from . import sending
@@ -80,6 +81,7 @@
         self._first_at = 0.0
         self._passed_at = 0.0
         self._longest_pause_s = 0.0
+        self._crossings: pipe_quota.Grant = ()
         self._hand_over = hand_over.HandOver(
             parts.finder, parts.ledger, parts.budget, exchange, self._demand
         )
@@ -185,6 +187,9 @@
         self._log_path(path, expected_pause_ms)
         parts.ledger.add(ids, tokens)
         parts.ledger.note_crossings(path, tokens)
+        self._crossings = parts.finder.reserve_crossings(
+            self._exchange, path, self._demand
+        )
         parts.live.add(live)
         try:
             self._send_on(path, live)
@@ -202,6 +207,7 @@
             case outcomes.NotRun():
                 # Nothing went through its pipes.
                 self._parts.ledger.note_crossings(path, -self._demand.tokens)
+                self._parts.finder.return_crossings(self._crossings)
                 self._note_not_run(outcome)
             case outcomes.MaybeRun(_, detail):
                 self._runs += 1
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -12,11 +12,14 @@
 from cactusmux_relay import cost_model
 from cactusmux_relay import dialect
 from cactusmux_relay import down_targets
+from cactusmux_relay import hand_over
 from cactusmux_relay import http_server
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
 from cactusmux_relay import path_choice
 from cactusmux_relay import path_finder
+from cactusmux_relay import pipe_quota
+from cactusmux_relay import repeat_budget
 from cactusmux_relay import target_book
 from cactusmux_relay import targets
 import pytest
@@ -43,6 +46,7 @@
         self._services = state.service_by_name
         self.book.replace([self.first, self.second], self._services)
         metric = metrics.MemoryMetrics()
+        self.quota = pipe_quota.PipeQuota(self.timer, metric, random.Random(2))
         self.held = backoffs.Backoffs(self.book, self.timer, metric)
         self.down = down_targets.DownTargets(self.timer, random.Random(1))
         self.finder = path_finder.PathFinder(
@@ -54,7 +58,9 @@
             metric,
             self.held,
             random.Random(1),
+            quota=self.quota,
         )
+        self.metric = metric
         self._service = state.service_by_name[sample_engine.SERVICE]
         self._route = state.routes[0]
         self._keep_busy(busy_share)
@@ -84,12 +90,12 @@
         """Returns for how long no path can be had."""
         return self.finder.wait_s(self._service)
 
-    def choose(self, wait_s):
-        """Returns the choice and after how many seconds it was made."""
+    def exchange(self):
+        """Returns a request of a caller."""
         facts = dialect.RequestFacts(
             'r1', 'h', None, None, '', 800.0, 200.0, None, None, []
         )
-        exchange = context.Exchange(
+        return context.Exchange(
             request=None,
             facts=facts,
             answerer=http_server.Answerer,
@@ -98,8 +104,11 @@
             organisation=None,
             ends_at=self.timer.now() + 20.0,
         )
+
+    def choose(self, wait_s):
+        """Returns the choice and after how many seconds it was made."""
         begun = self.timer.now()
-        choice = self.finder.choose(exchange, DEMAND, set(), wait_s)
+        choice = self.finder.choose(self.exchange(), DEMAND, set(), wait_s)
         return choice, self.timer.now() - begun
 
 
@@ -187,3 +196,79 @@
     assert search.wait_s() == 2.0
     search.held.note(search.book.target_by_id['other'], 5.0, None)
     assert search.wait_s() == 3.0
+
+
+def _search_in_large_fleet():
+    """A search whose instance has used its usual share of the pipe."""
+    search = _Search(busy_share=0.0)
+    search.quota.set_instances(72)
+    limit = path_choice.LAST_PIPE_LIMIT
+    while not search.quota.may_cross(ENGINE, ('a', 'b'), limit):
+        search.timer.advance(0.01)
+    return search
+
+
+def _use_share(search):
+    choice, _ = search.choose(0.0)
+    assert choice.path is not None
+    return search.finder.reserve_crossings(
+        search.exchange(), choice.path, DEMAND
+    )
+
+
+def test_pipe_without_a_share_left_is_not_crossed():
+    """Instances that see an idle pipe would all cross it at once."""
+    search = _search_in_large_fleet()
+    for _ in range(2):
+        if search.choose(0.0)[0].path is not None:
+            _use_share(search)
+    choice, _ = search.choose(0.05)
+    assert choice.path is None
+    assert choice.withheld_pipes == 1
+    assert search.metric.counter_by_name['relay.pipe_quota.withheld'] >= 1
+
+
+def test_path_within_the_zone_is_taken_where_there_is_no_share():
+    search = _search_in_large_fleet()
+    for _ in range(2):
+        if search.choose(0.0)[0].path is not None:
+            _use_share(search)
+    search.add(_target('near', 40, 80, 'a'))
+    choice, after_s = search.choose(0.05)
+    assert [stage.target.id for stage in choice.path] == ['first', 'near']
+    assert after_s == 0.0
+
+
+def test_share_is_free_again_when_a_send_was_rejected():
+    """Each rejected send would cost the instance its share for seconds."""
+    search = _search_in_large_fleet()
+    grant = _use_share(search)
+    search.finder.return_crossings(grant)
+    assert search.choose(0.0)[0].path is not None
+
+
+def test_hand_over_holds_its_share_until_it_is_released():
+    """Streams that secure paths together would all cross the same pipe."""
+    search = _search_in_large_fleet()
+    budget = repeat_budget.RepeatBudget(search.timer, 1.0, 100.0, 10.0)
+    budget.set_instances(1)
+    waiting = [
+        hand_over.HandOver(
+            search.finder, search.ledger, budget, search.exchange(), DEMAND
+        )
+        for _ in range(3)
+    ]
+    secured = [each for each in waiting if each.secure(set())]
+    assert 1 <= len(secured) <= 2
+    assert search.choose(0.0)[0].path is None
+    for each in secured:
+        each.release()
+    assert search.choose(0.0)[0].path is not None
+
+
+def test_small_fleet_crosses_as_before():
+    search = _Search(busy_share=0.0)
+    search.quota.set_instances(13)
+    for _ in range(5):
+        _use_share(search)
+    assert search.choose(0.0)[0].path is not None
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -5,6 +5,8 @@
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import hand_over
 from cactusmux_relay import leaving_targets
+from cactusmux_relay import path_finder
+from cactusmux_relay import pipe_quota
 from cactusmux_relay import refused_callers
 from cactusmux_relay import stream_run
 from cactusmux_relay import target_calls
@@ -519,3 +521,40 @@
     _ask(rig)
     assert len(noted) > 1
     assert sum(noted) == 0.0
+
+
+def test_rejected_sends_return_their_share_of_pipes(rig, monkeypatch):
+    """A kept share would shut the pipe to this instance for seconds."""
+    reserved = []
+    returned = []
+
+    def reserve(_finder, _exchange, path, _demand):
+        grant = (pipe_quota.Taken(('a', 'b'), float(len(reserved)), False),)
+        reserved.append(grant)
+        return grant
+
+    monkeypatch.setattr(path_finder.PathFinder, 'reserve_crossings', reserve)
+    monkeypatch.setattr(
+        path_finder.PathFinder,
+        'return_crossings',
+        lambda _finder, grant: returned.append(grant),
+    )
+    full = _target(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+    rig.use_engines(full.address)
+    _ask(rig)
+    assert reserved
+    assert returned == reserved
+
+
+def test_streams_that_were_sent_keep_their_share_of_pipes(rig, monkeypatch):
+    """Returned shares of tokens that were sent would exceed the limit."""
+    returned = []
+    monkeypatch.setattr(
+        path_finder.PathFinder,
+        'return_crossings',
+        lambda _finder, grant: returned.append(grant),
+    )
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(target.address)
+    assert _ask(rig)[2]
+    assert returned == []
