Replace a lost stage of a running stream

Cause: a stream that lost a stage was resumed on another path.

Change: the first target is ordered to go on over a path in which other targets hold the lost layers. The choice is a pure function that spreads streams over candidates and keeps all instances together within the limit of a link. It counts as load at once. Loads follow the changed path.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -8,6 +8,7 @@
 from cactusmux_relay import desired
 from cactusmux_relay import down_targets
 from cactusmux_relay import http_server
+from cactusmux_relay import layer_orders
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
@@ -17,6 +18,7 @@
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import request_core
 from cactusmux_relay import sending
+from cactusmux_relay import stage_replacer
 from cactusmux_relay import stream_run
 from cactusmux_relay import target_book
 from cactusmux_relay import target_calls
@@ -86,8 +88,9 @@
 class RelayRig:
     """The core behind a listening socket; targets are given by address."""
 
-    def __init__(self) -> None:
+    def __init__(self, orders: layer_orders.LayerOrders | None = None) -> None:
         timer = timers.GeventTimers()
+        orders = orders or silent_orders.SilentOrders()
         rng = random.Random(1)
         self.metric = metrics.MemoryMetrics()
         self.in_force = request_core.InForce()
@@ -112,6 +115,31 @@
             timer, self.down, self.down.probe, lambda target: None
         )
         live.start()
+        paces = pace_book.PaceBook(orders, timer)
+        finder = path_finder.PathFinder(
+            self.book,
+            ledger,
+            self.down,
+            paces,
+            timer,
+            self.metric,
+            held,
+            rng,
+        )
+        replacer = stage_replacer.StageReplacer(
+            stage_replacer.ReplacerParts(
+                finder=finder,
+                book=self.book,
+                ledger=ledger,
+                paces=paces,
+                orders=orders,
+                down=self.down,
+                live=live,
+                timer=timer,
+                metric=self.metric,
+                rng=rng,
+            )
+        )
         core = request_core.RequestCore(
             self.in_force,
             spelling,
@@ -129,22 +157,14 @@
             ),
             stream_run.StreamParts(
                 refused=self.refused,
-                finder=path_finder.PathFinder(
-                    self.book,
-                    ledger,
-                    self.down,
-                    pace_book.PaceBook(silent_orders.SilentOrders(), timer),
-                    timer,
-                    self.metric,
-                    held,
-                    rng,
-                ),
+                finder=finder,
                 ledger=ledger,
                 sender=sender,
                 spelling=spelling,
                 budget=budget,
                 down=self.down,
                 live=live,
+                replacer=replacer,
                 timer=timer,
                 metric=self.metric,
             ),
@@ -191,6 +211,10 @@
             )
         self._use(found)
 
+    def use_stages(self, *found: targets.Target) -> None:
+        """Makes the engine service consist of these targets."""
+        self._use(list(found))
+
     def connect(self) -> socket.socket:
         """Returns a connection to the core, for a caller."""
         return socket.create_connection(
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/silent_orders.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/silent_orders.py
@@ -1,5 +1,6 @@
 """Targets that answer no order and no question."""
 
+from cactusmux_relay import cost_model
 from cactusmux_relay import layer_orders
 from cactusmux_relay import targets
 from returns import result
@@ -13,6 +14,11 @@
     ) -> result.Result[None, layer_orders.OrderFailure]:
         return result.Failure(layer_orders.OrderUnanswered(target.id))
 
+    def change_path(
+        self, first: targets.Target, request_id: str, path: cost_model.Path
+    ) -> result.Result[None, layer_orders.PathFailure]:
+        return result.Failure(layer_orders.OrderUnanswered(first.id))
+
     def report(
         self, target: targets.Target
     ) -> result.Result[layer_orders.LayerReport, layer_orders.OrderFailure]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -11,6 +11,7 @@
 from . import backoffs
 from . import dialect
 from . import down_targets
+from . import layer_orders
 from . import live_streams
 from . import load_ledger
 from . import pace_book
@@ -20,6 +21,7 @@
 from . import repeat_budget
 from . import request_core
 from . import sending
+from . import stage_replacer
 from . import stream_run
 from . import target_book
 from . import target_calls
@@ -42,6 +44,7 @@
     held: backoffs.Backoffs
     budget: repeat_budget.RepeatBudget
     live: live_streams.LiveStreams
+    orders: layer_orders.LayerOrders
     refused: refused_callers.RefusedCallers
     timer: timers.TimerService
     metric: metrics.Metrics
@@ -111,6 +114,26 @@
         down=shared.down,
         refused=shared.refused,
         live=shared.live,
+        replacer=_stage_replacer(shared, finder),
         timer=shared.timer,
         metric=shared.metric,
     )
+
+
+def _stage_replacer(
+    shared: SharedParts, finder: path_finder.PathFinder
+) -> stage_replacer.StageReplacer:
+    return stage_replacer.StageReplacer(
+        stage_replacer.ReplacerParts(
+            finder=finder,
+            book=shared.book,
+            ledger=shared.ledger,
+            paces=shared.paces,
+            orders=shared.orders,
+            down=shared.down,
+            live=shared.live,
+            timer=shared.timer,
+            metric=shared.metric,
+            rng=shared.rng,
+        )
+    )
--- a/packages/cactusmux-relay/src/cactusmux_relay/held_orders.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/held_orders.py
@@ -3,6 +3,7 @@
 from returns import result
 
 from . import backoffs
+from . import cost_model
 from . import layer_orders
 from . import targets
 
@@ -24,6 +25,14 @@
             return result.Failure(layer_orders.OrderNotSent(target.id))
         return self._orders.hold(target, layers, number)
 
+    def change_path(
+        self, first: targets.Target, request_id: str, path: cost_model.Path
+    ) -> result.Result[None, layer_orders.PathFailure]:
+        """Orders that a running request goes on over another path."""
+        if self._held.left_s(first):
+            return result.Failure(layer_orders.OrderNotSent(first.id))
+        return self._orders.change_path(first, request_id, path)
+
     def report(
         self, target: targets.Target
     ) -> result.Result[layer_orders.LayerReport, layer_orders.OrderFailure]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/layer_orders.py
@@ -6,6 +6,7 @@
 from cactusmux_base import failures
 from returns import result
 
+from . import cost_model
 from . import targets
 
 
@@ -57,7 +58,33 @@
         self.target_id = target_id
 
 
+class RequestUnknown(failures.CactusmuxError):
+    """The target runs no such request, or no longer."""
+
+    reason = 'request_unknown'
+
+    def __init__(self, target_id: str, request_id: str) -> None:
+        super().__init__(f'target {target_id} runs no request {request_id}')
+        self.target_id = target_id
+        self.request_id = request_id
+
+
+class PartNotThere(failures.CactusmuxError):
+    """A target of the new path lacks its layers, or room for the request.
+
+    :ivar address: of that target, empty if unsaid.
+    """
+
+    reason = 'part_not_there'
+
+    def __init__(self, target_id: str, address: str) -> None:
+        super().__init__(f'target {target_id} found no part at {address!r}')
+        self.target_id = target_id
+        self.address = address
+
+
 OrderFailure = OrderUnanswered | OrderRefused | OrderNotSent
+PathFailure = OrderFailure | RequestUnknown | PartNotThere
 
 
 class LayerOrders(abc.ABC):
@@ -74,6 +101,19 @@
             nothing.
         """
 
+    @abc.abstractmethod
+    def change_path(
+        self, first: targets.Target, request_id: str, path: cost_model.Path
+    ) -> result.Result[None, PathFailure]:
+        """Orders that a running request goes on over another path.
+
+        Targets that are new in the path read all tokens so far; the others
+        keep their token memory. It waits for an answer for no longer than a
+        stream may stay silent.
+
+        :param first: target of the request and of the path.
+        """
+
     @abc.abstractmethod
     def report(
         self, target: targets.Target
--- a/packages/cactusmux-relay/src/cactusmux_relay/leaving_reports.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/leaving_reports.py
@@ -2,6 +2,7 @@
 
 from returns import result
 
+from . import cost_model
 from . import layer_orders
 from . import leaving_targets
 from . import target_book
@@ -23,6 +24,12 @@
         """Orders a target to hold exactly ``layers``."""
         return self._orders.hold(target, layers, number)
 
+    def change_path(
+        self, first: targets.Target, request_id: str, path: cost_model.Path
+    ) -> result.Result[None, layer_orders.PathFailure]:
+        """Orders that a running request goes on over another path."""
+        return self._orders.change_path(first, request_id, path)
+
     def report(
         self, target: targets.Target
     ) -> result.Result[layer_orders.LayerReport, layer_orders.OrderFailure]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -2,12 +2,13 @@
 
 A target that goes silent holds up every stream through it. The watch looks
 for streams that are silent for longer than is usual for them, has the
-targets of their paths probed, and interrupts the streams through targets
-that turn out to be down: each one only while it is silent, and once it is
-certain that it can go on elsewhere.
+targets of their paths probed, and has the stages that turn out to be down
+replaced. A stream for which that is impossible is interrupted: only while it
+is silent, and once it is certain that it can go on elsewhere.
 """
 
 from collections.abc import Callable
+import functools
 
 from cactusmux_base import timers
 
@@ -26,6 +27,10 @@
 # Before its first event a request may wait for others' prompts.
 FIRST_EVENT_SILENCE_S = 0.2
 PAUSE_SMOOTHING = 0.3
+# A target that refuses connections has lost its streams: an event that is
+# overdue by the stream's usual pause, or by this time, won't come. Waiting
+# for silence as with other targets would take 40 ms of the longest pause.
+OVERDUE_S = 0.04
 # How often a stream through a target that is down is looked at for a way on.
 HAND_OVER_PERIOD_S = 0.2
 
@@ -34,11 +39,17 @@
     return True
 
 
+def _never(stream: 'LiveStream') -> bool:
+    return False
+
+
 class LiveStream:
     """One attempt of a stream on one path.
 
     :param secure_next: secures what the stream needs to go on elsewhere;
         tells whether all of it was had.
+    :param replace_lost: begins to replace the stages that are down; tells
+        whether an order is under way, and must not block.
     """
 
     def __init__(
@@ -47,8 +58,12 @@
         expected_pause_ms: float,
         now: float,
         secure_next: Callable[[], bool] = _always,
+        replace_lost: Callable[['LiveStream'], bool] = _never,
     ) -> None:
         self.secure_next = secure_next
+        self.replace_lost = replace_lost
+        self.is_replacing = False
+        self.next_replacement_at = now
         self.next_look_at = now
         self.expected_pause_ms = expected_pause_ms
         self.target_ids = tuple(stage.target.id for stage in path)
@@ -61,6 +76,15 @@
         self.events = 0
         self.has_started = False
 
+    def use_path(
+        self, path: cost_model.Path, expected_pause_ms: float, now: float
+    ) -> None:
+        """Goes by another path with the same first target from now on."""
+        self.path = path
+        self.target_ids = tuple(stage.target.id for stage in path)
+        self.expected_pause_ms = expected_pause_ms
+        self.next_replacement_at = now
+
     def note_event(self, now: float) -> None:
         """Notes that an event has arrived."""
         if self.has_started:
@@ -81,6 +105,15 @@
         """Whether nothing speaks against a stage that is down."""
         return not self.has_started or self.is_silent(now)
 
+    def overdue_in_s(self, now: float) -> float:
+        """Returns when the next event is overdue, 0 if it is now."""
+        if not self.has_started:
+            return 0.0
+        # The smoothed pause begins at 0 and is too short at first.
+        usual_s = self.mean_pause_s or OVERDUE_S
+        due_at = self.last_at + min(usual_s, OVERDUE_S)
+        return max(0.0, due_at - now)
+
     def is_silent(self, now: float) -> bool:
         """Whether the stream waits for longer than is usual for it."""
         silence_s = now - self.last_at
@@ -153,6 +186,25 @@
 
     def _interrupt(self, target_id: str) -> None:
         self._hand_over_all(frozenset((target_id,)))
+        if target_id in self._down.refused_ids:
+            self._look_when_overdue(target_id)
+
+    def _look_when_overdue(self, target_id: str) -> None:
+        """Looks at each stream in time: the next check may be late."""
+        now = self._timer.now()
+        for stream in self._streams:
+            left_s = stream.overdue_in_s(now)
+            if left_s and target_id in stream.target_ids:
+                self._timer.after(
+                    left_s, functools.partial(self.look_again, stream)
+                )
+
+    def look_again(self, stream: LiveStream) -> None:
+        """Hands over a stream at once if it passes through a lost target."""
+        if stream not in self._streams:
+            return
+        if not self._down.ids.isdisjoint(stream.target_ids):
+            self._hand_over(stream)
 
     def _hand_over_all(self, down_ids: frozenset[str]) -> None:
         """Hands over the streams that pass through targets that are down."""
@@ -163,10 +215,40 @@
                 self._hand_over(stream)
 
     def _hand_over(self, stream: LiveStream) -> None:
+        """Replaces what a stream has lost, or else resumes it elsewhere."""
+        if not self._replace(stream):
+            self.resume_elsewhere(stream)
+
+    def _replace(self, stream: LiveStream) -> bool:
+        """Begins a replacement if it is time; tells whether one runs."""
+        now = self._timer.now()
+        if stream.is_replacing:
+            return True
+        if stream.call is None or stream.was_interrupted:
+            return False
+        if now < stream.next_replacement_at or not self._is_lost(stream):
+            return False
+        if stream.call.has_unread():
+            return False
+        stream.next_replacement_at = now + HAND_OVER_PERIOD_S
+        return stream.replace_lost(stream)
+
+    def _is_lost(self, stream: LiveStream) -> bool:
+        """Whether a stream can be taken to wait for a lost stage."""
+        now = self._timer.now()
+        if stream.may_be_dead(now):
+            return True
+        if self._down.refused_ids.isdisjoint(stream.target_ids):
+            return False
+        return not stream.overdue_in_s(now)
+
+    def resume_elsewhere(self, stream: LiveStream) -> None:
         """Interrupts a stream if it is silent and can go on elsewhere."""
         now = self._timer.now()
         if stream.call is None or stream.was_interrupted:
             return
+        if stream.is_replacing:
+            return
         if not stream.may_be_dead(now) or now < stream.next_look_at:
             return
         if stream.call.has_unread():
--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -142,6 +142,14 @@
             total += round(loads.requests_by_target.get(target_id, 0) * share)
         return total
 
+    @property
+    def oldest_age_s(self) -> float:
+        """Returns the age of the oldest news that loads are based on."""
+        self._fresh()
+        told_at = [told_at for told_at, _ in self._told_by_peer.values()]
+        now = self._timer.now()
+        return now - min(told_at, default=now)
+
     @property
     def is_sampled(self) -> bool:
         """Whether only some of the other instances are heard of."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -21,6 +21,7 @@
 from . import gauges
 from . import held_orders
 from . import http_server
+from . import layer_orders
 from . import leaving_reports
 from . import live_streams
 from . import load_ledger
@@ -87,7 +88,7 @@
             timer, self._down, self._down.probe, self._paces.ask
         )
         self._refused = refused_callers.RefusedCallers(timer, rng)
-        core = self._make_core(metric, rng)
+        core = self._make_core(metric, rng, orders)
         self._entry = http_server.HttpServer(
             settings.entry_address,
             core.handle,
@@ -173,7 +174,10 @@
         )
 
     def _make_core(
-        self, metric: metrics.Metrics, rng: random.Random
+        self,
+        metric: metrics.Metrics,
+        rng: random.Random,
+        orders: layer_orders.LayerOrders,
     ) -> request_core.RequestCore:
         return core_assembly.assemble(
             core_assembly.SharedParts(
@@ -187,6 +191,7 @@
                 held=self._held,
                 budget=self._budget,
                 live=self._live,
+                orders=orders,
                 refused=self._refused,
                 timer=self._timer,
                 metric=metric,
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -15,12 +15,14 @@
 from . import hand_over
 from . import live_streams
 from . import load_ledger
+from . import noted_load
 from . import outcomes
 from . import path_choice
 from . import path_finder
 from . import refused_callers
 from . import repeat_budget
 from . import sending
+from . import stage_replacer
 from . import target_calls
 
 # Sends after which a request that no path took is refused.
@@ -45,6 +47,7 @@
     down: down_targets.DownTargets
     refused: refused_callers.RefusedCallers
     live: live_streams.LiveStreams
+    replacer: stage_replacer.StageReplacer
     timer: timers.TimerService
     metric: metrics.Metrics
 
@@ -178,19 +181,37 @@
         ids = [stage.target.id for stage in path]
         tokens = self._demand.tokens
         self._runs_before = self._runs
+        noted = noted_load.NotedLoad(parts.ledger, tokens)
         live = live_streams.LiveStream(
-            path, expected_pause_ms, parts.timer.now(), self._secure_next
+            path,
+            expected_pause_ms,
+            parts.timer.now(),
+            self._secure_next,
+            self._replacements(noted).replace_lost,
         )
         self._sends += 1
         self._log_path(path, expected_pause_ms)
-        parts.ledger.add(ids, tokens)
+        noted.move(ids)
         parts.ledger.note_crossings(path, tokens)
         parts.live.add(live)
         try:
             self._send_on(path, live)
         finally:
             parts.live.remove(live)
-            parts.ledger.remove(ids, tokens)
+            noted.end()
+
+    def _replacements(
+        self, noted: noted_load.NotedLoad
+    ) -> stage_replacer.AttemptReplacements:
+        """Returns what replaces lost stages of one attempt."""
+        return stage_replacer.AttemptReplacements(
+            self._parts.replacer,
+            self._exchange,
+            self._demand,
+            noted,
+            lambda: self._last_id,
+            lambda target_id: self._avoided.add(target_id),
+        )
 
     def _send_on(
         self, path: cost_model.Path, live: live_streams.LiveStream
--- a/packages/cactusmux-relay/tests/test_agreement.py
+++ b/packages/cactusmux-relay/tests/test_agreement.py
@@ -48,6 +48,9 @@
         self.layers_by_id[target.id] = layers
         return result.Success(None)
 
+    def change_path(self, first, request_id, path):
+        raise AssertionError('no order is due')
+
     def report(self, target):
         return result.Success(
             layer_orders.LayerReport(
--- a/packages/cactusmux-relay/tests/test_backoffs.py
+++ b/packages/cactusmux-relay/tests/test_backoffs.py
@@ -114,6 +114,12 @@
         self.asked.append(('hold', target.id))
         return silent_orders.SilentOrders().hold(target, layers, number)
 
+    def change_path(self, first, request_id, path):
+        self.asked.append(('change_path', first.id))
+        return silent_orders.SilentOrders().change_path(
+            first, request_id, path
+        )
+
     def report(self, target):
         self.asked.append(('report', target.id))
         return silent_orders.SilentOrders().report(target)
@@ -126,9 +132,17 @@
     for target in (held.one, held.two):
         polite.report(target)
         polite.hold(target, targets.LayerRange(0, 8), 1)
-    assert orders.asked == [('report', 'two'), ('hold', 'two')]
-    failure = polite.report(held.one).failure()
-    assert isinstance(failure, layer_orders.OrderNotSent)
+        polite.change_path(target, 'r1', ())
+    assert orders.asked == [
+        ('report', 'two'),
+        ('hold', 'two'),
+        ('change_path', 'two'),
+    ]
+    for answer in (
+        polite.report(held.one),
+        polite.change_path(held.one, 'r1', ()),
+    ):
+        assert isinstance(answer.failure(), layer_orders.OrderNotSent)
     held.timer.advance(2.0)
     polite.report(held.one)
     assert orders.asked[-1] == ('report', 'one')
--- a/packages/cactusmux-relay/tests/test_leaving_reports.py
+++ b/packages/cactusmux-relay/tests/test_leaving_reports.py
@@ -18,6 +18,9 @@
     def hold(self, target, layers, number):
         return result.Success(None)
 
+    def change_path(self, first, request_id, path):
+        return result.Success(None)
+
     def report(self, target):
         return result.Success(self._report)
 
--- a/packages/cactusmux-relay/tests/test_left_alone_machine.py
+++ b/packages/cactusmux-relay/tests/test_left_alone_machine.py
@@ -14,6 +14,7 @@
 from cactusmux_relay import desired
 from cactusmux_relay import dialect
 from cactusmux_relay import down_targets
+from cactusmux_relay import held_orders
 from cactusmux_relay import http_server
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
@@ -24,6 +25,7 @@
 from cactusmux_relay import refused_callers
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import sending
+from cactusmux_relay import stage_replacer
 from cactusmux_relay import stream_run
 from cactusmux_relay import target_book
 from cactusmux_relay import target_calls
@@ -180,6 +182,26 @@
         finder = path_finder.PathFinder(
             self.book, ledger, down, paces, timer, metric, self.held, rng
         )
+        live = live_streams.LiveStreams(
+            timer, down, down.probe, lambda target: None
+        )
+        orders = held_orders.HeldOrders(
+            silent_orders.SilentOrders(), self.held
+        )
+        replacer = stage_replacer.StageReplacer(
+            stage_replacer.ReplacerParts(
+                finder=finder,
+                book=self.book,
+                ledger=ledger,
+                paces=paces,
+                orders=orders,
+                down=down,
+                live=live,
+                timer=timer,
+                metric=metric,
+                rng=rng,
+            )
+        )
         self.streams = stream_run.StreamParts(
             finder=finder,
             ledger=ledger,
@@ -188,9 +210,8 @@
             budget=budget,
             down=down,
             refused=refused_callers.RefusedCallers(timer, rng),
-            live=live_streams.LiveStreams(
-                timer, down, down.probe, lambda target: None
-            ),
+            live=live,
+            replacer=replacer,
             timer=timer,
             metric=metric,
         )
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_replacement_load.py
@@ -0,0 +1,200 @@
+"""One stage is lost by all streams through it, on a whole fleet at once."""
+
+import collections
+import random
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import sample_engine
+from cactusmux_fakes import silent_orders
+from cactusmux_relay import backoffs
+from cactusmux_relay import context
+from cactusmux_relay import cost_model
+from cactusmux_relay import dialect
+from cactusmux_relay import down_targets
+from cactusmux_relay import http_server
+from cactusmux_relay import live_streams
+from cactusmux_relay import load_ledger
+from cactusmux_relay import pace_book
+from cactusmux_relay import path_choice
+from cactusmux_relay import path_finder
+from cactusmux_relay import stage_replacement
+from cactusmux_relay import stage_replacer
+from cactusmux_relay import target_book
+from cactusmux_relay import targets
+import pytest
+
+ENGINE = sample_engine.ENGINE._replace(layer_mb=100.0)
+INSTANCES = 72
+# Of which each news datagram tells; each instance hears of so many others.
+HEARD = 16
+STREAMS = 36
+STAGES = 4
+CHAINS_BY_ZONE = {'a': 4, 'b': 3, 'c': 3}
+SO_FAR, TO_COME = 900.0, 100.0
+PIPE = path_choice.PIPE_LIMIT * ENGINE.pipe_tokens_per_s
+
+
+def _chains():
+    size = ENGINE.layers // STAGES
+    return [
+        tuple(
+            sample_engine.target(
+                f'{zone}{number}-{place}',
+                'v100',
+                zone,
+                targets.LayerRange(place * size, (place + 1) * size),
+            )
+            for place in range(STAGES)
+        )
+        for zone, count in CHAINS_BY_ZONE.items()
+        for number in range(count)
+    ]
+
+
+class _Fleet:
+    """Instances that decide in the same instant, by equal knowledge."""
+
+    def __init__(self, instances, streams, lost):
+        self.timer = timers.ManualTimers()
+        self.chains = _chains()
+        self.state = relay_rig.desired_state()
+        service = self.state.service_by_name[sample_engine.SERVICE]
+        self.service = service._replace(engine=ENGINE)
+        self.lost = frozenset(lost)
+        self.path = tuple(
+            cost_model.Stage(each, each.layers) for each in self.chains[0]
+        )
+        self.book = target_book.TargetBook()
+        self.book.replace(
+            [each for chain in self.chains for each in chain],
+            {sample_engine.SERVICE: self.service},
+        )
+        self.chosen = []
+        replacers = [
+            self._replacer(seed, streams / instances, instances)
+            for seed in range(instances)
+        ]
+        for number in range(streams):
+            self._replace(replacers[number % instances])
+
+    def _replacer(self, seed, streams, instances):
+        rng = random.Random(seed)
+        metric = metrics.MemoryMetrics()
+        ledger = load_ledger.LoadLedger(self.timer)
+        ledger.set_instances(instances)
+        through = [stage.target.id for stage in self.path]
+        told = load_ledger.OwnLoads(
+            dict.fromkeys(through, streams * (SO_FAR + TO_COME)),
+            dict.fromkeys(through, streams),
+            {},
+        )
+        for peer in range(min(HEARD, instances - 1)):
+            ledger.note_peer(str(peer), told)
+        if instances == 1:
+            for _ in range(round(streams)):
+                ledger.add(through, SO_FAR + TO_COME)
+        down = down_targets.DownTargets(self.timer, rng)
+        for target_id in self.lost:
+            down.mark(self.book.target_by_id[target_id], 'test')
+        paces = pace_book.PaceBook(silent_orders.SilentOrders(), self.timer)
+        held = backoffs.Backoffs(self.book, self.timer, metric)
+        finder = path_finder.PathFinder(
+            self.book,
+            ledger,
+            down,
+            paces,
+            self.timer,
+            metric,
+            held,
+            rng,
+        )
+        return stage_replacer.StageReplacer(
+            stage_replacer.ReplacerParts(
+                finder=finder,
+                book=self.book,
+                ledger=ledger,
+                paces=paces,
+                orders=silent_orders.SilentOrders(),
+                down=down,
+                live=live_streams.LiveStreams(
+                    self.timer, down, lambda each: None, lambda each: None
+                ),
+                timer=self.timer,
+                metric=metric,
+                rng=rng,
+            )
+        )
+
+    def _replace(self, replacer):
+        loss = stage_replacement.Loss(
+            self.path, self.lost, SO_FAR, TO_COME, 0.25
+        )
+        found = replacer.find(self._exchange(), loss, set())
+        if found is not None:
+            self.chosen.append(found)
+
+    def _exchange(self):
+        facts = dialect.RequestFacts(
+            'r1', 'h', None, None, '', 800.0, 200.0, None, None, []
+        )
+        return context.Exchange(
+            request=None,
+            facts=facts,
+            answerer=http_server.Answerer,
+            route=self.state.routes[0],
+            service=self.service,
+            organisation=None,
+            ends_at=self.timer.now() + 20.0,
+        )
+
+    def reading_ms(self):
+        """Returns how long each target reads until all streams go on."""
+        total = collections.Counter()
+        for found in self.chosen:
+            total.update(found.reading_ms_by_target)
+        return total
+
+    def sent(self):
+        """Returns the tokens that go to another zone at once."""
+        return sum(
+            tokens
+            for found in self.chosen
+            for _, tokens in stage_replacement.sendings(
+                found.path, found.added, SO_FAR, 0.0
+            )
+        )
+
+
+@pytest.mark.parametrize('instances', [1, 4, INSTANCES])
+def test_reading_is_spread_over_the_targets_of_the_zone(instances):
+    """The first one by name got all of it, and read for 0.4 s."""
+    fleet = _Fleet(instances, STREAMS, ['a0-1'])
+    reading_ms = fleet.reading_ms()
+    assert len(fleet.chosen) == STREAMS
+    assert reading_ms.keys() == {'a1-1', 'a2-1', 'a3-1'}
+    # Instances see only their own streams; one that has all evens them out.
+    most = 1.25 if instances == 1 else 1.7
+    assert max(reading_ms.values()) < most * sum(reading_ms.values()) / 3
+    assert fleet.sent() == 0
+
+
+def test_two_stages_that_are_lost_together_are_spread_too():
+    fleet = _Fleet(INSTANCES, STREAMS, ['a0-1', 'a0-3'])
+    reading_ms = fleet.reading_ms()
+    assert len(fleet.chosen) == STREAMS
+    assert max(reading_ms.values()) < 2.0 * sum(reading_ms.values()) / 6
+
+
+@pytest.mark.parametrize('instances', [1, 4, INSTANCES])
+def test_links_carry_no_more_than_their_limit(instances):
+    """The zone has lost all of its targets with these layers.
+
+    26 of 34 streams over links were late when each instance found them idle.
+    """
+    lost = [f'a{number}-1' for number in range(CHAINS_BY_ZONE['a'])]
+    fleet = _Fleet(instances, STREAMS, lost)
+    assert fleet.chosen
+    # Two links lead out of the zone.
+    assert fleet.sent() <= 1.5 * 2 * PIPE
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -50,13 +50,15 @@
             lambda each: None,
         )
 
-    def add(self, *ids, secure_next=lambda: True):
+    def add(
+        self, *ids, secure_next=lambda: True, replace_lost=lambda each: False
+    ):
         path = tuple(
             cost_model.Stage(sample_engine.target(each), targets.NO_LAYERS)
             for each in ids
         )
         stream = live_streams.LiveStream(
-            path, 40.0, self.timer.now(), secure_next
+            path, 40.0, self.timer.now(), secure_next, replace_lost
         )
         stream.call = _Call()
         self.live.add(stream)
@@ -168,6 +170,99 @@
     assert stream.call.is_cut
 
 
+class _Replacing:
+    """Notes when a stream is to be replaced; an order is under way then."""
+
+    def __init__(self, timer, can_replace=True):
+        self._timer = timer
+        self._can_replace = can_replace
+        self.asked_at = []
+
+    def __call__(self, stream):
+        self.asked_at.append(self._timer.now())
+        stream.is_replacing = self._can_replace
+        return self._can_replace
+
+
+def test_stream_is_replaced_once_its_event_is_overdue():
+    """Waiting for silence took 40 ms more of the longest pause."""
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.play(stream, [0.03] * 20)
+    heard_at = watched.timer.now()
+    watched.timer.advance(0.005)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert replacing.asked_at == []
+    watched.timer.advance(0.05)
+    (asked_at,) = replacing.asked_at
+    assert 0.029 < asked_at - heard_at < 0.031
+    assert not stream.call.is_cut
+
+
+def test_stream_through_a_target_that_was_only_overtaken_waits_for_silence():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.play(stream, [0.03] * 20)
+    watched.down.mark(sample_engine.target('y'), 'test', is_refused=False)
+    watched.timer.advance(0.06)
+    watched.live.check()
+    assert replacing.asked_at == []
+    watched.timer.advance(0.03)
+    watched.live.check()
+    assert len(replacing.asked_at) == 1
+
+
+def test_stream_whose_events_arrive_is_not_replaced():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.play(stream, [0.03] * 4)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    for _ in range(10):
+        watched.play(stream, [0.02])
+        watched.live.check()
+    assert replacing.asked_at == []
+
+
+def test_stream_is_not_cut_while_an_order_is_under_way():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    for _ in range(20):
+        watched.timer.advance(live_streams.CHECK_PERIOD_S)
+        watched.live.check()
+    assert not stream.call.is_cut
+    assert len(replacing.asked_at) == 1
+
+
+def test_stream_that_can_not_be_replaced_is_resumed_as_before():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer, can_replace=False)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert len(replacing.asked_at) == 1
+    assert stream.call.is_cut
+
+
+def test_stream_replaced_on_another_path_is_left_alone():
+    watched = _Watched()
+    stream = watched.add('x', 'y', secure_next=lambda: False)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    path = tuple(
+        cost_model.Stage(sample_engine.target(each), targets.NO_LAYERS)
+        for each in ('x', 'new')
+    )
+    stream.use_path(path, 40.0, watched.timer.now())
+    stream.secure_next = lambda: True
+    for _ in range(20):
+        watched.timer.advance(live_streams.CHECK_PERIOD_S)
+        watched.live.check()
+    assert not stream.call.is_cut
+
+
 def test_down_target_is_up_again_when_it_started_anew_or_is_gone():
     timer = timers.ManualTimers()
     down = _down_targets(timer)
@@ -347,6 +442,9 @@
     def hold(self, target, layers, number):
         raise AssertionError('no order is due')
 
+    def change_path(self, first, request_id, path):
+        raise AssertionError('no order is due')
+
     def report(self, target):
         self.asked += 1
         return result.Success(
--- a/tests/adapter/test_kv_store.py
+++ b/tests/adapter/test_kv_store.py
@@ -1,14 +1,17 @@
 """The store's client against scripted answers, wire in and wire out."""
 
 import base64
+import time
 
 from adapter import engines
 from adapter import kv_store
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
 from cactusmux_platform import stores
+from cactusmux_relay import cost_model
 from cactusmux_relay import layer_orders
 from cactusmux_relay import targets
+import gevent
 import msgspec
 import pytest
 from returns import result
@@ -212,6 +215,72 @@
     assert orders.hold(target, layers, 4) == unanswered
 
 
+PATH = tuple(
+    cost_model.Stage(
+        sample_engine.target(name, address=address),
+        targets.LayerRange(first, end),
+    )
+    for name, address, first, end in (
+        ('i-1', '10.0.0.1:80', 0, 31),
+        ('i-7', '10.0.0.7:80', 31, 80),
+    )
+)
+
+
+def test_order_to_change_a_path():
+    orders, target, server = _ordered((202, {}), (200, {}))
+    for _ in range(2):
+        changed = orders.change_path(target, '9c41', PATH)
+        assert changed == result.Success(None)
+    assert server.asked[0] == (
+        'POST',
+        '/order',
+        {
+            'operation': 'repath',
+            'id': '9c41',
+            'path': '10.0.0.1:80=0-31,10.0.0.7:80=31-80',
+        },
+    )
+
+
+@pytest.mark.parametrize(
+    'answer, failure',
+    [
+        ((404, {}), layer_orders.RequestUnknown('i-1', '9c41')),
+        (
+            (409, {'address': '10.0.0.7:80'}),
+            layer_orders.PartNotThere('i-1', '10.0.0.7:80'),
+        ),
+        ((409, {}), layer_orders.PartNotThere('i-1', '')),
+        ((409, ['torn']), layer_orders.PartNotThere('i-1', '')),
+        ((409, {'address': None}), layer_orders.PartNotThere('i-1', '')),
+        ((421, {}), layer_orders.OrderRefused('i-1', 421)),
+        ((503, {}), layer_orders.OrderRefused('i-1', 503)),
+        ((0, {}), layer_orders.OrderUnanswered('i-1')),
+    ],
+)
+def test_order_to_change_a_path_that_fails(answer, failure):
+    orders, target, _ = _ordered(answer)
+    found = orders.change_path(target, '9c41', PATH).failure()
+    assert type(found) is type(failure)
+    assert vars(found) == vars(failure)
+
+
+def test_order_to_change_a_path_is_not_waited_for_beyond_its_use():
+    """A stream whose order is not answered is to be resumed in time."""
+
+    def script(sock, _request):
+        gevent.sleep(5.0)
+        return False
+
+    silent = scripted_target.ScriptedTarget(script)
+    target = sample_engine.target('i-1', address=silent.address)
+    begun_at = time.monotonic()
+    changed = engines.EngineOrders().change_path(target, '9c41', PATH)
+    assert isinstance(changed.failure(), layer_orders.OrderUnanswered)
+    assert time.monotonic() - begun_at < 2.0 * engines.CHANGE_PATH_S
+
+
 def test_report():
     body = {
         'stage': 'both',
