Send failed streams on and leave failing targets out

Cause: targets that report good health and fail every stream had their failures passed on to callers, attracted more streams by appearing idle, and in a fleet of 97 instances no instance saw one often enough to eject it.

Change: a status of 500 to 599 from a target before the first event sends the stream on another path within the attempts and the retry budget; the last failure is passed on when no option is left. Outcomes of streams feed a breaker of the target at fault; an answered failure ejects at once. The failed stream counts as load for up to 2 s. Instances tell each other of ejected targets; two reports of different instances, or one and our own last failure, exclude a target softly for 1 to 3 s. Soft exclusions of path_finder now have tests of their own.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -7,6 +7,8 @@
 from cactusmux_relay import backoffs
 from cactusmux_relay import desired
 from cactusmux_relay import down_targets
+from cactusmux_relay import ejection_reports
+from cactusmux_relay import failing_targets
 from cactusmux_relay import http_server
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
@@ -88,6 +90,7 @@
 
     def __init__(self) -> None:
         timer = timers.GeventTimers()
+        self.timer = timer
         rng = random.Random(1)
         self.metric = metrics.MemoryMetrics()
         self.in_force = request_core.InForce()
@@ -108,6 +111,12 @@
         self.health = breakers.Breakers(
             timer, rng, self.metric, lambda lost: True
         )
+        self.ejections = ejection_reports.EjectionReports(
+            'own', self.book, timer, self.metric, rng
+        )
+        self.failing = failing_targets.FailingTargets(
+            self.book, ledger, self.ejections, timer, self.metric, rng
+        )
         live = live_streams.LiveStreams(
             timer, self.down, self.down.probe, lambda target: None
         )
@@ -138,6 +147,7 @@
                     self.metric,
                     held,
                     rng,
+                    soft_exclusions=(self.failing.ids,),
                 ),
                 ledger=ledger,
                 sender=sender,
@@ -147,6 +157,7 @@
                 live=live,
                 timer=timer,
                 metric=self.metric,
+                failing=self.failing,
             ),
             budget,
             timer,
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -11,6 +11,7 @@
 from . import backoffs
 from . import dialect
 from . import down_targets
+from . import failing_targets
 from . import live_streams
 from . import load_ledger
 from . import pace_book
@@ -43,6 +44,7 @@
     budget: repeat_budget.RepeatBudget
     live: live_streams.LiveStreams
     refused: refused_callers.RefusedCallers
+    failing: failing_targets.FailingTargets
     timer: timers.TimerService
     metric: metrics.Metrics
     rng: random.Random
@@ -101,6 +103,7 @@
         shared.metric,
         shared.held,
         shared.rng,
+        soft_exclusions=(shared.failing.ids,),
     )
     return stream_run.StreamParts(
         finder=finder,
@@ -113,4 +116,5 @@
         live=shared.live,
         timer=shared.timer,
         metric=shared.metric,
+        failing=shared.failing,
     )
--- a/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
@@ -5,6 +5,9 @@
 
 from . import target_calls
 
+# Failures that may pass elsewhere; the rest is the caller's own.
+FAILED_STATUSES = range(500, 600)
+
 
 class Refusal(enum.StrEnum):
     """Why a caller gets an answer of our own; used in logs and metrics."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -28,8 +28,6 @@
 MAX_REJECTIONS = 3
 RETRY_AFTER_S = 0.5
 MS_PER_S = 1000.0
-# Failures that may pass elsewhere; the rest is the caller's own.
-FAILED_STATUSES = range(500, 600)
 
 
 class PlainRelay:
@@ -80,7 +78,7 @@
             may_go_on = self._may_go_on(exchange, runs + 1, tried)
             outcome = self._send(exchange, target, may_go_on)
             if isinstance(outcome, outcomes.Whole):
-                if outcome.head.status not in FAILED_STATUSES:
+                if outcome.head.status not in outcomes.FAILED_STATUSES:
                     return outcome
                 failed = outcome
                 runs += 1
@@ -191,7 +189,7 @@
     ) -> None:
         match outcome:
             case outcomes.Whole(head, _):
-                if head.status in FAILED_STATUSES:
+                if head.status in outcomes.FAILED_STATUSES:
                     self._health.note_failure(target.address)
                     self._log(exchange, target, f'status_{head.status}')
                 else:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -16,6 +16,8 @@
 from . import deltas
 from . import directory
 from . import down_targets
+from . import ejection_reports
+from . import failing_targets
 from . import fleet
 from . import fleet_news
 from . import gauges
@@ -28,6 +30,7 @@
 from . import mirror_checks
 from . import pace_book
 from . import placement_keeper
+from . import prompt_news
 from . import refused_callers
 from . import relay_settings
 from . import repeat_budget
@@ -87,6 +90,12 @@
             timer, self._down, self._down.probe, self._paces.ask
         )
         self._refused = refused_callers.RefusedCallers(timer, rng)
+        self._ejections = ejection_reports.EjectionReports(
+            settings.name, self._book, timer, metric, rng, self._tell_soon
+        )
+        self._failing = failing_targets.FailingTargets(
+            self._book, self._ledger, self._ejections, timer, metric, rng
+        )
         core = self._make_core(metric, rng)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -114,6 +123,7 @@
             self._down,
             self._paces,
             self._refused,
+            topics=(self._ejections,),
         )
         self._checks = mirror_checks.MirrorChecks(
             tuple(self._mirror_by_prefix.values()),
@@ -133,6 +143,9 @@
             rng,
             self._take_delta,
         )
+        self._prompt_news = prompt_news.PromptNews(
+            timer, rng, self._fleet.peer_addresses, self._exchange.send_to
+        )
         self._copy_server = http_server.HttpServer(
             settings.exchange_address,
             copies.CopyHandler(self._mirror_by_prefix).handle,
@@ -188,6 +201,7 @@
                 budget=self._budget,
                 live=self._live,
                 refused=self._refused,
+                failing=self._failing,
                 timer=self._timer,
                 metric=metric,
                 rng=rng,
@@ -230,6 +244,7 @@
         self._registration.start()
         self._down.start()
         self._live.start()
+        self._failing.start()
         self._lease.start()
         self._gauges.start()
         self._keeper.start()
@@ -259,6 +274,10 @@
         events.info('stop_done', busy=self._entry.busy_count)
         self._entry.stop()
 
+    def _tell_soon(self) -> None:
+        """Lets other instances know of ejected targets within 0.1 s."""
+        self._prompt_news.ask()
+
     def _tell_down(self, _target_id: str) -> None:
         """Lets the other instances probe a target at once."""
         gevent.spawn(self._exchange.send)
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -12,6 +12,7 @@
 from . import dialect
 from . import down_targets
 from . import event_stream
+from . import failing_targets
 from . import hand_over
 from . import live_streams
 from . import load_ledger
@@ -47,6 +48,7 @@
     live: live_streams.LiveStreams
     timer: timers.TimerService
     metric: metrics.Metrics
+    failing: failing_targets.FailingTargets
 
 
 class _Broken(Exception):
@@ -71,6 +73,8 @@
         self._caller = caller_of(exchange)
         self._is_returning = parts.refused.is_returning(self._caller)
         self._avoided: set[str] = set()
+        self._failed_ids: set[str] = set()
+        self._failed: outcomes.Whole | None = None
         self._runs = 0
         self._runs_before = 0
         self._rejections = 0
@@ -142,8 +146,13 @@
             self._exchange, self._demand, self._avoided, wait_s
         )
         if choice.path is None and self._avoided:
+            # A failure is passed on rather than asked for again.
             self._avoided = set()
-            choice = finder.choose(self._exchange, self._demand, set(), 0.0)
+            if not self._has_begun:
+                self._avoided = set(self._failed_ids)
+            choice = finder.choose(
+                self._exchange, self._demand, self._avoided, 0.0
+            )
         if choice.path is None:
             return None
         return choice.path, choice.pause_ms
@@ -165,6 +174,8 @@
         return self._hand_over.secure(self._avoided)
 
     def _room_wait_s(self) -> float:
+        if self._failed is not None and not self._has_begun:
+            return ROOM_WAIT_S
         if self._runs:
             return RESUME_ROOM_WAIT_S
         if self._is_returning:
@@ -183,17 +194,27 @@
         )
         self._sends += 1
         self._log_path(path, expected_pause_ms)
+        trial = parts.failing.begin(
+            self._exchange.facts.request_id,
+            path,
+            tokens,
+            expected_s(self._exchange, self._demand, expected_pause_ms),
+        )
         parts.ledger.add(ids, tokens)
         parts.ledger.note_crossings(path, tokens)
         parts.live.add(live)
         try:
-            self._send_on(path, live)
+            self._send_on(path, live, trial)
         finally:
+            trial.end()
             parts.live.remove(live)
             parts.ledger.remove(ids, tokens)
 
     def _send_on(
-        self, path: cost_model.Path, live: live_streams.LiveStream
+        self,
+        path: cost_model.Path,
+        live: live_streams.LiveStream,
+        trial: failing_targets.StreamTrial,
     ) -> None:
         outcome = self._parts.sender.send(
             self._exchange, path[0].target, path, self._last_id, live
@@ -207,28 +228,47 @@
                 self._runs += 1
                 self._avoided.add(path[0].target.id)
                 self._parts.down.probe(path[0].target)
+                if not live.was_interrupted:
+                    trial.note_broken(detail)
                 raise _Broken(detail)
             case outcomes.Whole() as whole:
                 self._runs += 1
-                if self._has_begun:
-                    raise _Broken(f'status {whole.head.status}')
-                raise context.Answered(whole)
+                self._note_whole(whole, trial)
             case outcomes.Streaming(head, call):
                 self._runs += 1
                 try:
-                    self._pass_on(head, call, live)
-                except _Broken:
-                    self._draw_conclusions(path, live)
+                    self._pass_on(head, call, live, trial)
+                except _Broken as broken:
+                    self._draw_conclusions(path, live, trial, broken.detail)
                     raise
                 finally:
                     call.close()
 
+    def _note_whole(
+        self, whole: outcomes.Whole, trial: failing_targets.StreamTrial
+    ) -> None:
+        """Passes an answer that is no stream on, unless it is a failure."""
+        status = whole.head.status
+        if status in outcomes.FAILED_STATUSES:
+            named = self._parts.spelling.answer_facts(whole.head).at_fault
+            self._failed_ids.add(trial.note_answered(status, named))
+            self._avoided |= self._failed_ids
+            self._failed = whole
+        elif not self._has_begun:
+            raise context.Answered(whole)
+        raise _Broken(f'status {status}')
+
     def _draw_conclusions(
-        self, path: cost_model.Path, live: live_streams.LiveStream
+        self,
+        path: cost_model.Path,
+        live: live_streams.LiveStream,
+        trial: failing_targets.StreamTrial,
+        detail: str,
     ) -> None:
         """Avoids the first target of a stream that broke by itself."""
         if live.was_interrupted:
             return
+        trial.note_broken(detail)
         self._avoided.add(path[0].target.id)
         self._parts.down.probe(path[0].target)
 
@@ -249,10 +289,12 @@
         head: target_calls.AnswerHead,
         call: target_calls.TargetCall,
         live: live_streams.LiveStream,
+        trial: failing_targets.StreamTrial,
     ) -> None:
         """Passes events on as they arrive, each at most once."""
         for event in self._events(call):
             live.note_event(self._parts.timer.now())
+            trial.note_event()
             if not self._is_next(event):
                 continue
             self._begin(head)
@@ -317,6 +359,8 @@
     def _give_up(self, refusal: outcomes.Refusal) -> NoReturn:
         if self._has_begun:
             raise context.BrokenOff(refusal)
+        if self._failed is not None:
+            raise context.Answered(self._failed)
         has_run = self._runs > 0
         retry_after_s = None
         if not has_run:
@@ -392,6 +436,16 @@
     return refused_callers.key_of(name, exchange.facts.prompt_id)
 
 
+def expected_s(
+    exchange: context.Exchange, demand: path_choice.Demand, pause_ms: float
+) -> float:
+    """Returns for about how long a stream writes its answer."""
+    engine = exchange.service.engine
+    tokens_an_event = engine.event_tokens if engine else 1
+    pauses = demand.answer_tokens / tokens_an_event
+    return pauses * pause_ms / cost_model.MS_PER_S
+
+
 def demand_of(exchange: context.Exchange) -> path_choice.Demand:
     """Returns what a request will need, as far as it is known."""
     facts = exchange.facts
--- a/packages/cactusmux-relay/tests/test_left_alone_machine.py
+++ b/packages/cactusmux-relay/tests/test_left_alone_machine.py
@@ -14,6 +14,8 @@
 from cactusmux_relay import desired
 from cactusmux_relay import dialect
 from cactusmux_relay import down_targets
+from cactusmux_relay import ejection_reports
+from cactusmux_relay import failing_targets
 from cactusmux_relay import http_server
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
@@ -177,8 +179,22 @@
             self.held,
         )
         paces = pace_book.PaceBook(silent_orders.SilentOrders(), timer)
+        reports = ejection_reports.EjectionReports(
+            'own', self.book, timer, metric, rng
+        )
+        failing = failing_targets.FailingTargets(
+            self.book, ledger, reports, timer, metric, rng
+        )
         finder = path_finder.PathFinder(
-            self.book, ledger, down, paces, timer, metric, self.held, rng
+            self.book,
+            ledger,
+            down,
+            paces,
+            timer,
+            metric,
+            self.held,
+            rng,
+            soft_exclusions=(failing.ids,),
         )
         self.streams = stream_run.StreamParts(
             finder=finder,
@@ -193,6 +209,7 @@
             ),
             timer=timer,
             metric=metric,
+            failing=failing,
         )
 
     def _publish(self):
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -35,6 +35,8 @@
 
     def __init__(self, busy_share):
         self.timer = timers.ManualTimers()
+        self.soft = set()
+        self.other_soft = set()
         self.ledger = load_ledger.LoadLedger(self.timer)
         self.first = _target('first', 0, 40, 'a')
         self.second = _target('second', 40, 80, 'b')
@@ -54,6 +56,10 @@
             metric,
             self.held,
             random.Random(1),
+            soft_exclusions=(
+                lambda: frozenset(self.soft),
+                lambda: frozenset(self.other_soft),
+            ),
         )
         self._service = state.service_by_name[sample_engine.SERVICE]
         self._route = state.routes[0]
@@ -76,6 +82,11 @@
         members = [self.first, self.second, target]
         self.book.replace(members, self._services)
 
+    def add_more(self, target):
+        """Adds a target to those added before."""
+        members = [*self.book.target_by_id.values(), target]
+        self.book.replace(members, self._services)
+
     def is_usable(self, path):
         """Returns whether a path that was chosen may still be used."""
         return self.finder.is_usable(self._service.name, path)
@@ -84,7 +95,7 @@
         """Returns for how long no path can be had."""
         return self.finder.wait_s(self._service)
 
-    def choose(self, wait_s):
+    def choose(self, wait_s, avoided=()):
         """Returns the choice and after how many seconds it was made."""
         facts = dialect.RequestFacts(
             'r1', 'h', None, None, '', 800.0, 200.0, None, None, []
@@ -99,7 +110,7 @@
             ends_at=self.timer.now() + 20.0,
         )
         begun = self.timer.now()
-        choice = self.finder.choose(exchange, DEMAND, set(), wait_s)
+        choice = self.finder.choose(exchange, DEMAND, set(avoided), wait_s)
         return choice, self.timer.now() - begun
 
 
@@ -187,3 +198,44 @@
     assert search.wait_s() == 2.0
     search.held.note(search.book.target_by_id['other'], 5.0, None)
     assert search.wait_s() == 3.0
+
+
+def test_softly_excluded_target_is_not_used_while_others_are_left():
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    for soft, used in (('first', 'other'), ('other', 'first')):
+        search.soft = {soft}
+        choice, after_s = search.choose(0.05)
+        assert [each.target.id for each in choice.path] == [used, 'second']
+        assert after_s == 0.0
+
+
+def test_exclusions_of_several_parts_add_up():
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.add_more(_target('third', 0, 40, 'a'))
+    search.soft = {'first'}
+    search.other_soft = {'other'}
+    choice, _ = search.choose(0.05)
+    assert [each.target.id for each in choice.path] == ['third', 'second']
+
+
+def test_softly_excluded_target_is_used_at_once_if_no_other_is_left():
+    """A request was not to wait, nor to be refused, for a soft exclusion."""
+    search = _Search(busy_share=0.02)
+    search.soft = {'first', 'second'}
+    choice, after_s = search.choose(0.05)
+    assert [each.target.id for each in choice.path] == ['first', 'second']
+    assert after_s == 0.0
+
+
+def test_soft_exclusion_does_not_bring_back_who_may_not_be_used():
+    """Giving way concerns soft exclusions alone."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.soft = {'other'}
+    search.held.note(search.first, 2.0, None)
+    choice, _ = search.choose(0.0)
+    assert [each.target.id for each in choice.path] == ['other', 'second']
+    choice, _ = search.choose(0.0, avoided=('other',))
+    assert choice.path is None
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -1,8 +1,10 @@
 import itertools
+import random
 
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import ejection_reports
 from cactusmux_relay import hand_over
 from cactusmux_relay import leaving_targets
 from cactusmux_relay import refused_callers
@@ -519,3 +521,129 @@
     _ask(rig)
     assert len(noted) > 1
     assert sum(noted) == 0.0
+
+
+def _failing(status=500, **headers):
+    fields = {name.replace('_', '-'): text for name, text in headers.items()}
+    return _target(scripted_target.answer(b'no', status, fields))
+
+
+@pytest.mark.parametrize('status', [500, 502, 503, 599])
+def test_stream_that_a_target_fails_goes_on_elsewhere(rig, status):
+    """The failure was passed on though another path was free."""
+    bad = _failing(status)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    head, body, complete = _ask(rig)
+    assert (head.status_code, complete) == (200, True)
+    assert body == b''.join(EVENTS)
+    assert (len(bad.received), len(other.received)) == (1, 1)
+
+
+def test_stream_that_a_target_fails_takes_one_repeat(rig):
+    paid = _paid_repeats(rig.budget)
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    _, _, complete = _ask(rig)
+    assert complete
+    assert sum(paid) == 1
+
+
+def test_failed_stream_that_may_not_be_repeated_is_sent_once(rig):
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    head, body, complete = _ask(rig, '/once/')
+    assert (head.status_code, body, complete) == (500, b'no', True)
+    assert (len(bad.received), other.received) == (1, [])
+
+
+def test_last_failure_is_passed_on_after_all_attempts(rig):
+    bad = [_failing(500), _failing(502), _failing(504)]
+    rig.use_engines(*[each.address for each in bad])
+    head, body, _ = _ask(rig)
+    assert (head.status_code, body) == (502, b'no')
+    assert [len(each.received) for each in bad] == [1, 1, 0]
+
+
+def test_failure_is_passed_on_where_the_repeats_are_spent(rig):
+    rig.budget.take = lambda service: False
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    head, _, _ = _ask(rig)
+    assert head.status_code == 500
+    assert other.received == []
+
+
+def test_failure_of_the_only_target_is_passed_on_at_once(rig):
+    """Waiting for other targets would hold what can be answered now."""
+    bad = _failing()
+    rig.use_engines(bad.address)
+    begun = rig.timer.now()
+    head, _, _ = _ask(rig)
+    after_s = rig.timer.now() - begun
+    assert head.status_code == 500
+    assert len(bad.received) == 1
+    assert after_s < stream_run.RESUME_ROOM_WAIT_S / 2
+
+
+def test_callers_own_fault_is_passed_on_and_blames_nobody(rig):
+    """A status of 400 comes from the request; it is the same elsewhere."""
+    refusing = _failing(400)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(refusing.address, other.address)
+    head, _, _ = _ask(rig)
+    assert head.status_code == 400
+    assert other.received == []
+    assert not rig.failing.ids()
+
+
+def test_target_that_failed_a_stream_gets_no_other_for_a_while(rig):
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    for _ in range(3):
+        _, _, complete = _ask(rig)
+        assert complete
+    assert len(bad.received) == 1
+
+
+def test_stream_is_sent_to_ejected_targets_if_no_others_are_left(rig):
+    target = _target(
+        scripted_target.answer(b'no', 500, {}), HEAD + _chunks(EVENTS) + END
+    )
+    rig.use_engines(target.address)
+    head, _, _ = _ask(rig)
+    assert head.status_code == 500
+    assert rig.failing.ids() == {'e0'}
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_target_that_two_others_report_gets_no_stream(rig):
+    reported = _target(HEAD + _chunks(EVENTS) + END)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(reported.address, other.address)
+    for name in ('one', 'two'):
+        told = ejection_reports.EjectionReports(
+            name, rig.book, rig.timer, rig.metric, random.Random(1)
+        )
+        told.note_failure('e0', is_ejected=True)
+        rig.ejections.take(name, told.own())
+    _, _, complete = _ask(rig)
+    assert complete
+    assert reported.received == []
+
+
+def test_resumed_stream_that_a_target_fails_goes_on_if_it_may(rig):
+    """The answer has begun: a failure breaks it off, it isn't passed on."""
+    first = _target(HEAD + _chunks(EVENTS[:2]))
+    bad = _failing()
+    rig.use_engines(first.address, bad.address)
+    head, body, complete = _ask(rig)
+    assert (head.status_code, complete) == (200, False)
+    assert body == b''.join(EVENTS[:2])
+    assert rig.failing.ids() == {'e1'}
