--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -7,6 +7,8 @@
 from cactusmux_relay import backoffs
 from cactusmux_relay import desired
 from cactusmux_relay import down_targets
+from cactusmux_relay import ejection_reports
+from cactusmux_relay import failing_targets
 from cactusmux_relay import http_server
 from cactusmux_relay import layer_orders
 from cactusmux_relay import live_streams
@@ -91,6 +93,7 @@
     def __init__(self, orders: layer_orders.LayerOrders | None = None) -> None:
         timer = timers.GeventTimers()
         orders = orders or silent_orders.SilentOrders()
+        self.timer = timer
         rng = random.Random(1)
         self.metric = metrics.MemoryMetrics()
         self.in_force = request_core.InForce()
@@ -111,6 +114,12 @@
         self.health = breakers.Breakers(
             timer, rng, self.metric, lambda lost: True
         )
+        self.ejections = ejection_reports.EjectionReports(
+            'own', self.book, timer, self.metric, rng
+        )
+        self.failing = failing_targets.FailingTargets(
+            self.book, ledger, self.ejections, timer, self.metric, rng
+        )
         live = live_streams.LiveStreams(
             timer, self.down, self.down.probe, lambda target: None
         )
@@ -125,6 +134,7 @@
             self.metric,
             held,
             rng,
+            soft_exclusions=(self.failing.ids,),
         )
         replacer = stage_replacer.StageReplacer(
             stage_replacer.ReplacerParts(
@@ -167,6 +177,7 @@
                 replacer=replacer,
                 timer=timer,
                 metric=self.metric,
+                failing=self.failing,
             ),
             budget,
             timer,
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -11,6 +11,7 @@
 from . import backoffs
 from . import dialect
 from . import down_targets
+from . import failing_targets
 from . import layer_orders
 from . import live_streams
 from . import load_ledger
@@ -47,6 +48,7 @@
     live: live_streams.LiveStreams
     orders: layer_orders.LayerOrders
     refused: refused_callers.RefusedCallers
+    failing: failing_targets.FailingTargets
     timer: timers.TimerService
     metric: metrics.Metrics
     rng: random.Random
@@ -107,6 +109,7 @@
         shared.held,
         shared.rng,
         quota=shared.quota,
+        soft_exclusions=(shared.failing.ids,),
     )
     return stream_run.StreamParts(
         finder=finder,
@@ -120,6 +123,7 @@
         replacer=_stage_replacer(shared, finder),
         timer=shared.timer,
         metric=shared.metric,
+        failing=shared.failing,
     )
 
 
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -38,6 +38,8 @@
 
     def __init__(self, busy_share):
         self.timer = timers.ManualTimers()
+        self.soft = set()
+        self.other_soft = set()
         self.ledger = load_ledger.LoadLedger(self.timer)
         self.first = _target('first', 0, 40, 'a')
         self.second = _target('second', 40, 80, 'b')
@@ -59,6 +61,10 @@
             self.held,
             random.Random(1),
             quota=self.quota,
+            soft_exclusions=(
+                lambda: frozenset(self.soft),
+                lambda: frozenset(self.other_soft),
+            ),
         )
         self.metric = metric
         self._service = state.service_by_name[sample_engine.SERVICE]
@@ -82,6 +88,11 @@
         members = [self.first, self.second, target]
         self.book.replace(members, self._services)
 
+    def add_more(self, target):
+        """Adds a target to those added before."""
+        members = [*self.book.target_by_id.values(), target]
+        self.book.replace(members, self._services)
+
     def is_usable(self, path):
         """Returns whether a path that was chosen may still be used."""
         return self.finder.is_usable(self._service.name, path)
@@ -105,10 +116,12 @@
             ends_at=self.timer.now() + 20.0,
         )
 
-    def choose(self, wait_s):
+    def choose(self, wait_s, avoided=()):
         """Returns the choice and after how many seconds it was made."""
         begun = self.timer.now()
-        choice = self.finder.choose(self.exchange(), DEMAND, set(), wait_s)
+        choice = self.finder.choose(
+            self.exchange(), DEMAND, set(avoided), wait_s
+        )
         return choice, self.timer.now() - begun
 
 
@@ -272,3 +285,44 @@
     for _ in range(5):
         _use_share(search)
     assert search.choose(0.0)[0].path is not None
+
+
+def test_softly_excluded_target_is_not_used_while_others_are_left():
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    for soft, used in (('first', 'other'), ('other', 'first')):
+        search.soft = {soft}
+        choice, after_s = search.choose(0.05)
+        assert [each.target.id for each in choice.path] == [used, 'second']
+        assert after_s == 0.0
+
+
+def test_exclusions_of_several_parts_add_up():
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.add_more(_target('third', 0, 40, 'a'))
+    search.soft = {'first'}
+    search.other_soft = {'other'}
+    choice, _ = search.choose(0.05)
+    assert [each.target.id for each in choice.path] == ['third', 'second']
+
+
+def test_softly_excluded_target_is_used_at_once_if_no_other_is_left():
+    """A request was not to wait, nor to be refused, for a soft exclusion."""
+    search = _Search(busy_share=0.02)
+    search.soft = {'first', 'second'}
+    choice, after_s = search.choose(0.05)
+    assert [each.target.id for each in choice.path] == ['first', 'second']
+    assert after_s == 0.0
+
+
+def test_soft_exclusion_does_not_bring_back_who_may_not_be_used():
+    """Giving way concerns soft exclusions alone."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.soft = {'other'}
+    search.held.note(search.first, 2.0, None)
+    choice, _ = search.choose(0.0)
+    assert [each.target.id for each in choice.path] == ['other', 'second']
+    choice, _ = search.choose(0.0, avoided=('other',))
+    assert choice.path is None
