Share rechecks and reports of targets among the instances of a large fleet

Cause: each instance opened a connection each 0.7 s to each target that was down, and asked each stage of each silent stream for a report each 0.8 s.

Change: some eight instances ask within such a period, each time others; who finds a target up tells the others at once (RecoveryNews), and they look for themselves. Fleets of up to eight instances ask as before.

Measured: test_shared_work plays 8, 72 and 195 instances: fewer than 30 connections a second at 72 (103 before by arithmetic), all use a target within 1 s of its recovery.

--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -17,12 +17,17 @@
 
 from . import connects
 from . import races
+from . import shared_work
 from . import targets
 
 PROBE_TIMEOUT_S = 0.06
 # A target found to be up isn't probed again for so long.
 PROBE_PERIOD_S = 0.4
 RECHECK_PERIOD_S = 0.7
+# How often it is looked which targets are due.
+RECHECK_LOOK_S = 0.1
+# What others are told of a target that is up again, for so long.
+UP_TOLD_S = 1.0
 # Targets that suspected ones are raced against.
 REFERENCES = 3
 # What another instance found counts for so long after it was told.
@@ -36,7 +41,21 @@
 class DownTargets:
     """Which targets are down, and since which of their starts."""
 
-    def __init__(self, timer: timers.TimerService, rng: random.Random) -> None:
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        rng: random.Random,
+        instances: shared_work.Instances = shared_work.alone,
+    ) -> None:
+        """Prepares the book.
+
+        :param instances: how many instances share the rechecks.
+        """
+        self._turns = shared_work.SharedPeriod(
+            RECHECK_PERIOD_S, instances, rng
+        )
+        self._recheck_at_by_id: dict[str, float] = {}
+        self._up_at_by_start: dict[targets.Start, float] = {}
         self._timer = timer
         self._rng = rng
         self._suspect_by_id: dict[str, targets.Target] = {}
@@ -46,14 +65,19 @@
         self._probed_at_by_id: dict[str, float] = {}
         self._known: list[targets.Target] = []
         self._callbacks: list[Callback] = []
+        self._up_callbacks: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callback) -> None:
         """Calls ``callback`` with the id of each target that goes down."""
         self._callbacks.append(callback)
 
+    def subscribe_up(self, callback: Callable[[], None]) -> None:
+        """Calls ``callback`` when a recheck has found a target up again."""
+        self._up_callbacks.append(callback)
+
     def start(self) -> None:
         """Begins to look whether targets are up again."""
-        self._timer.every(RECHECK_PERIOD_S, self._recheck)
+        self._timer.every(RECHECK_LOOK_S, self._recheck)
 
     @property
     def ids(self) -> frozenset[str]:
@@ -105,6 +129,9 @@
         if target.id in self._target_by_id:
             return
         self._target_by_id[target.id] = target
+        self._up_at_by_start.pop(target.start, None)
+        first_s = RECHECK_PERIOD_S + self._turns.first_s()
+        self._recheck_at_by_id[target.id] = self._timer.now() + first_s
         events.warning(
             'target_down',
             target=target.id,
@@ -171,14 +198,35 @@
         ]
         return self._rng.sample(others, min(REFERENCES, len(others)))
 
+    def note_up(self, start: targets.Start) -> None:
+        """Takes another instance's word that a target is up; checks it."""
+        target = self._target_by_id.get(start.target_id)
+        if target is not None and target.start == start:
+            self._recheck_at_by_id[target.id] = self._timer.now()
+
+    def up_again(self) -> list[targets.Start]:
+        """Returns the targets that have lately been found to be up again."""
+        oldest = self._timer.now() - UP_TOLD_S
+        for start, up_at in list(self._up_at_by_start.items()):
+            if up_at < oldest:
+                del self._up_at_by_start[start]
+        return list(self._up_at_by_start)
+
     def _recheck(self) -> None:
+        now = self._timer.now()
         for target in list(self._target_by_id.values()):
-            gevent.spawn(self._recheck_one, target)
+            if self._recheck_at_by_id.get(target.id, now) <= now:
+                self._recheck_at_by_id[target.id] = now + self._turns.next_s()
+                gevent.spawn(self._recheck_one, target)
 
     def _recheck_one(self, target: targets.Target) -> None:
         tried = self._connect(target, PROBE_TIMEOUT_S)
-        if tried.outcome is connects.Outcome.ACCEPTED:
+        is_known = target.id in self._target_by_id
+        if is_known and tried.outcome is connects.Outcome.ACCEPTED:
+            self._up_at_by_start[target.start] = self._timer.now()
             self._mark_up(target.id, tried.cause)
+            for callback in self._up_callbacks:
+                callback()
 
     def _connect(
         self, target: targets.Target, timeout_s: float
@@ -187,5 +235,6 @@
 
     def _mark_up(self, target_id: str, cause: str) -> None:
         self._refused_ids.discard(target_id)
+        self._recheck_at_by_id.pop(target_id, None)
         if self._target_by_id.pop(target_id, None) is not None:
             events.info('target_up', target=target_id, cause=cause)
--- a/packages/cactusmux-relay/src/cactusmux_relay/pace_book.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/pace_book.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+import random
 from typing import NamedTuple
 
 from cactusmux_base import events
@@ -14,6 +15,7 @@
 from returns import result
 
 from . import layer_orders
+from . import shared_work
 from . import targets
 
 # A target is asked again by the same instance after so long.
@@ -32,10 +34,22 @@
     """Paces by target id; 1 is usual, 2 twice as slow."""
 
     def __init__(
-        self, orders: layer_orders.LayerOrders, timer: timers.TimerService
+        self,
+        orders: layer_orders.LayerOrders,
+        timer: timers.TimerService,
+        instances: shared_work.Instances = shared_work.alone,
+        rng: random.Random | None = None,
     ) -> None:
+        """Prepares the book.
+
+        :param instances: how many instances share what is suspected.
+        """
         self._orders = orders
         self._timer = timer
+        self._turns = shared_work.SharedPeriod(
+            LEAST_AGE_S, instances, rng or random.Random()
+        )
+        self._suspect_at_by_id: dict[str, float] = {}
         self._asked_at_by_id: dict[str, float] = {}
         self._own_by_id: dict[str, _Known] = {}
         self._told_by_id: dict[str, _Known] = {}
@@ -51,6 +65,22 @@
         self._asked_at_by_id[target.id] = now
         gevent.spawn(self._ask_now, target)
 
+    def suspect(self, target: targets.Target) -> None:
+        """Asks a target that may be slow, if it is this instance's turn.
+
+        All instances suspect it at the same moment; one that isn't asked now
+        is told of by those that ask.
+        """
+        now = self._timer.now()
+        self._forget_suspects(now)
+        ask_at = self._suspect_at_by_id.get(target.id)
+        if ask_at is None:
+            ask_at = now + self._turns.first_s()
+            self._suspect_at_by_id[target.id] = ask_at
+        if ask_at <= now:
+            self._suspect_at_by_id[target.id] = now + self._turns.next_s()
+            self.ask(target)
+
     def _forget_old(self, now: float) -> None:
         """Drops targets not asked for long; they lie in that order."""
         while self._asked_at_by_id:
@@ -59,6 +89,11 @@
                 return
             del self._asked_at_by_id[oldest]
 
+    def _forget_suspects(self, now: float) -> None:
+        for target_id, ask_at in list(self._suspect_at_by_id.items()):
+            if ask_at < now - MAX_AGE_S:
+                del self._suspect_at_by_id[target_id]
+
     def own(self) -> dict[str, float]:
         """Returns the slow targets by this instance's own reports."""
         oldest = self._timer.now() - MAX_AGE_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -33,6 +33,7 @@
 from . import pipe_quota
 from . import placement_keeper
 from . import prompt_news
+from . import recovery_news
 from . import refused_callers
 from . import relay_settings
 from . import repeat_budget
@@ -77,7 +78,7 @@
         reports = leaving_reports.LeavingReports(given.orders, self._book)
         orders = held_orders.HeldOrders(reports, self._held)
         self._ledger = load_ledger.LoadLedger(timer)
-        self._down = down_targets.DownTargets(timer, rng)
+        self._down = down_targets.DownTargets(timer, rng, self._count)
         self._roster = target_roster.TargetRoster(
             self._book, self._down, self.in_force, timer, given.decode_target
         )
@@ -87,9 +88,9 @@
             settings.repeat_allowance,
             settings.repeat_window_s,
         )
-        self._paces = pace_book.PaceBook(orders, timer)
+        self._paces = pace_book.PaceBook(orders, timer, self._count, rng)
         self._live = live_streams.LiveStreams(
-            timer, self._down, self._down.probe, self._paces.ask
+            timer, self._down, self._down.probe, self._paces.suspect
         )
         self._refused = refused_callers.RefusedCallers(timer, rng)
         self._quota = pipe_quota.PipeQuota(timer, metric, rng)
@@ -126,7 +127,10 @@
             self._down,
             self._paces,
             self._refused,
-            topics=(self._ejections,),
+            topics=(
+                self._ejections,
+                recovery_news.RecoveryNews(self._down),
+            ),
         )
         self._checks = mirror_checks.MirrorChecks(
             tuple(self._mirror_by_prefix.values()),
@@ -158,6 +162,7 @@
             self._mirror_by_prefix, timer, rng, self._store_answered_at
         )
         self._down.subscribe(self._tell_down)
+        self._down.subscribe_up(self._tell_soon)
         self.directory = directory.Directory(
             self._exchange, timer, settings.name
         )
@@ -286,6 +291,9 @@
         """Lets other instances know of ejected targets within 0.1 s."""
         self._prompt_news.ask()
 
+    def _count(self) -> int:
+        return len(self._fleet.instance_by_name)
+
     def _tell_down(self, _target_id: str) -> None:
         """Lets the other instances probe a target at once."""
         gevent.spawn(self._exchange.send)
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_shared_work.py
@@ -0,0 +1,138 @@
+"""What many instances ask of the same target is shared among them."""
+
+import random
+
+from cactusmux_base import timers
+from cactusmux_fakes import sample_engine
+from cactusmux_relay import connects
+from cactusmux_relay import down_targets
+from cactusmux_relay import layer_orders
+from cactusmux_relay import pace_book
+from cactusmux_relay import recovery_news
+from cactusmux_relay import shared_work
+from cactusmux_relay import targets
+import gevent
+import pytest
+from returns import result
+
+TARGET = sample_engine.target('t', 'a100', 'a', targets.LayerRange(0, 80))
+# With all instances asking each 0.7 s, 72 of them open 103 connections/s.
+MOST_CONNECTIONS_S = 30.0
+LOOK_S = 10.0
+
+
+class _Pool:
+    """Instances that hold one target for down, and its connections."""
+
+    def __init__(self, count, monkeypatch):
+        self.timer = timers.ManualTimers()
+        self.connections = 0
+        self.is_up = False
+        rng = random.Random(count)
+        self.books = [
+            down_targets.DownTargets(
+                self.timer, random.Random(rng.random()), lambda: count
+            )
+            for _ in range(count)
+        ]
+        monkeypatch.setattr(connects, 'connect', self._connect)
+        monkeypatch.setattr(gevent, 'spawn', lambda call, *args: call(*args))
+        for book in self.books:
+            book.start()
+            book.mark(TARGET, 'refused')
+
+    def _connect(self, address, timeout_s, timer):
+        self.connections += 1
+        if self.is_up:
+            return connects.Connect(connects.Outcome.ACCEPTED, 'ok', 0.0)
+        return connects.Connect(connects.Outcome.REFUSED, 'no', 0.0)
+
+    def exchange_news(self):
+        """Has each instance tell all others."""
+        topics = [recovery_news.RecoveryNews(book) for book in self.books]
+        for teller in topics:
+            data = teller.own()
+            for hearer in topics:
+                if data and hearer is not teller:
+                    hearer.take('other', data)
+
+    def seconds_until_up(self, most, with_news):
+        """Returns when the last instance knows that the target is up."""
+        self.is_up = True
+        begun = self.timer.now()
+        while any(book.ids for book in self.books):
+            self.timer.advance(0.1)
+            if with_news:
+                self.exchange_news()
+            if self.timer.now() - begun > most:
+                break
+        return self.timer.now() - begun
+
+
+@pytest.mark.parametrize('count', [72, 195])
+def test_large_fleet_shares_the_rechecks_of_a_target_that_is_down(
+    count, monkeypatch
+):
+    """Each instance opened a connection each 0.7 s to each such target."""
+    pool = _Pool(count, monkeypatch)
+    pool.timer.advance(LOOK_S)
+    longest = shared_work.LONGEST_S * (1.0 - shared_work.SPREAD)
+    allowed = max(MOST_CONNECTIONS_S, count / longest)
+    assert pool.connections / LOOK_S < allowed
+
+
+def test_small_fleet_rechecks_as_often_as_ever(monkeypatch):
+    pool = _Pool(4, monkeypatch)
+    pool.timer.advance(LOOK_S)
+    rounds = LOOK_S / down_targets.RECHECK_PERIOD_S
+    assert pool.connections >= 4 * (rounds - 2)
+
+
+@pytest.mark.parametrize('count', [8, 72, 195])
+def test_one_recheck_lets_all_use_a_target_that_is_up_again(
+    count, monkeypatch
+):
+    pool = _Pool(count, monkeypatch)
+    pool.timer.advance(3.0)
+    assert pool.seconds_until_up(6.0, with_news=True) <= 1.0
+
+
+def test_instance_that_hears_nothing_finds_a_target_up_by_itself(monkeypatch):
+    pool = _Pool(195, monkeypatch)
+    pool.timer.advance(3.0)
+    longest = shared_work.LONGEST_S * (1.0 + shared_work.SPREAD)
+    assert pool.seconds_until_up(20.0, with_news=False) <= longest + 0.2
+
+
+class _Reports(layer_orders.LayerOrders):
+    """Counts the reports that are asked for."""
+
+    def __init__(self):
+        self.asked = 0
+
+    def hold(self, target, layers, number):
+        raise AssertionError
+
+    def change_path(self, first, request_id, path):
+        raise AssertionError
+
+    def report(self, target):
+        self.asked += 1
+        return result.Failure(layer_orders.OrderUnanswered(target.id))
+
+
+def test_large_fleet_shares_the_reports_of_a_suspected_target(monkeypatch):
+    """All streams through a slow target make all instances suspect it."""
+    monkeypatch.setattr(gevent, 'spawn', lambda call, *args: call(*args))
+    timer = timers.ManualTimers()
+    reports = _Reports()
+    books = [
+        pace_book.PaceBook(reports, timer, lambda: 72, random.Random(number))
+        for number in range(72)
+    ]
+    for _ in range(100):
+        timer.advance(0.1)
+        for book in books:
+            book.suspect(TARGET)
+    # All 72 at their least distance would be 900.
+    assert 72 <= reports.asked <= 300
