Check configurations before they are sent

Cause: an instance logs only the first fault of a configuration, and takes ones that serve nobody: hidden routes, services without weight, limits that contradict each other, one key of two organisations.

Status 0 sound, 1 harmful, 2 unreadable.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/configuration_check.py
@@ -0,0 +1,191 @@
+"""What is harmful in a desired state that can be read, with its place.
+
+It addresses configurations that are accepted and then serve nobody: entries
+that can never match, and limits that contradict each other.
+"""
+
+import abc
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from cactusmux_control import json_text
+from returns import result
+
+from . import desired
+
+
+class Finding(NamedTuple):
+    """Something about one place of a configuration.
+
+    :ivar is_harmful: callers would be served wrongly; otherwise it is only
+        worth knowing.
+    """
+
+    place: str
+    message: str
+    is_harmful: bool = True
+
+
+class Change(NamedTuple):
+    """A difference from the version in force.
+
+    :ivar before: ``None`` for what is new, likewise ``after`` for what goes.
+    :ivar effect: what it changes for callers.
+    """
+
+    place: str
+    before: Any
+    after: Any
+    effect: str
+
+
+class KeyHolder(NamedTuple):
+    """An organisation's keys, as the text lists them."""
+
+    organisation: str
+    place: str
+    keys: tuple[str, ...]
+
+
+class Readable(NamedTuple):
+    """A configuration that the product accepts.
+
+    :ivar tree: nested mappings by name, to compare two versions by.
+    """
+
+    version: int
+    findings: tuple[Finding, ...]
+    tree: Mapping[str, Any]
+
+
+Read = result.Result[Readable, tuple[json_text.Fault, ...]]
+
+
+class ConfigurationReader(abc.ABC):
+    """Reads the text of configurations in one format."""
+
+    @abc.abstractmethod
+    def read(self, text: bytes) -> Read:
+        """Returns the configuration, or every fault that prevents it."""
+
+    @abc.abstractmethod
+    def effect(self, steps: tuple[str, ...]) -> str:
+        """Returns what a change at a place of the tree means for callers."""
+
+
+class Places(NamedTuple):
+    """Where the parts of a desired state stand in its text."""
+
+    routes: tuple[str, ...]
+    place_by_service: Mapping[str, str]
+    limits: str
+
+
+def find(
+    state: desired.DesiredState, places: Places, holders: tuple[KeyHolder, ...]
+) -> Iterator[Finding]:
+    """Yields all that is harmful or worth knowing."""
+    yield from _hidden_routes(state.routes, places.routes)
+    for route, place in zip(state.routes, places.routes, strict=True):
+        yield from _unserved(state, route, place)
+        yield from _contradictions(route, place)
+    yield from _unused_services(state, places)
+    yield from _limit_findings(state.limits, places.limits)
+    yield from _shared_keys(holders)
+
+
+def _hidden_routes(
+    routes: tuple[desired.Route, ...], places: tuple[str, ...]
+) -> Iterator[Finding]:
+    """Finds routes that :class:`route_table.RouteTable` never returns."""
+    place_by_match: dict[tuple[str, str], str] = {}
+    for route, place in zip(routes, places, strict=True):
+        host = route.host.lower()
+        match = (host, route.prefix)
+        if match in place_by_match:
+            hider = place_by_match[match]
+            message = f'never matches: {hider} has the same host and prefix'
+            yield Finding(place, message)
+            continue
+        place_by_match[match] = place
+        if host != host.strip().partition(':')[0]:
+            message = f'never matches: host {route.host!r} has a port or space'
+            yield Finding(place, message)
+        if not route.prefix.startswith('/'):
+            message = f'never matches: prefix {route.prefix!r} lacks its slash'
+            yield Finding(place, message)
+
+
+def _unserved(
+    state: desired.DesiredState, route: desired.Route, place: str
+) -> Iterator[Finding]:
+    served = 0
+    for each in route.services:
+        if each.service not in state.service_by_name:
+            yield Finding(place, f'service {each.service!r} does not exist')
+        elif each.weight <= 0:
+            message = f'service {each.service!r} has no weight, gets nothing'
+            yield Finding(place, message)
+        else:
+            served += 1
+    if not served:
+        yield Finding(place, 'no service takes its requests: all are refused')
+
+
+def _contradictions(route: desired.Route, place: str) -> Iterator[Finding]:
+    if route.timeout_s < route.objective_s:
+        message = (
+            f'time limit {route.timeout_s:g} s is below the objective '
+            f'{route.objective_s:g} s'
+        )
+        yield Finding(place, message)
+    is_stream = route.kind is desired.RequestKind.STREAM
+    if is_stream and route.gap_s > route.timeout_s:
+        message = (
+            f'pause of {route.gap_s:g} s is longer than the time limit '
+            f'{route.timeout_s:g} s'
+        )
+        yield Finding(place, message)
+    if route.max_attempts > 1 and not route.is_idempotent:
+        message = (
+            f'{route.max_attempts} attempts, but its requests may not be '
+            'repeated: they are sent once'
+        )
+        yield Finding(place, message)
+
+
+def _unused_services(
+    state: desired.DesiredState, places: Places
+) -> Iterator[Finding]:
+    used = {
+        each.service
+        for route in state.routes
+        for each in route.services
+        if each.weight > 0
+    }
+    for name, place in places.place_by_service.items():
+        if name not in used:
+            yield Finding(place, 'no route sends anything here', False)
+
+
+def _limit_findings(limits: desired.Limits, place: str) -> Iterator[Finding]:
+    if limits.header_bytes > limits.body_bytes:
+        message = (
+            f'header limit {limits.header_bytes} bytes is above the body '
+            f'limit {limits.body_bytes}'
+        )
+        yield Finding(place, message)
+
+
+def _shared_keys(holders: tuple[KeyHolder, ...]) -> Iterator[Finding]:
+    """Finds keys that stand twice; the keys themselves are never shown."""
+    holder_by_key: dict[str, KeyHolder] = {}
+    for holder in holders:
+        for key in holder.keys:
+            other = holder_by_key.setdefault(key, holder)
+            if other is not holder:
+                message = (
+                    f'{holder.organisation!r} has a key of '
+                    f'{other.organisation!r} ({other.place}): the last counts'
+                )
+                yield Finding(holder.place, message)
--- a/packages/cactusmux/src/cactusmux/arguments.py
+++ b/packages/cactusmux/src/cactusmux/arguments.py
@@ -67,7 +67,12 @@
             return _fail(f'unknown flag {FLAG_PREFIX}{flag}')
         if name in value_by_flag:
             return _fail(f'flag {FLAG_PREFIX}{flag} is given twice')
-        if not has_value:
+        default = signature.parameters[name].default
+        if isinstance(default, bool):
+            if has_value or (words and not words[0].startswith(FLAG_PREFIX)):
+                # Fire would take the next word for the flag's value.
+                return _fail(f'flag {FLAG_PREFIX}{flag} must come last')
+        elif not has_value:
             if not words or words[0].startswith(FLAG_PREFIX):
                 return _fail(f'flag {FLAG_PREFIX}{flag} has no value')
             value = words.pop(0)
--- a/packages/cactusmux/src/cactusmux/commands.py
+++ b/packages/cactusmux/src/cactusmux/commands.py
@@ -7,11 +7,11 @@
 
 from absl import logging
 from cactusmux_base import failures
-from cactusmux_control import json_text
 from cactusmux_control import validation
 import msgspec
 from returns import result
 
+from . import configuration_report
 from . import experiment
 from . import log_story
 from . import operator_client
@@ -83,15 +83,32 @@
         if cut:
             raise CommandFailed(f'{cut} requests were cut off')
 
-    def check(self, file: str) -> None:
-        """Checks a settings or document FILE and prints every fault."""
-        text = _read(file)
-        parsed = json_text.parse(text)
-        if isinstance(parsed, dict) and 'instance_id' in parsed:
-            _checked(settings_check.check_settings(text), file)
-        else:
-            _checked(validation.check_document(text), file)
-        print(f'{file}: ok')
+    def check(
+        self,
+        file: str,
+        in_force: str = '',
+        reader: str = '',
+        json: bool = False,
+    ) -> None:
+        """Checks a settings or document FILE and prints every fault.
+
+        IN_FORCE is a file to compare it with. READER names a module that
+        reads another format. JSON prints an object. The status is 0 for a
+        sound file, 1 for a harmful and 2 for an unreadable one.
+        """
+        loaded = configuration_report.load_reader(str(reader))
+        if isinstance(loaded, result.Failure):
+            raise CommandFailed(str(loaded.failure()), EXIT_USAGE)
+        present = _read(in_force) if in_force else None
+        report = configuration_report.make(
+            file, _read(file), present, loaded.unwrap()
+        )
+        told = report.as_json() if json else report.as_text()
+        if report.exit_status and not json:
+            raise CommandFailed(told, report.exit_status)
+        print(told)
+        if report.exit_status:
+            raise CommandFailed('not sound', report.exit_status)
 
     def status(self, instance: str = DEFAULT_INSTANCE) -> None:
         """Prints what an instance knows of the fleet and the pool."""
--- /dev/null
+++ b/packages/cactusmux/src/cactusmux/configuration_report.py
@@ -0,0 +1,178 @@
+"""What ``cactusmux check`` says of one configuration, as text or JSON."""
+
+import importlib
+from typing import Any, NamedTuple
+
+from cactusmux_base import failures
+from cactusmux_control import json_text
+from cactusmux_control import validation
+from cactusmux_relay import configuration_changes
+from cactusmux_relay import configuration_check
+import msgspec
+from returns import result
+
+from . import settings_check
+
+EXIT_SOUND = 0
+EXIT_HARMFUL = 1
+EXIT_UNREADABLE = 2
+# The attribute of a reader's module that holds it.
+READER = 'READER'
+
+
+class NoReader(failures.CactusmuxError):
+    """A module that was given as a reader isn't one."""
+
+    reason = 'no_reader'
+
+
+class Report(NamedTuple):
+    """What was found, and the status that the command ends with.
+
+    :ivar faults: that prevent reading, unlike ``findings``.
+    """
+
+    file: str
+    exit_status: int
+    faults: tuple[json_text.Fault, ...] = ()
+    findings: tuple[configuration_check.Finding, ...] = ()
+    changes: tuple[configuration_check.Change, ...] = ()
+
+    def as_text(self) -> str:
+        """Returns one line for each thing to tell."""
+        lines = [f'{each.path}: {each.message}' for each in self.faults]
+        for found in self.findings:
+            kind = 'harmful' if found.is_harmful else 'note'
+            lines.append(f'{found.place}: {kind}: {found.message}')
+        lines.extend(_change_line(each) for each in self.changes)
+        if self.exit_status == EXIT_SOUND:
+            lines.append('ok')
+        return '\n'.join(f'{self.file}: {line}' for line in lines)
+
+    def as_json(self) -> str:
+        """Returns the same as a JSON object."""
+        fields = configuration_changes.plain(self)
+        encoded = msgspec.json.encode(fields)
+        return msgspec.json.format(encoded, indent=2).decode()
+
+
+class OwnReader(configuration_check.ConfigurationReader):
+    """Reads the product's own documents and settings."""
+
+    def read(self, text: bytes) -> configuration_check.Read:
+        parsed = json_text.parse(text)
+        if isinstance(parsed, dict) and 'instance_id' in parsed:
+            checked = settings_check.check_settings(text)
+            return checked.map(_readable).alt(lambda error: error.faults)
+        document = validation.check_document(text)
+        return document.map(_readable).alt(lambda error: error.faults)
+
+    def effect(self, steps: tuple[str, ...]) -> str:
+        return configuration_changes.UNKNOWN_EFFECT
+
+
+def _readable(read: Any) -> configuration_check.Readable:
+    tree = configuration_changes.plain(read)
+    return configuration_check.Readable(0, tuple(_unused(tree)), tree)
+
+
+def _unused(tree: dict[str, Any]) -> list[configuration_check.Finding]:
+    """Returns models and plain services that no kind of request names."""
+    kinds = tree.get('kind_by_name', {}).values()
+    found = []
+    for section, field in (
+        ('model_by_name', 'model'),
+        ('plain_service_by_name', 'plain_service'),
+    ):
+        used = {each[field] for each in kinds}
+        for name in tree.get(section, {}):
+            if name not in used:
+                place = json_text.format_path((section, name))
+                found.append(
+                    configuration_check.Finding(
+                        place, 'no kind of request names it', False
+                    )
+                )
+    return found
+
+
+def load_reader(
+    module: str,
+) -> result.Result[configuration_check.ConfigurationReader, NoReader]:
+    """Returns the reader of a module, our own one without a name."""
+    if not module:
+        return result.Success(OwnReader())
+    try:
+        reader = getattr(importlib.import_module(module), READER, None)
+    except ImportError as error:
+        return result.Failure(NoReader(f'{module}: {error}'))
+    if not isinstance(reader, configuration_check.ConfigurationReader):
+        return result.Failure(NoReader(f'{module} has no {READER}'))
+    return result.Success(reader)
+
+
+def make(
+    file: str,
+    text: bytes,
+    in_force: bytes | None,
+    reader: configuration_check.ConfigurationReader,
+) -> Report:
+    """Returns all there is to say of a text.
+
+    :param in_force: the text to compare it with, if there is one.
+    """
+    read = reader.read(text)
+    if isinstance(read, result.Failure):
+        return Report(file, EXIT_UNREADABLE, faults=read.failure())
+    readable = read.unwrap()
+    findings = readable.findings
+    changes: tuple[configuration_check.Change, ...] = ()
+    if in_force is not None:
+        present = reader.read(in_force)
+        if isinstance(present, result.Failure):
+            return Report(file, EXIT_UNREADABLE, _in_force(present.failure()))
+        before = present.unwrap()
+        findings += _version_findings(before, readable)
+        changes = tuple(
+            configuration_changes.compare(
+                before.tree, readable.tree, reader.effect
+            )
+        )
+    is_harmful = any(each.is_harmful for each in findings)
+    status = EXIT_HARMFUL if is_harmful else EXIT_SOUND
+    return Report(file, status, findings=findings, changes=changes)
+
+
+def _in_force(
+    faults: tuple[json_text.Fault, ...],
+) -> tuple[json_text.Fault, ...]:
+    return tuple(
+        json_text.Fault(each.path, f'in the version in force: {each.message}')
+        for each in faults
+    )
+
+
+def _version_findings(
+    before: configuration_check.Readable, after: configuration_check.Readable
+) -> tuple[configuration_check.Finding, ...]:
+    """Finds a version that instances would ignore as an old one."""
+    if after.version > before.version or before.tree == after.tree:
+        return ()
+    if not before.version:
+        return ()
+    message = (
+        f'version {after.version} is not above {before.version} in force: '
+        'instances ignore it'
+    )
+    place = json_text.format_path(('version',))
+    return (configuration_check.Finding(place, message),)
+
+
+def _change_line(change: configuration_check.Change) -> str:
+    if change.before is None:
+        told = 'new'
+    elif change.after is None:
+        told = 'removed'
+    else:
+        told = f'{change.before} -> {change.after}'
+    return f'{change.place}: change: {told}; {change.effect}'
--- a/packages/cactusmux/tests/test_arguments.py
+++ b/packages/cactusmux/tests/test_arguments.py
@@ -11,6 +11,7 @@
     ['check', '--file=settings.json'],
     ['document', 'show', 'steppe-thread', '--instance', '127.0.0.1:80'],
     ['document', 'apply', 'x.json', '--expect=12'],
+    ['check', 'settings.json', '--in-force=a.json', '--json'],
     ['version'],
 ]
 BAD = [
@@ -21,6 +22,8 @@
     (['serve', 'a.json', 'b.json'], 'too many positional arguments'),
     (['serve', 'a.json', '--verbose'], 'unknown flag --verbose'),
     (['version', 'upper'], 'too many positional arguments'),
+    (['check', '--json', 'a.json'], 'flag --json must come last'),
+    (['check', 'a.json', '--json=no'], 'flag --json must come last'),
     (['check', '--file'], 'flag --file has no value'),
     (['check', '--file=a', '--file=b'], 'flag --file is given twice'),
     (['check', 'a', '--file=b'], 'multiple values'),
--- /dev/null
+++ b/packages/cactusmux/tests/test_configuration_report.py
@@ -0,0 +1,62 @@
+"""``cactusmux check`` of the product's own documents."""
+
+import json
+import pathlib
+
+from cactusmux import configuration_report
+from cactusmux import program
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
+DOCUMENT = EXAMPLES / 'steppe-thread.json'
+READER = configuration_report.OwnReader()
+
+
+def _report(document, in_force=None):
+    present = json.dumps(in_force).encode() if in_force else None
+    return configuration_report.make(
+        'f', json.dumps(document).encode(), present, READER
+    )
+
+
+def _document():
+    return json.loads(DOCUMENT.read_text())
+
+
+def test_faults_are_those_that_an_instance_finds() -> None:
+    document = _document()
+    document['pool']['floor'] = 0.9
+    document['zones'] = 7
+    report = _report(document)
+    assert report.exit_status == 2
+    paths = {each.path for each in report.faults}
+    assert {'$.pool.floor', '$.zones'} <= paths
+
+
+def test_difference_from_the_document_in_force_is_told() -> None:
+    document = _document()
+    document['pool']['share'] *= 0.9
+    report = _report(document, _document())
+    assert report.exit_status == 0
+    assert [each.place for each in report.changes] == ['$.pool.share']
+
+
+def test_model_that_no_kind_names_is_noted() -> None:
+    document = _document()
+    model = next(iter(document['model_by_name'].values()))
+    document['model_by_name']['unused'] = model
+    report = _report(document)
+    assert report.exit_status == 0
+    assert report.findings[0].place == '$.model_by_name.unused'
+
+
+def test_version_in_force_that_is_unreadable_is_told(tmp_path) -> None:
+    present = tmp_path / 'present.json'
+    present.write_text('{}')
+    words = ['check', str(DOCUMENT), f'--in-force={present}']
+    assert program.run(words) == 2
+
+
+def test_settings_are_checked_as_before(capsys) -> None:
+    for file in sorted((EXAMPLES / 'settings').glob('*.json')):
+        assert program.run(['check', str(file)]) == 0
+    assert capsys.readouterr().out.endswith(': ok\n')
