--- a/tests/adapter/test_session.py
+++ b/tests/adapter/test_session.py
@@ -340,3 +340,19 @@
     _until(lambda: instance._book.leaving())
     ready = {each.id for each in instance._book.ready('drafters')}
     assert ready == {'i-1', 'i-2'}
+
+
+def test_ejections_of_two_instances_reach_a_third(world):
+    """The topic is wired: one report changes nothing, two exclude softly."""
+    world.configure()
+    instances = [world.start(f'n{index}')[0] for index in range(3)]
+    for each in instances:
+        _until(lambda it=each: len(it._fleet.instances) == len(instances))
+        _until(lambda it=each: it._book.target_by_id)
+    *ejecting, third = instances
+    target = next(iter(third._book.target_by_id.values()))
+    ejecting[0]._failing.note_failure(target, is_answered=True)
+    _until(lambda: third._ejections.own())
+    assert third._failing.ids() == frozenset()
+    ejecting[1]._failing.note_failure(target, is_answered=True)
+    _until(lambda: third._failing.ids() == {target.id})
