Compute the price of a crossing once for each pair of zones

Change: price and share are kept by pair of zones within one choice.

Decisions are the same: tests of path_choice, path_finder, segments and pipe_quota pass.

--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -121,7 +121,8 @@
     without = frozenset(excluded)
     # A target's segments differ only by their layers.
     terms_by_target: dict[str, _Terms] = {}
-    has_share_by_pipe: dict[Pipe, bool] = {}
+    price_by_zones: dict[tuple[str, str], float | None] = {}
+    withheld: set[Pipe] = set()
 
     def price(segment: segments.Segment) -> float | None:
         target = segment.target
@@ -141,16 +142,18 @@
         return (segment.idle_ms + slowing_ms) * terms.factor
 
     def crossing_price(zone: str, next_zone: str) -> float | None:
-        share = _pipe_share(engine, load, zone, next_zone)
-        if share > pipe_limit:
-            return None
-        name = pipe(zone, next_zone)
-        has_share = has_share_by_pipe.get(name)
-        if has_share is None:
-            has_share = has_share_by_pipe[name] = may_cross(name)
-        if not has_share:
-            return None
-        return CROSSING_MS + CROSSING_WAIT_MS * share / (1.0 - share)
+        zones = (zone, next_zone)
+        if zones not in price_by_zones:
+            share = _pipe_share(engine, load, zone, next_zone)
+            if share > pipe_limit:
+                price_by_zones[zones] = None
+            elif not may_cross(pipe(zone, next_zone)):
+                price_by_zones[zones] = None
+                withheld.add(pipe(zone, next_zone))
+            else:
+                waiting_ms = CROSSING_WAIT_MS * share / (1.0 - share)
+                price_by_zones[zones] = CROSSING_MS + waiting_ms
+        return price_by_zones[zones]
 
     path = graph.cheapest(price, crossing_price)
     pause_ms = event_ms(engine, path, load) if path else 0.0
@@ -162,7 +165,7 @@
         pause_ms,
         len(without),
         fullest / engine.pipe_tokens_per_s,
-        sum(not each for each in has_share_by_pipe.values()),
+        len(withheld),
     )
 
 
