--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -23,6 +23,7 @@
 from . import gauges
 from . import held_orders
 from . import http_server
+from . import instance_trouble
 from . import layer_orders
 from . import leaving_reports
 from . import live_streams
@@ -43,6 +44,7 @@
 from . import store_mirror
 from . import target_book
 from . import target_roster
+from . import trouble_news
 from . import watch_pace
 
 LEASE_NAME = 'placement'
@@ -114,10 +116,17 @@
             settings.entry_address,
             settings.exchange_address,
             settings.link_mbps,
+            settings.cores,
         )
         self._fleet = fleet.Fleet(own, timer)
         self._contact = store_contact.StoreContact(timer)
         self._mirror_by_prefix = self._make_mirrors()
+        self._trouble = instance_trouble.InstanceTrouble(
+            self._book, self._down, self._contact, timer, metric, self._tell
+        )
+        trouble = trouble_news.TroubleNews(
+            settings.name, lambda: self._trouble.is_troubled, timer, metric
+        )
         self._news = fleet_news.FleetNews(
             settings.name,
             lambda: self.is_stopping,
@@ -130,6 +139,7 @@
             topics=(
                 self._ejections,
                 recovery_news.RecoveryNews(self._down),
+                trouble,
             ),
         )
         self._checks = mirror_checks.MirrorChecks(
@@ -164,7 +174,7 @@
         self._down.subscribe(self._tell_down)
         self._down.subscribe_up(self._tell_soon)
         self.directory = directory.Directory(
-            self._exchange, timer, settings.name
+            self._exchange, timer, settings.name, trouble.troubled, rng
         )
         self._lease = leases.LeaseHolder(
             given.store,
@@ -260,6 +270,7 @@
         self._failing.start()
         self._lease.start()
         self._gauges.start()
+        self._trouble.start()
         self._keeper.start()
 
     @property
@@ -296,6 +307,9 @@
 
     def _tell_down(self, _target_id: str) -> None:
         """Lets the other instances probe a target at once."""
+        self._tell()
+
+    def _tell(self) -> None:
         gevent.spawn(self._exchange.send)
 
     def _takes_work(self, longest_s: float) -> bool:
