--- a/packages/cactusmux-relay/src/cactusmux_relay/stage_replacer.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stage_replacer.py
@@ -44,6 +44,9 @@
 LEAST_REVIEW_S = 0.001
 # An order that is refused for a part of its path is sent once more.
 MAX_ORDERS = 2
+# A stream that can't be resumed either is looked at every 0.2 s until its
+# target cuts it. Orders that were refused so often are not tried again.
+MAX_FAILURES = 2
 # How a missing part shows in the lines and counters of rejected paths.
 STATUS_CONFLICT = 409
 
@@ -154,6 +157,7 @@
         self._avoid = avoid
         self._avoided: set[str] = set()
         self._kept_for = ''
+        self._failures = 0
         self._added_ids: set[str] = set()
 
     def replace_lost(self, stream: live_streams.LiveStream) -> bool:
@@ -164,6 +168,8 @@
         """
         if stream.target_ids[0] in self._parts.down.ids:
             return False
+        if self._failures >= MAX_FAILURES:
+            return False
         found = self._decide(stream, frozenset())
         if found is None:
             self._note_failed(stream, 'no_replacement')
@@ -223,6 +229,7 @@
         if self._noted.has_ended:
             return
         if reason:
+            self._failures += 1
             self._note_failed(stream, reason)
             self._parts.live.resume_elsewhere(stream)
             return
@@ -341,8 +348,8 @@
             return
         if stream.events - events_before >= TRIAL_EVENTS:
             return
-        heard_at = max(stream.last_at, adopted_at)
-        left_s = heard_at + TRIAL_S - self._parts.timer.now()
+        ends_at = self._trial_ends_at(stream, adopted_at)
+        left_s = ends_at - self._parts.timer.now()
         if left_s < LEAST_REVIEW_S:
             self._note_failed(stream, 'silent')
             for target_id in self._added_ids:
@@ -351,6 +358,20 @@
             left_s = live_streams.HAND_OVER_PERIOD_S
         self._review_in(left_s, stream, events_before, adopted_at)
 
+    def _trial_ends_at(
+        self, stream: live_streams.LiveStream, adopted_at: float
+    ) -> float:
+        """Returns until when a stream may stay silent.
+
+        Before its first event a request has until its objective: prompts
+        that queue after a loss would only be read once more elsewhere.
+        """
+        ends_at = max(stream.last_at, adopted_at) + TRIAL_S
+        if stream.has_started:
+            return ends_at
+        received_at = self._exchange.request.received_at
+        return max(ends_at, received_at + self._exchange.route.objective_s)
+
     def _note_failed(
         self, stream: live_streams.LiveStream, reason: str
     ) -> None:
--- a/packages/cactusmux-relay/tests/test_stage_replacer.py
+++ b/packages/cactusmux-relay/tests/test_stage_replacer.py
@@ -327,6 +327,62 @@
     assert world.counted('stage_not_replaced.silent') == 1
 
 
+def test_request_without_an_event_has_until_its_objective(world, lose):
+    """Its prompt waits behind others that are read after the loss."""
+    world.lost_after = 0
+    world.orders.needed = 'never'
+    gevent.spawn_later(0.42, world.orders.carried_out.set)
+    received, _ = lose(lambda: world.use_whole('n'))
+    assert _is_whole(received)
+    assert world.resumed == []
+
+
+def test_orders_that_fail_are_not_sent_for_ever(world):
+    """A stream that can't be resumed was looked at until its target cut it."""
+    failure = result.Failure(layer_orders.OrderRefused('first', 500))
+    world.orders.answers = [failure] * 99
+    asked = gevent.spawn(world.ask, '/once/')
+    while not world.first.received:
+        gevent.sleep(0.001)
+    world.use_spares('n')
+    gevent.spawn_later(1.5, world.orders.carried_out.set)
+    received, _ = asked.get(timeout=10.0)
+    assert _is_whole(received)
+    assert len(world.orders.asked) == stage_replacer.MAX_FAILURES
+
+
+def test_stages_that_are_lost_together_are_all_replaced(world, lose):
+    """The second loss may be known only once the first order is sent."""
+    world.orders.needed = 'm'
+    other = world.spares[0]
+    lost = (
+        _stage('first', 0, 40, world.first),
+        _stage('lost', 40, 60, world.lost),
+        _stage('other', 60, 80, other),
+    )
+    world.rig.use_stages(*lost)
+    stop = world.lost.stop
+
+    def stop_both():
+        stop()
+        other.stop()
+
+    world.lost.stop = stop_both
+
+    def use():
+        world.rig.use_stages(
+            *lost,
+            _stage('n', 40, 60, world.spares[1]),
+            _stage('m', 60, 80, world.spares[2]),
+        )
+
+    received, longest_s = lose(use)
+    assert _is_whole(received)
+    assert longest_s < LONGEST_PAUSE_S
+    assert _ids(world.orders.asked[-1][2]) == ['first', 'n', 'm']
+    assert world.resumed == []
+
+
 def test_stream_without_a_replacement_is_resumed_as_before(world, lose):
     """The first target holds all layers by now, but is in the path."""
 
--- a/tests/adapter/test_session.py
+++ b/tests/adapter/test_session.py
@@ -14,6 +14,7 @@
 from cactusmux_relay import relay_instance
 from cactusmux_relay import relay_settings
 import gevent
+from gevent import event
 from gevent import socket
 import msgspec
 import pytest
@@ -74,11 +75,16 @@
         self.orders = 0
         self.leaves = False
         self.streams = []
+        self.lose = None
+        self.changed_path = event.Event()
+        self.paths = []
         self.target = scripted_target.ScriptedTarget(self._script)
 
     def _script(self, sock, request):
         if request.path == '/order':
             order = msgspec.json.decode(request.body)
+            if order['operation'] == 'repath':
+                return self._change_path(sock, order)
             assert order['expected'] == self.orders
             self.orders += 1
             self.layers = {**self.layers, 'from': order['from']}
@@ -105,11 +111,27 @@
         }
         sock.sendall(scripted_target.stream_head(seal))
         for number in range(1, 7):
-            event = scripted_target.event(number)
-            sock.sendall(scripted_target.chunk(event))
+            if self.lose is not None and number == 4:
+                self.lose(request)
+                self.changed_path.wait(WAIT_S)
+            data = scripted_target.event(number)
+            sock.sendall(scripted_target.chunk(data))
         sock.sendall(scripted_target.chunk(b''))
         return True
 
+    def _change_path(self, sock, order):
+        """Takes the order if the request is under way."""
+        ids = [
+            each.value_by_header['x-cactusmux-request-id']
+            for each in self.streams
+        ]
+        status = 202 if order['id'] in ids else 404
+        sock.sendall(scripted_target.answer(b'{}', status))
+        if status == 202:
+            self.paths.append(order['path'])
+            self.changed_path.set()
+        return True
+
     def entry(self, service):
         return {
             'service_name': service,
@@ -340,3 +362,59 @@
     _until(lambda: instance._book.leaving())
     ready = {each.id for each in instance._book.ready('drafters')}
     assert ready == {'i-1', 'i-2'}
+
+
+# Room for half of the layers beside the tokens of requests.
+# Room for half of the layers beside the tokens of requests.
+SMALL_CARD_MB = 3000.0
+
+
+def _config_with_small_cards():
+    """Returns a configuration in which no card holds all layers."""
+    config = msgspec.json.decode(msgspec.json.encode(CONFIG))
+    for kind in config['services'][1]['engine']['kinds']:
+        kind['size_mb'] = SMALL_CARD_MB
+    return config
+
+
+def _hold_each_layer_twice(world):
+    """Whether each range of layers is on two servers at least."""
+
+    def hold():
+        held = [
+            (each.layers['from'], each.layers['target'])
+            for each in world.engines
+        ]
+        return (0, 0) not in held and all(
+            held.count(each) > 1 for each in held
+        )
+
+    return hold
+
+
+def test_stream_goes_on_when_a_stage_of_its_path_goes_down(world):
+    """Over all layers of the product, by the order on the wire."""
+    world.engines = [_Engine('small') for _ in range(8)]
+    world.configure()
+    world.store.put('op/config', _config_with_small_cards())
+    instance, settings = world.start('front-a-1')
+    _until(lambda: instance.is_ready)
+    _until(_hold_each_layer_twice(world))
+    engine_by_address = {each.target.address: each for each in world.engines}
+
+    def lose(request):
+        path = request.value_by_header['x-cactusmux-hop-count']
+        stage = path.split(',')[1].partition('=')[0]
+        engine_by_address[stage].target.stop()
+
+    for each in world.engines:
+        each.lose = lose
+    _until(lambda: _ask(settings, '/drafts/x').startswith(b'HTTP/1.1 200'))
+    (first,) = [each for each in world.engines if each.paths]
+    assert len(first.streams) == 1
+    sent = first.streams[0].value_by_header['x-cactusmux-hop-count']
+    changed = first.paths[0]
+    assert changed.split(',')[0] == sent.split(',')[0]
+    lost, taken_over = (each.split(',')[1] for each in (sent, changed))
+    assert lost.partition('=')[2] == taken_over.partition('=')[2]
+    assert lost != taken_over
