Limit targets that have started or recovered until they show their pace

Cause: a target that has just started is idle, so it looks cheapest to every instance and is sent its full load while it is cold.

Change: target_pace_limit (pure) gives a limit as a share of full use: 1/8 after a start, doubling with good answers, halved by bad ones, small steps from there, removed once full use has gone well. The seats are divided by turn and epoch, so that their sum needs no message; the topic 'pace' tells of rises. Plain requests and paths leave out targets at their limit while there are others; resumed streams don't look at it. recoveries tells who has started or was refused, ejected or backed off; a target that was merely silent isn't limited. Nothing is limited when most targets of a service are new.

The path finder tries targets at their limit before those that are softly excluded for other reasons.

--- /dev/null
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
@@ -0,0 +1,339 @@
+"""Plain requests of a fleet to targets whose pace changes, without a network.
+
+The instances are real ones of :class:`plain_relay.PlainRelay` with ledgers
+and limits of their own; targets and datagrams are played.
+"""
+
+import collections
+from collections.abc import Callable
+import functools
+import itertools
+import random
+from typing import NamedTuple
+
+from cactusmux_base import metrics
+from cactusmux_relay import backoffs
+from cactusmux_relay import context
+from cactusmux_relay import cost_model
+from cactusmux_relay import desired
+from cactusmux_relay import dialect
+from cactusmux_relay import http_server
+from cactusmux_relay import live_streams
+from cactusmux_relay import load_ledger
+from cactusmux_relay import outcomes
+from cactusmux_relay import pace_limits
+from cactusmux_relay import plain_relay
+from cactusmux_relay import repeat_budget
+from cactusmux_relay import request_core
+from cactusmux_relay import sending
+from cactusmux_relay import soft_exchange
+from cactusmux_relay import target_book
+from cactusmux_relay import target_calls
+from cactusmux_relay import target_paces
+from cactusmux_relay import targets
+from cactusmux_relay import turns
+from cactusmux_routing import breakers
+from gevent import lock
+from gevent import pool
+
+from . import play_timers
+from . import relay_rig
+
+SLOTS = 8
+USUAL_S = 0.1
+OBJECTIVE_S = 0.25
+TIME_LIMIT_S = 30.0
+# Before targets restart, all instances have settled.
+SETTLING_S = 8.0
+# A target is at full use once it answers this share of what the others do.
+FULL_USE = 0.7
+USE_WINDOW_S = 1.0
+
+# By seconds since the start and requests running, how many times slower.
+Pace = Callable[[float, int], float]
+
+
+def usual_pace(_age_s: float, _running: int) -> float:
+    """Returns the pace of a target that is warm."""
+    return 1.0
+
+
+class Answered(NamedTuple):
+    """An answer: when it was asked for and came, and from where."""
+
+    asked_at: float
+    answered_at: float
+    target_id: str
+
+    @property
+    def seconds(self) -> float:
+        """Returns how long the caller waited."""
+        return self.answered_at - self.asked_at
+
+
+class Server:
+    """A target with slots; further requests wait for one."""
+
+    def __init__(self, target_id: str, timer: play_timers.PlayTimers) -> None:
+        self._timer = timer
+        self._slots = lock.BoundedSemaphore(SLOTS)
+        self._pace: Pace = usual_pace
+        self._started_at = timer.now()
+        self.running = 0
+        self.present = 0
+        self.most_present = 0
+        self.target = targets.Target(
+            id=target_id,
+            service=relay_rig.PLAIN_SERVICE,
+            address=f'{target_id}:80',
+            zone='a',
+            slots=SLOTS,
+            is_leaving=False,
+            born_ms=1,
+        )
+
+    def restart(self, pace: Pace) -> None:
+        """Starts anew; what is under way is finished."""
+        self._pace = pace
+        self._started_at = self._timer.now()
+        born_ms = self.target.born_ms + 1
+        self.target = self.target._replace(born_ms=born_ms)
+        self.most_present = 0
+
+    def run(self) -> None:
+        """Runs one request."""
+        self.present += 1
+        self.most_present = max(self.most_present, self.present)
+        with self._slots:
+            self.running += 1
+            age_s = self._timer.now() - self._started_at
+            self._timer.sleep(USUAL_S * self._pace(age_s, self.running))
+            self.running -= 1
+        self.present -= 1
+
+
+class _Sender(sending.Sender):
+    """In place of connections; notes which target got each request."""
+
+    def __init__(
+        self,
+        server_by_id: dict[str, Server],
+        target_id_by_request: dict[str, str],
+    ) -> None:
+        self._server_by_id = server_by_id
+        self._target_id_by_request = target_id_by_request
+
+    def send(
+        self,
+        exchange: context.Exchange,
+        target: targets.Target,
+        path: cost_model.Path = (),
+        last_event_id: int | None = None,
+        live: live_streams.LiveStream | None = None,
+    ) -> outcomes.SendOutcome:
+        self._target_id_by_request[exchange.facts.request_id] = target.id
+        self._server_by_id[target.id].run()
+        return outcomes.Whole(target_calls.AnswerHead(200, ()), b'')
+
+
+class Instance:
+    """One instance: what it knows, and how it relays."""
+
+    def __init__(self, place: int, play: 'Play', has_limits: bool) -> None:
+        timer = play.timer
+        rng = random.Random(place)
+        self.metric = metrics.MemoryMetrics()
+        self.book = target_book.TargetBook()
+        self.ledger = load_ledger.LoadLedger(timer)
+        self.ledger.set_instances(play.instance_count)
+        held = backoffs.Backoffs(self.book, timer, self.metric)
+        budget = repeat_budget.RepeatBudget(timer, 1.0, 1e6, 10.0)
+        health = breakers.Breakers(timer, rng, self.metric, lambda lost: True)
+        turn = turns.Turn(place, play.instance_count)
+        self.paces = target_paces.TargetPaces(
+            self.book,
+            self.ledger,
+            request_core.InForce(),
+            lambda: turn,
+            timer,
+            self.metric,
+        )
+        limits: pace_limits.PaceLimits = pace_limits.NoPaceLimits()
+        if has_limits:
+            limits = self.paces
+            self.paces.start()
+        self.relay = plain_relay.PlainRelay(
+            self.book,
+            self.ledger,
+            _Sender(play.server_by_id, play.target_id_by_request),
+            budget,
+            health,
+            timer,
+            self.metric,
+            rng,
+            'a',
+            held,
+            limits,
+        )
+
+
+class Play:
+    """A fleet, its targets and callers.
+
+    :param loss: share of datagrams that get lost.
+    """
+
+    def __init__(
+        self,
+        instances: int,
+        servers: int,
+        rate: float,
+        has_limits: bool,
+        loss: float = 0.0,
+        seed: int = 1,
+    ) -> None:
+        self.timer = play_timers.PlayTimers()
+        self.instance_count = instances
+        self._rng = random.Random(seed)
+        self._rate = rate
+        self._loss = loss
+        self.answers: list[Answered] = []
+        self.target_id_by_request: dict[str, str] = {}
+        self._numbers = itertools.count()
+        self._callers = pool.Group()
+        self.server_by_id = {
+            name: Server(name, self.timer)
+            for name in (f's{number}' for number in range(servers))
+        }
+        self.instances = [
+            Instance(place, self, has_limits) for place in range(instances)
+        ]
+        self.publish()
+        is_small = instances - 1 <= soft_exchange.MAX_TOLD_ALL
+        period_s = soft_exchange.PERIOD_S
+        if not is_small:
+            period_s = soft_exchange.SAMPLE_PERIOD_S
+        for each in self.instances:
+            self.timer.after(
+                self._rng.uniform(0.0, period_s),
+                functools.partial(self._tell_always, each, period_s),
+            )
+        self._schedule_next()
+
+    def publish(self) -> None:
+        """Tells all instances of the targets."""
+        for each in self.instances:
+            present = [one.target for one in self.server_by_id.values()]
+            each.book.replace(present, {})
+
+    def run(self, seconds: float) -> None:
+        """Lets the play go on for some seconds."""
+        self.timer.play(seconds)
+
+    def stop(self) -> None:
+        """Ends the requests that are still under way."""
+        self._callers.kill()
+
+    def restart(self, names: list[str], pace: Pace) -> float:
+        """Restarts targets; returns when that was."""
+        for name in names:
+            self.server_by_id[name].restart(pace)
+        self.publish()
+        return self.timer.now()
+
+    def _schedule_next(self) -> None:
+        self.timer.after(self._rng.expovariate(self._rate), self._arrive)
+
+    def _arrive(self) -> None:
+        self._callers.spawn(self._ask, self._rng.choice(self.instances))
+        self._schedule_next()
+
+    def _ask(self, instance: Instance) -> None:
+        asked_at = self.timer.now()
+        request_id = str(next(self._numbers))
+        instance.relay.serve(_exchange(request_id, asked_at))
+        target_id = self.target_id_by_request.pop(request_id)
+        answered = Answered(asked_at, self.timer.now(), target_id)
+        self.answers.append(answered)
+
+    def _tell_always(self, sender: Instance, period_s: float) -> None:
+        self._tell(sender)
+        self.timer.every(period_s, lambda: self._tell(sender))
+
+    def _tell(self, sender: Instance) -> None:
+        others = [each for each in self.instances if each is not sender]
+        if len(others) > soft_exchange.MAX_TOLD_ALL:
+            others = self._rng.sample(others, soft_exchange.SAMPLE)
+        own = sender.ledger.own()
+        loads = load_ledger.OwnLoads(
+            dict(own.tokens_by_target), dict(own.requests_by_target), {}
+        )
+        data = sender.paces.own()
+        name = str(self.instances.index(sender))
+        for each in others:
+            if self._rng.random() < self._loss:
+                continue
+            each.ledger.note_peer(name, loads)
+            if data:
+                each.paces.take(name, data)
+
+    def from_targets(self, names: list[str], since: float) -> list[Answered]:
+        """Returns the answers of some targets asked for since a time."""
+        return [
+            each
+            for each in self.answers
+            if each.target_id in names and each.asked_at >= since
+        ]
+
+    def full_use_s(self, names: list[str], since: float) -> float:
+        """Returns how long targets took until used as much as the others.
+
+        Infinite where they never were.
+        """
+        count_by_window: dict[int, collections.Counter] = {}
+        for each in self.answers:
+            if each.answered_at >= since:
+                window = int((each.answered_at - since) / USE_WINDOW_S)
+                counts = count_by_window.setdefault(
+                    window, collections.Counter()
+                )
+                counts[each.target_id in names] += 1
+        others = len(self.server_by_id) - len(names)
+        for window, counts in sorted(count_by_window.items()):
+            usual = counts[False] / others * len(names)
+            if counts[True] >= FULL_USE * usual:
+                return (window + 1) * USE_WINDOW_S
+        return float('inf')
+
+
+def late(answers: list[Answered]) -> int:
+    """Returns how many answers came after their objective."""
+    return sum(each.seconds > OBJECTIVE_S for each in answers)
+
+
+def worst_s(answers: list[Answered]) -> float:
+    """Returns the longest wait for an answer."""
+    return max((each.seconds for each in answers), default=0.0)
+
+
+def _exchange(request_id: str, now: float) -> context.Exchange:
+    route = relay_rig.route(
+        '/unsafe/',
+        desired.RequestKind.UNSAFE,
+        relay_rig.PLAIN_SERVICE,
+        timeout_s=TIME_LIMIT_S,
+    )
+    facts = dialect.RequestFacts(
+        request_id, '', None, None, '', 0.0, 0.0, None, None, []
+    )
+    return context.Exchange(
+        request=None,  # type: ignore[arg-type]
+        facts=facts,
+        answerer=http_server.Answerer,  # type: ignore[arg-type]
+        route=route._replace(objective_s=OBJECTIVE_S),
+        service=relay_rig.desired_state().service_by_name[
+            relay_rig.PLAIN_SERVICE
+        ],
+        organisation=None,
+        ends_at=now + TIME_LIMIT_S,
+    )
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -11,6 +11,7 @@
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
+from cactusmux_relay import pace_limits
 from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
 from cactusmux_relay import refused_callers
@@ -86,7 +87,9 @@
 class RelayRig:
     """The core behind a listening socket; targets are given by address."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: pace_limits.PaceLimits | None = None) -> None:
+        limits = limits or pace_limits.NoPaceLimits()
+        self.limits = limits
         timer = timers.GeventTimers()
         rng = random.Random(1)
         self.metric = metrics.MemoryMetrics()
@@ -126,6 +129,7 @@
                 rng,
                 'a',
                 held,
+                limits,
             ),
             stream_run.StreamParts(
                 refused=self.refused,
@@ -138,6 +142,7 @@
                     self.metric,
                     held,
                     rng,
+                    at_limit=limits.at_limit,
                 ),
                 ledger=ledger,
                 sender=sender,
@@ -147,6 +152,7 @@
                 live=live,
                 timer=timer,
                 metric=self.metric,
+                limits=limits,
             ),
             budget,
             timer,
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -23,6 +23,8 @@
 from . import stream_run
 from . import target_book
 from . import target_calls
+from . import target_pace_limit
+from . import target_paces
 
 
 class SharedParts(NamedTuple):
@@ -47,6 +49,7 @@
     metric: metrics.Metrics
     rng: random.Random
     takes_work: Callable[[float], bool]
+    limits: target_paces.TargetPaces
 
 
 def assemble(shared: SharedParts) -> request_core.RequestCore:
@@ -75,6 +78,7 @@
     health = breakers.Breakers(
         shared.timer, shared.rng, shared.metric, lambda lost: True
     )
+    _watch_outages(shared, health)
     return plain_relay.PlainRelay(
         shared.book,
         shared.ledger,
@@ -86,9 +90,27 @@
         shared.rng,
         shared.zone,
         shared.held,
+        shared.limits,
     )
 
 
+def _watch_outages(shared: SharedParts, health: breakers.Breakers) -> None:
+    """Has targets limited that are back after having been left out."""
+
+    def ejected_ids() -> frozenset[str]:
+        target_by_address = shared.book.target_by_address
+        return frozenset(
+            target_by_address[address].id
+            for address in health.ejected()
+            if address in target_by_address
+        )
+
+    causes = target_pace_limit.Cause
+    shared.limits.watch(causes.DOWN, lambda: shared.down.refused_ids)
+    shared.limits.watch(causes.BACKED_OFF, lambda: shared.held.ids)
+    shared.limits.watch(causes.EJECTED, ejected_ids)
+
+
 def _stream_parts(
     shared: SharedParts, sender: sending.Sender
 ) -> stream_run.StreamParts:
@@ -101,6 +123,7 @@
         shared.metric,
         shared.held,
         shared.rng,
+        at_limit=shared.limits.at_limit,
     )
     return stream_run.StreamParts(
         finder=finder,
@@ -113,4 +136,5 @@
         live=shared.live,
         timer=shared.timer,
         metric=shared.metric,
+        limits=shared.limits,
     )
--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -60,6 +60,11 @@
         """Ids of the targets that are down."""
         return frozenset(self._target_by_id)
 
+    @property
+    def refused_ids(self) -> frozenset[str]:
+        """Ids of the targets that are down and refused connections."""
+        return frozenset(self._refused_ids & self._target_by_id.keys())
+
     def confirmed_ids(self, is_alone: bool) -> frozenset[str]:
         """Ids of the targets that are down by more than our own word.
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
@@ -42,11 +42,11 @@
         if not self._budget.has_left(service):
             return self.keep(outcomes.Refusal.REPEATS_SPENT)
         choice = self._finder.choose(
-            self._exchange, self._demand, avoided, 0.0
+            self._exchange, self._demand, avoided, 0.0, True
         )
         if choice.path is None and avoided:
             choice = self._finder.choose(
-                self._exchange, self._demand, set(), 0.0
+                self._exchange, self._demand, set(), 0.0, True
             )
         if choice.path is None:
             return self.keep(outcomes.Refusal.NO_ROOM)
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -31,6 +31,10 @@
 SoftExclusion = Callable[[], frozenset[str]]
 
 
+def _none() -> frozenset[str]:
+    return frozenset()
+
+
 class PathFinder:
     """Chooses paths by what is known of targets and loads."""
 
@@ -45,7 +49,15 @@
         held: backoffs.Backoffs,
         rng: random.Random,
         soft_exclusions: Sequence[SoftExclusion] = (),
+        at_limit: SoftExclusion = _none,
     ) -> None:
+        """Prepares the search.
+
+        :param at_limit: which targets have all that they may, after a start
+            or recovery; resumed streams use them, and others before those
+            that are softly excluded.
+        """
+        self._at_limit = at_limit
         self._soft_exclusions = tuple(soft_exclusions)
         self._book = book
         self._ledger = ledger
@@ -63,6 +75,7 @@
         demand: path_choice.Demand,
         avoided: set[str],
         wait_s: float,
+        is_resumed: bool = False,
     ) -> path_choice.Choice:
         """Returns a path with room, waiting up to ``wait_s`` for one.
 
@@ -71,13 +84,16 @@
         """
         until = min(self._timer.now() + wait_s, exchange.ends_at - ANSWER_S)
         choice = path_choice.Choice(None, 0.0, 0, 0.0)
+        is_resumed = is_resumed or exchange.facts.last_event_id is not None
         while True:
             left_s = until - self._timer.now()
             is_last = left_s <= max(0.0, self.wait_s(exchange.service))
             pipe_limit = path_choice.PIPE_LIMIT
             if is_last:
                 pipe_limit = path_choice.LAST_PIPE_LIMIT
-            choice = self._look(exchange, demand, avoided, pipe_limit)
+            choice = self._look(
+                exchange, demand, avoided, pipe_limit, is_resumed
+            )
             if choice.path is not None:
                 return choice
             if is_last:
@@ -91,11 +107,19 @@
         demand: path_choice.Demand,
         avoided: set[str],
         pipe_limit: float,
+        is_resumed: bool,
     ) -> path_choice.Choice:
         """Looks for a path once, with those softly excluded if need be."""
         excluded = self._excluded() | avoided
         soft = self._softly_excluded() - excluded
-        choice = self._search(exchange, demand, excluded | soft, pipe_limit)
+        limited = frozenset() if is_resumed else self._at_limit()
+        limited = limited - soft - excluded
+        without = excluded | soft | limited
+        choice = self._search(exchange, demand, without, pipe_limit)
+        if choice.path is None and limited:
+            choice = self._search(
+                exchange, demand, excluded | soft, pipe_limit
+            )
         if choice.path is None and soft:
             choice = self._search(exchange, demand, excluded, pipe_limit)
         return choice
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -19,6 +19,8 @@
 from . import context
 from . import load_ledger
 from . import outcomes
+from . import pace_limits
+from . import plain_pace
 from . import repeat_budget
 from . import sending
 from . import target_book
@@ -29,7 +31,7 @@
 RETRY_AFTER_S = 0.5
 MS_PER_S = 1000.0
 # Failures that may pass elsewhere; the rest is the caller's own.
-FAILED_STATUSES = range(500, 600)
+FAILED_STATUSES = plain_pace.FAILED_STATUSES
 
 
 class PlainRelay:
@@ -47,6 +49,7 @@
         rng: random.Random,
         zone: str,
         held: backoffs.Backoffs,
+        limits: pace_limits.PaceLimits | None = None,
     ) -> None:
         self._book = book
         self._ledger = ledger
@@ -58,6 +61,7 @@
         self._rng = rng
         self._zone = zone
         self._held = held
+        self._limits = limits or pace_limits.NoPaceLimits()
 
     def serve(self, exchange: context.Exchange) -> outcomes.Whole:
         """Returns the answer; raises :class:`context.Refused`."""
@@ -145,14 +149,28 @@
             if each.id not in without
         ]
         sound = [each for each in ready if each.address not in ejected]
-        candidates = sound or ready
+        candidates = self._within_limits(sound or ready)
         if not candidates:
             return None
         return min(candidates, key=self._rank)
 
+    def _within_limits(
+        self, candidates: list[targets.Target]
+    ) -> list[targets.Target]:
+        """Leaves out targets at their limit while others have a slot."""
+        limited = self._limits.at_limit()
+        if not limited:
+            return candidates
+        others = [each for each in candidates if each.id not in limited]
+        has_slot = any(self._busy(each) < 1.0 for each in others)
+        return others if has_slot else candidates
+
     def _rank(self, target: targets.Target) -> tuple[float, bool, float]:
-        busy = self._ledger.all_requests(target.id) / max(1, target.slots)
-        return (busy, target.zone != self._zone, self._rng.random())
+        is_far = target.zone != self._zone
+        return (self._busy(target), is_far, self._rng.random())
+
+    def _busy(self, target: targets.Target) -> float:
+        return self._ledger.all_requests(target.id) / max(1, target.slots)
 
     def _send(
         self,
@@ -172,6 +190,7 @@
         )
         self._ledger.add((target.id,), 0.0)
         self._health.note_started(target.address)
+        pace = plain_pace.PlainPace(self._limits, target, self._timer)
         outcome: outcomes.SendOutcome = outcomes.MaybeRun(
             target.address, 'no answer in time'
         )
@@ -181,6 +200,7 @@
         finally:
             self._ledger.remove((target.id,), 0.0)
         self._note(exchange, target, outcome)
+        pace.note(outcome, exchange.route.objective_s, wait_s)
         return outcome
 
     def _note(
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/recoveries.py
@@ -0,0 +1,118 @@
+"""Finds targets that are new, or that are back after having been left out.
+
+A target that was merely silent isn't among them: one that connections to
+timed out may have been cut off from us, and may have worked all the while.
+Only a target that refused connections, was ejected or asked to be left alone
+has recovered when it is back.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from cactusmux_base import timers
+
+from . import target_book
+from . import target_pace_limit
+from . import targets
+
+# Targets first seen within this time of the first ones are taken as warm:
+# it is us who have started, or the whole fleet.
+SETTLED_S = 5.0
+# Starts whose entries are gone may come back; the oldest of so many are
+# dropped.
+MAX_GONE = 256
+
+Ids = Callable[[], frozenset[str]]
+
+
+class Found(NamedTuple):
+    """A target that has started or recovered."""
+
+    start: targets.Start
+    cause: target_pace_limit.Cause
+
+
+class Recoveries:
+    """Compares the targets with those known before."""
+
+    def __init__(
+        self, book: target_book.TargetBook, timer: timers.TimerService
+    ) -> None:
+        self._book = book
+        self._timer = timer
+        self._ids_by_cause: dict[target_pace_limit.Cause, Ids] = {}
+        self._away_by_cause: dict[
+            target_pace_limit.Cause, dict[str, targets.Start]
+        ] = {}
+        self._known_by_id: dict[str, targets.Start] = {}
+        self._waiting_ids: set[str] = set()
+        self._seen: dict[str, targets.Target] | None = None
+        self._first_at: float | None = None
+
+    def watch(self, cause: target_pace_limit.Cause, ids: Ids) -> None:
+        """Adds a reason for which targets are left out.
+
+        :param ids: returns the ids of the targets left out now.
+        """
+        self._ids_by_cause[cause] = ids
+        self._away_by_cause[cause] = {}
+
+    def review(self) -> list[Found]:
+        """Returns the targets that have started or recovered since."""
+        found = list(self._started())
+        for cause, ids in self._ids_by_cause.items():
+            found.extend(self._returned(cause, ids()))
+        return found if self._is_settled else []
+
+    @property
+    def _is_settled(self) -> bool:
+        if self._first_at is None:
+            return False
+        return self._timer.now() - self._first_at >= SETTLED_S
+
+    def _started(self) -> Iterable[Found]:
+        target_by_id = self._book.target_by_id
+        if self._seen is target_by_id:
+            return
+        # The book takes a new dictionary with each list of targets.
+        self._seen = target_by_id
+        if self._first_at is None and target_by_id:
+            self._first_at = self._timer.now()
+        for target in target_by_id.values():
+            if self._known_by_id.get(target.id) != target.start:
+                self._known_by_id.pop(target.id, None)
+                self._known_by_id[target.id] = target.start
+                self._waiting_ids.add(target.id)
+            if target.id not in self._waiting_ids:
+                continue
+            # A model's target is cold once it has its first layers. Of those
+            # there from the beginning none is newer than another.
+            if target_pace_limit.is_serving(target) or not self._is_settled:
+                self._waiting_ids.discard(target.id)
+                yield Found(target.start, target_pace_limit.Cause.STARTED)
+        self._forget_gone(target_by_id)
+
+    def _forget_gone(self, target_by_id: dict[str, targets.Target]) -> None:
+        gone = [each for each in self._known_by_id if each not in target_by_id]
+        for target_id in gone[: max(0, len(gone) - MAX_GONE)]:
+            del self._known_by_id[target_id]
+            self._waiting_ids.discard(target_id)
+
+    def _returned(
+        self, cause: target_pace_limit.Cause, ids: frozenset[str]
+    ) -> Iterable[Found]:
+        away = self._away_by_cause[cause]
+        if not ids and not away:
+            return
+        target_by_id = self._book.target_by_id
+        for target_id, start in list(away.items()):
+            if target_id in ids:
+                continue
+            del away[target_id]
+            current = target_by_id.get(target_id)
+            if current is not None and current.start == start:
+                yield Found(start, cause)
+        for target_id in ids:
+            current = target_by_id.get(target_id)
+            if current is not None:
+                away.setdefault(target_id, current.start)
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -36,6 +36,7 @@
 from . import store_contact
 from . import store_mirror
 from . import target_book
+from . import target_paces
 from . import target_roster
 from . import watch_pace
 
@@ -87,6 +88,14 @@
             timer, self._down, self._down.probe, self._paces.ask
         )
         self._refused = refused_callers.RefusedCallers(timer, rng)
+        self._limits = target_paces.TargetPaces(
+            self._book,
+            self._ledger,
+            self.in_force,
+            lambda: self._fleet.turn,
+            timer,
+            metric,
+        )
         core = self._make_core(metric, rng)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -114,6 +123,7 @@
             self._down,
             self._paces,
             self._refused,
+            (self._limits,),
         )
         self._checks = mirror_checks.MirrorChecks(
             tuple(self._mirror_by_prefix.values()),
@@ -192,6 +202,7 @@
                 metric=metric,
                 rng=rng,
                 takes_work=self._takes_work,
+                limits=self._limits,
             )
         )
 
@@ -229,6 +240,7 @@
         self._entry.start()
         self._registration.start()
         self._down.start()
+        self._limits.start()
         self._live.start()
         self._lease.start()
         self._gauges.start()
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_pace.py
@@ -0,0 +1,128 @@
+"""What the events of a stream say of the pace of the targets on its path.
+
+A single long pause says that a target was silent, which may be the network's
+doing; that most pauses are long says that it is slow.
+"""
+
+from . import context
+from . import cost_model
+from . import pace_limits
+from . import target_pace_limit
+
+# Of the cost model's estimate, up to which an answer counts as expected:
+# estimates of pauses include a fifth for waiting, and loads are up to 2 s
+# old.
+NEAR_FACTOR = 1.5
+# From here on an answer counts as slow, also where callers would bear it: at
+# full use it would be too slow for them.
+SLOW_FACTOR = 2.5
+# Pauses that are judged together, and how many of them decide.
+WINDOW_PAUSES = 4
+DECISIVE_PAUSES = 3
+
+
+class StreamPace:
+    """Judges one attempt of a stream by its times."""
+
+    def __init__(
+        self,
+        limits: pace_limits.PaceLimits,
+        exchange: context.Exchange,
+        path: cost_model.Path,
+        expected_pause_ms: float,
+        now: float,
+    ) -> None:
+        self._limits = limits
+        self._route = exchange.route
+        self._sent = limits.note_sent([stage.target for stage in path])
+        self._first_id = path[0].target.id
+        self._pause_s = expected_pause_ms / cost_model.MS_PER_S
+        self._first_s = self._pause_s + _read_s(exchange, path)
+        self._last_at = now
+        self._has_begun = False
+        self._may_raise = True
+        self._verdicts: list[target_pace_limit.Verdict] = []
+        self._window_s = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Notes that an event has arrived."""
+        if not self._sent.starts:
+            return
+        passed_s = now - self._last_at
+        self._last_at = now
+        if not self._has_begun:
+            self._has_begun = True
+            self._note_first(passed_s)
+            return
+        slow_s = min(self._route.gap_s, SLOW_FACTOR * self._pause_s)
+        near_s = NEAR_FACTOR * self._pause_s
+        self._verdicts.append(
+            target_pace_limit.judged(passed_s, near_s, slow_s)
+        )
+        self._window_s += passed_s
+        if len(self._verdicts) == WINDOW_PAUSES:
+            self._close_window()
+
+    def _note_first(self, passed_s: float) -> None:
+        slow_s = min(self._route.objective_s, SLOW_FACTOR * self._first_s)
+        near_s = NEAR_FACTOR * self._first_s
+        verdict = target_pace_limit.judged(passed_s, near_s, slow_s)
+        if verdict is not target_pace_limit.Verdict.NEAR:
+            # Only an answer that is as expected from its start raises one.
+            self._may_raise = False
+        if verdict is target_pace_limit.Verdict.SLOW:
+            self._tell(verdict, passed_s, self._first_s)
+
+    def _close_window(self) -> None:
+        verdicts = self._verdicts
+        mean_s = self._window_s / WINDOW_PAUSES
+        self._verdicts = []
+        self._window_s = 0.0
+        slow = target_pace_limit.Verdict.SLOW
+        near = target_pace_limit.Verdict.NEAR
+        if verdicts.count(slow) >= DECISIVE_PAUSES:
+            self._may_raise = False
+            self._tell(slow, mean_s, self._pause_s)
+        elif verdicts.count(near) >= DECISIVE_PAUSES and self._may_raise:
+            self._may_raise = False
+            self._tell(near, mean_s, self._pause_s)
+
+    def note_failed(self) -> None:
+        """Notes that the first target failed the request."""
+        failed = target_pace_limit.Verdict.FAILED
+        self._tell(failed, target_id=self._first_id)
+
+    def note_rejected(self, target_id: str | None) -> None:
+        """Notes that a target, if known, kept the request from running."""
+        if target_id is not None:
+            rejected = target_pace_limit.Verdict.REJECTED
+            self._tell(rejected, target_id=target_id)
+
+    def _tell(
+        self,
+        verdict: target_pace_limit.Verdict,
+        measured_s: float = 0.0,
+        expected_s: float = 0.0,
+        target_id: str | None = None,
+    ) -> None:
+        self._limits.note_answer(
+            self._sent,
+            pace_limits.Answer(verdict, measured_s, expected_s, target_id),
+        )
+
+
+def _read_s(exchange: context.Exchange, path: cost_model.Path) -> float:
+    """Returns the time in which an idle path reads a prompt."""
+    engine = exchange.service.engine
+    if engine is None:
+        return 0.0
+    total_ms = sum(
+        cost_model.read_ms(
+            engine,
+            engine.card_by_name[stage.target.card],
+            stage.layers.size,
+            exchange.facts.prompt_tokens,
+        )
+        for stage in path
+    )
+    return total_ms / cost_model.MS_PER_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -16,11 +16,14 @@
 from . import live_streams
 from . import load_ledger
 from . import outcomes
+from . import pace_limits
 from . import path_choice
 from . import path_finder
+from . import plain_pace
 from . import refused_callers
 from . import repeat_budget
 from . import sending
+from . import stream_pace
 from . import target_calls
 
 # Sends after which a request that no path took is refused.
@@ -47,6 +50,7 @@
     live: live_streams.LiveStreams
     timer: timers.TimerService
     metric: metrics.Metrics
+    limits: pace_limits.PaceLimits = pace_limits.NoPaceLimits()
 
 
 class _Broken(Exception):
@@ -80,6 +84,7 @@
         self._first_at = 0.0
         self._passed_at = 0.0
         self._longest_pause_s = 0.0
+        self._pace: stream_pace.StreamPace | None = None
         self._hand_over = hand_over.HandOver(
             parts.finder, parts.ledger, parts.budget, exchange, self._demand
         )
@@ -139,11 +144,17 @@
         """Returns a path with room and its expected pause, if any is left."""
         finder = self._parts.finder
         choice = finder.choose(
-            self._exchange, self._demand, self._avoided, wait_s
+            self._exchange,
+            self._demand,
+            self._avoided,
+            wait_s,
+            self._runs > 0,
         )
         if choice.path is None and self._avoided:
             self._avoided = set()
-            choice = finder.choose(self._exchange, self._demand, set(), 0.0)
+            choice = finder.choose(
+                self._exchange, self._demand, set(), 0.0, self._runs > 0
+            )
         if choice.path is None:
             return None
         return choice.path, choice.pause_ms
@@ -186,6 +197,13 @@
         parts.ledger.add(ids, tokens)
         parts.ledger.note_crossings(path, tokens)
         parts.live.add(live)
+        self._pace = stream_pace.StreamPace(
+            parts.limits,
+            self._exchange,
+            path,
+            expected_pause_ms,
+            parts.timer.now(),
+        )
         try:
             self._send_on(path, live)
         finally:
@@ -205,11 +223,14 @@
                 self._note_not_run(outcome)
             case outcomes.MaybeRun(_, detail):
                 self._runs += 1
+                self._note_failed()
                 self._avoided.add(path[0].target.id)
                 self._parts.down.probe(path[0].target)
                 raise _Broken(detail)
             case outcomes.Whole() as whole:
                 self._runs += 1
+                if whole.head.status in plain_pace.FAILED_STATUSES:
+                    self._note_failed()
                 if self._has_begun:
                     raise _Broken(f'status {whole.head.status}')
                 raise context.Answered(whole)
@@ -229,14 +250,21 @@
         """Avoids the first target of a stream that broke by itself."""
         if live.was_interrupted:
             return
+        self._note_failed()
         self._avoided.add(path[0].target.id)
         self._parts.down.probe(path[0].target)
 
+    def _note_failed(self) -> None:
+        if self._pace is not None:
+            self._pace.note_failed()
+
     def _note_not_run(self, outcome: outcomes.NotRun) -> None:
         self._rejections += 1
         if outcome.status == 0 and self._sends > 1:
             self._parts.budget.give_back(self._exchange.service.name)
         at_fault = self._parts.finder.note_not_run(self._exchange, outcome)
+        if self._pace is not None:
+            self._pace.note_rejected(at_fault)
         if at_fault is not None:
             self._avoided.add(at_fault)
         # The repeats bound what follows once an answer has begun.
@@ -253,6 +281,8 @@
         """Passes events on as they arrive, each at most once."""
         for event in self._events(call):
             live.note_event(self._parts.timer.now())
+            if self._pace is not None:
+                self._pace.note_event(live.last_at)
             if not self._is_next(event):
                 continue
             self._begin(head)
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_pace_wiring.py
@@ -0,0 +1,147 @@
+"""An assembled core limits targets that are back, for each of the causes."""
+
+import random
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_fakes import plain_dialect
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import silent_orders
+from cactusmux_relay import backoffs
+from cactusmux_relay import core_assembly
+from cactusmux_relay import down_targets
+from cactusmux_relay import live_streams
+from cactusmux_relay import load_ledger
+from cactusmux_relay import pace_book
+from cactusmux_relay import recoveries
+from cactusmux_relay import refused_callers
+from cactusmux_relay import repeat_budget
+from cactusmux_relay import request_core
+from cactusmux_relay import target_book
+from cactusmux_relay import target_pace_limit
+from cactusmux_relay import target_paces
+from cactusmux_relay import targets
+from cactusmux_relay import turns
+from cactusmux_routing import breakers
+import pytest
+
+NAMES = ('one', 'two', 'three')
+EJECTION_S = breakers.MAX_EJECTION_S
+
+
+def _target(name, born_ms=1):
+    service = relay_rig.PLAIN_SERVICE
+    return targets.Target(name, service, f'{name}:80', 'a', 6, False, born_ms)
+
+
+class _Core:
+    def __init__(self, monkeypatch):
+        timer = timers.ManualTimers()
+        rng = random.Random(1)
+        metric = metrics.MemoryMetrics()
+        self.timer = timer
+        self.book = target_book.TargetBook()
+        self.held = backoffs.Backoffs(self.book, timer, metric)
+        self.down = down_targets.DownTargets(timer, rng)
+        ledger = load_ledger.LoadLedger(timer)
+        in_force = request_core.InForce()
+        in_force.replace(relay_rig.desired_state())
+        self.paces = target_paces.TargetPaces(
+            self.book,
+            ledger,
+            in_force,
+            lambda: turns.Turn(0, 1),
+            timer,
+            metric,
+        )
+        made = []
+        real = breakers.Breakers
+        monkeypatch.setattr(
+            breakers,
+            'Breakers',
+            lambda *args: made.append(real(*args)) or made[-1],
+        )
+        core_assembly.assemble(
+            core_assembly.SharedParts(
+                zone='a',
+                spelling=plain_dialect.PlainDialect(),
+                in_force=in_force,
+                book=self.book,
+                ledger=ledger,
+                down=self.down,
+                paces=pace_book.PaceBook(silent_orders.SilentOrders(), timer),
+                held=self.held,
+                budget=repeat_budget.RepeatBudget(timer, 1.0, 10.0, 10.0),
+                live=live_streams.LiveStreams(
+                    timer, self.down, self.down.probe, self.down.probe
+                ),
+                refused=refused_callers.RefusedCallers(timer, rng),
+                timer=timer,
+                metric=metric,
+                rng=rng,
+                takes_work=lambda longest_s: True,
+                limits=self.paces,
+            )
+        )
+        self.health = made[0]
+        self.have(*map(_target, NAMES))
+        timer.advance(recoveries.SETTLED_S)
+        assert self.causes() == {}
+
+    def have(self, *found):
+        self.book.replace(found, {})
+        self.down.update(self.book.target_by_id)
+        self.paces.review()
+
+    def causes(self):
+        self.paces.review()
+        return {
+            start.target_id: limit.cause
+            for start, limit in self.paces.limit_by_start.items()
+        }
+
+    def accept(self, name):
+        """Has a probe find that a target accepts connections again."""
+        self.down._mark_up(name, 'accepted')
+
+
+@pytest.fixture(name='core')
+def _core(monkeypatch):
+    return _Core(monkeypatch)
+
+
+def test_target_that_refused_connections_is_limited_when_back(core):
+    core.down.mark(_target('one'), 'refused')
+    assert core.causes() == {}
+    core.accept('one')
+    assert core.causes() == {'one': target_pace_limit.Cause.DOWN}
+
+
+def test_target_that_was_merely_silent_is_not_limited(core):
+    """A link that was cut for a moment makes no target cold."""
+    core.down.mark(_target('one'), 'timed out', is_refused=False)
+    assert core.causes() == {}
+    core.accept('one')
+    assert core.causes() == {}
+
+
+def test_target_that_was_silent_and_has_started_anew_is_limited(core):
+    core.down.mark(_target('one'), 'timed out', is_refused=False)
+    core.causes()
+    core.have(_target('one', 2), _target('two'), _target('three'))
+    assert core.causes() == {'one': target_pace_limit.Cause.STARTED}
+
+
+def test_target_that_was_ejected_is_limited_when_back(core):
+    core.health.note_failure('one:80', certain=True)
+    assert core.causes() == {}
+    core.timer.advance(EJECTION_S)
+    assert core.causes() == {'one': target_pace_limit.Cause.EJECTED}
+
+
+def test_target_that_backed_off_is_limited_when_back(core):
+    core.held.note(_target('one'), 1.0, None)
+    assert core.causes() == {}
+    assert core.held.ids == {'one'}
+    core.timer.advance(1.0)
+    assert core.causes() == {'one': target_pace_limit.Cause.BACKED_OFF}
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -35,6 +35,8 @@
 
     def __init__(self, busy_share):
         self.timer = timers.ManualTimers()
+        self.soft_ids = frozenset()
+        self.limited_ids = frozenset()
         self.ledger = load_ledger.LoadLedger(self.timer)
         self.first = _target('first', 0, 40, 'a')
         self.second = _target('second', 40, 80, 'b')
@@ -54,6 +56,8 @@
             metric,
             self.held,
             random.Random(1),
+            (lambda: self.soft_ids,),
+            lambda: self.limited_ids,
         )
         self._service = state.service_by_name[sample_engine.SERVICE]
         self._route = state.routes[0]
@@ -84,7 +88,7 @@
         """Returns for how long no path can be had."""
         return self.finder.wait_s(self._service)
 
-    def choose(self, wait_s):
+    def choose(self, wait_s, is_resumed=False):
         """Returns the choice and after how many seconds it was made."""
         facts = dialect.RequestFacts(
             'r1', 'h', None, None, '', 800.0, 200.0, None, None, []
@@ -99,7 +103,9 @@
             ends_at=self.timer.now() + 20.0,
         )
         begun = self.timer.now()
-        choice = self.finder.choose(exchange, DEMAND, set(), wait_s)
+        choice = self.finder.choose(
+            exchange, DEMAND, set(), wait_s, is_resumed
+        )
         return choice, self.timer.now() - begun
 
 
@@ -187,3 +193,49 @@
     assert search.wait_s() == 2.0
     search.held.note(search.book.target_by_id['other'], 5.0, None)
     assert search.wait_s() == 3.0
+
+
+def _names(choice):
+    return [stage.target.id for stage in choice.path]
+
+
+def test_path_avoids_a_stage_at_its_limit_while_there_is_another():
+    """Else a target that has just started would be sent its full load."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    for limited in ('first', 'other'):
+        search.limited_ids = frozenset((limited,))
+        choice, after_s = search.choose(0.05)
+        assert limited not in _names(choice)
+        assert after_s == 0.0
+
+
+def test_stage_at_its_limit_is_used_at_once_where_there_is_no_other():
+    """A limit is never a reason to refuse a request or to hold it."""
+    search = _Search(busy_share=0.02)
+    search.limited_ids = frozenset(('first', 'second'))
+    choice, after_s = search.choose(0.05)
+    assert _names(choice) == ['first', 'second']
+    assert after_s == 0.0
+
+
+def test_resumed_stream_may_use_a_stage_at_its_limit():
+    """Its caller is waiting for the next event already."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'b'))
+    usual, _ = search.choose(0.05)
+    search.limited_ids = frozenset((_names(usual)[0],))
+    choice, _ = search.choose(0.05)
+    assert _names(choice) != _names(usual)
+    choice, _ = search.choose(0.05, is_resumed=True)
+    assert _names(choice) == _names(usual)
+
+
+def test_stage_at_its_limit_is_used_before_one_that_is_softly_excluded():
+    """A target that fails requests is worse than one that is cold."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.limited_ids = frozenset(('first',))
+    search.soft_ids = frozenset(('other',))
+    choice, _ = search.choose(0.05)
+    assert _names(choice) == ['first', 'second']
