--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -14,6 +14,7 @@
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
+from cactusmux_relay import pace_limits
 from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
 from cactusmux_relay import refused_callers
@@ -90,7 +91,13 @@
 class RelayRig:
     """The core behind a listening socket; targets are given by address."""
 
-    def __init__(self, orders: layer_orders.LayerOrders | None = None) -> None:
+    def __init__(
+        self,
+        orders: layer_orders.LayerOrders | None = None,
+        limits: pace_limits.PaceLimits | None = None,
+    ) -> None:
+        limits = limits or pace_limits.NoPaceLimits()
+        self.limits = limits
         timer = timers.GeventTimers()
         orders = orders or silent_orders.SilentOrders()
         self.timer = timer
@@ -135,6 +142,7 @@
             held,
             rng,
             soft_exclusions=(self.failing.ids,),
+            at_limit=limits.at_limit,
         )
         replacer = stage_replacer.StageReplacer(
             stage_replacer.ReplacerParts(
@@ -164,6 +172,7 @@
                 rng,
                 'a',
                 held,
+                limits,
             ),
             stream_run.StreamParts(
                 refused=self.refused,
@@ -178,6 +187,7 @@
                 timer=timer,
                 metric=self.metric,
                 failing=self.failing,
+                limits=limits,
             ),
             budget,
             timer,
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -27,6 +27,8 @@
 from . import stream_run
 from . import target_book
 from . import target_calls
+from . import target_pace_limit
+from . import target_paces
 
 
 class SharedParts(NamedTuple):
@@ -54,6 +56,7 @@
     rng: random.Random
     takes_work: Callable[[float], bool]
     quota: pipe_quota.PipeQuota
+    limits: target_paces.TargetPaces
 
 
 def assemble(shared: SharedParts) -> request_core.RequestCore:
@@ -82,6 +85,7 @@
     health = breakers.Breakers(
         shared.timer, shared.rng, shared.metric, lambda lost: True
     )
+    _watch_outages(shared, health)
     return plain_relay.PlainRelay(
         shared.book,
         shared.ledger,
@@ -93,9 +97,27 @@
         shared.rng,
         shared.zone,
         shared.held,
+        shared.limits,
     )
 
 
+def _watch_outages(shared: SharedParts, health: breakers.Breakers) -> None:
+    """Has targets limited that are back after having been left out."""
+
+    def ejected_ids() -> frozenset[str]:
+        target_by_address = shared.book.target_by_address
+        return frozenset(
+            target_by_address[address].id
+            for address in health.ejected()
+            if address in target_by_address
+        )
+
+    causes = target_pace_limit.Cause
+    shared.limits.watch(causes.DOWN, lambda: shared.down.refused_ids)
+    shared.limits.watch(causes.BACKED_OFF, lambda: shared.held.ids)
+    shared.limits.watch(causes.EJECTED, ejected_ids)
+
+
 def _stream_parts(
     shared: SharedParts, sender: sending.Sender
 ) -> stream_run.StreamParts:
@@ -110,6 +132,7 @@
         shared.rng,
         quota=shared.quota,
         soft_exclusions=(shared.failing.ids,),
+        at_limit=shared.limits.at_limit,
     )
     return stream_run.StreamParts(
         finder=finder,
@@ -124,6 +147,7 @@
         timer=shared.timer,
         metric=shared.metric,
         failing=shared.failing,
+        limits=shared.limits,
     )
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -43,6 +43,7 @@
 from . import store_contact
 from . import store_mirror
 from . import target_book
+from . import target_paces
 from . import target_roster
 from . import trouble_news
 from . import watch_pace
@@ -102,6 +103,14 @@
         self._failing = failing_targets.FailingTargets(
             self._book, self._ledger, self._ejections, timer, metric, rng
         )
+        self._limits = target_paces.TargetPaces(
+            self._book,
+            self._ledger,
+            self.in_force,
+            lambda: self._fleet.turn,
+            timer,
+            metric,
+        )
         core = self._make_core(metric, rng, orders)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -140,6 +149,7 @@
                 self._ejections,
                 recovery_news.RecoveryNews(self._down),
                 trouble,
+                self._limits,
             ),
         )
         self._checks = mirror_checks.MirrorChecks(
@@ -229,6 +239,7 @@
                 rng=rng,
                 takes_work=self._takes_work,
                 quota=self._quota,
+                limits=self._limits,
             )
         )
 
@@ -266,6 +277,7 @@
         self._entry.start()
         self._registration.start()
         self._down.start()
+        self._limits.start()
         self._live.start()
         self._failing.start()
         self._lease.start()
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -18,6 +18,7 @@
 from . import load_ledger
 from . import noted_load
 from . import outcomes
+from . import pace_limits
 from . import path_choice
 from . import path_finder
 from . import pipe_quota
@@ -25,6 +26,7 @@
 from . import repeat_budget
 from . import sending
 from . import stage_replacer
+from . import stream_pace
 from . import target_calls
 
 # Sends after which a request that no path took is refused.
@@ -53,6 +55,7 @@
     timer: timers.TimerService
     metric: metrics.Metrics
     failing: failing_targets.FailingTargets
+    limits: pace_limits.PaceLimits = pace_limits.NoPaceLimits()
 
 
 class _Broken(Exception):
@@ -89,6 +92,7 @@
         self._passed_at = 0.0
         self._longest_pause_s = 0.0
         self._crossings: pipe_quota.Grant = ()
+        self._pace: stream_pace.StreamPace | None = None
         self._hand_over = hand_over.HandOver(
             parts.finder, parts.ledger, parts.budget, exchange, self._demand
         )
@@ -148,7 +152,11 @@
         """Returns a path with room and its expected pause, if any is left."""
         finder = self._parts.finder
         choice = finder.choose(
-            self._exchange, self._demand, self._avoided, wait_s
+            self._exchange,
+            self._demand,
+            self._avoided,
+            wait_s,
+            self._runs > 0,
         )
         if choice.path is None and self._avoided:
             # A failure is passed on rather than asked for again.
@@ -156,7 +164,11 @@
             if not self._has_begun:
                 self._avoided = set(self._failed_ids)
             choice = finder.choose(
-                self._exchange, self._demand, self._avoided, 0.0
+                self._exchange,
+                self._demand,
+                self._avoided,
+                0.0,
+                self._runs > 0,
             )
         if choice.path is None:
             return None
@@ -216,6 +228,13 @@
             self._exchange, path, self._demand
         )
         parts.live.add(live)
+        self._pace = stream_pace.StreamPace(
+            parts.limits,
+            self._exchange,
+            path,
+            expected_pause_ms,
+            parts.timer.now(),
+        )
         try:
             self._send_on(path, live, trial)
         finally:
@@ -253,6 +272,7 @@
                 self._note_not_run(outcome)
             case outcomes.MaybeRun(_, detail):
                 self._runs += 1
+                self._note_failed()
                 self._avoided.add(path[0].target.id)
                 self._parts.down.probe(path[0].target)
                 if not live.was_interrupted:
@@ -277,6 +297,7 @@
         """Passes an answer that is no stream on, unless it is a failure."""
         status = whole.head.status
         if status in outcomes.FAILED_STATUSES:
+            self._note_failed()
             named = self._parts.spelling.answer_facts(whole.head).at_fault
             self._failed_ids.add(trial.note_answered(status, named))
             self._avoided |= self._failed_ids
@@ -296,14 +317,21 @@
         if live.was_interrupted:
             return
         trial.note_broken(detail)
+        self._note_failed()
         self._avoided.add(path[0].target.id)
         self._parts.down.probe(path[0].target)
 
+    def _note_failed(self) -> None:
+        if self._pace is not None:
+            self._pace.note_failed()
+
     def _note_not_run(self, outcome: outcomes.NotRun) -> None:
         self._rejections += 1
         if outcome.status == 0 and self._sends > 1:
             self._parts.budget.give_back(self._exchange.service.name)
         at_fault = self._parts.finder.note_not_run(self._exchange, outcome)
+        if self._pace is not None:
+            self._pace.note_rejected(at_fault)
         if at_fault is not None:
             self._avoided.add(at_fault)
         # The repeats bound what follows once an answer has begun.
@@ -322,6 +350,8 @@
         for event in self._events(call):
             live.note_event(self._parts.timer.now())
             trial.note_event()
+            if self._pace is not None:
+                self._pace.note_event(live.last_at)
             if not self._is_next(event):
                 continue
             self._begin(head)
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -40,6 +40,7 @@
         self.timer = timers.ManualTimers()
         self.soft = set()
         self.other_soft = set()
+        self.limited_ids = frozenset()
         self.ledger = load_ledger.LoadLedger(self.timer)
         self.first = _target('first', 0, 40, 'a')
         self.second = _target('second', 40, 80, 'b')
@@ -65,6 +66,7 @@
                 lambda: frozenset(self.soft),
                 lambda: frozenset(self.other_soft),
             ),
+            at_limit=lambda: self.limited_ids,
         )
         self.metric = metric
         self._service = state.service_by_name[sample_engine.SERVICE]
@@ -116,11 +118,11 @@
             ends_at=self.timer.now() + 20.0,
         )
 
-    def choose(self, wait_s, avoided=()):
+    def choose(self, wait_s, avoided=(), is_resumed=False):
         """Returns the choice and after how many seconds it was made."""
         begun = self.timer.now()
         choice = self.finder.choose(
-            self.exchange(), DEMAND, set(avoided), wait_s
+            self.exchange(), DEMAND, set(avoided), wait_s, is_resumed
         )
         return choice, self.timer.now() - begun
 
@@ -326,3 +328,49 @@
     assert [each.target.id for each in choice.path] == ['other', 'second']
     choice, _ = search.choose(0.0, avoided=('other',))
     assert choice.path is None
+
+
+def _names(choice):
+    return [stage.target.id for stage in choice.path]
+
+
+def test_path_avoids_a_stage_at_its_limit_while_there_is_another():
+    """Else a target that has just started would be sent its full load."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    for limited in ('first', 'other'):
+        search.limited_ids = frozenset((limited,))
+        choice, after_s = search.choose(0.05)
+        assert limited not in _names(choice)
+        assert after_s == 0.0
+
+
+def test_stage_at_its_limit_is_used_at_once_where_there_is_no_other():
+    """A limit is never a reason to refuse a request or to hold it."""
+    search = _Search(busy_share=0.02)
+    search.limited_ids = frozenset(('first', 'second'))
+    choice, after_s = search.choose(0.05)
+    assert _names(choice) == ['first', 'second']
+    assert after_s == 0.0
+
+
+def test_resumed_stream_may_use_a_stage_at_its_limit():
+    """Its caller is waiting for the next event already."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'b'))
+    usual, _ = search.choose(0.05)
+    search.limited_ids = frozenset((_names(usual)[0],))
+    choice, _ = search.choose(0.05)
+    assert _names(choice) != _names(usual)
+    choice, _ = search.choose(0.05, is_resumed=True)
+    assert _names(choice) == _names(usual)
+
+
+def test_stage_at_its_limit_is_used_before_one_that_is_softly_excluded():
+    """A target that fails requests is worse than one that is cold."""
+    search = _Search(busy_share=0.02)
+    search.add(_target('other', 0, 40, 'a'))
+    search.limited_ids = frozenset(('first',))
+    search.soft = {'other'}
+    choice, _ = search.choose(0.05)
+    assert _names(choice) == ['first', 'second']
