Move the replacements of one attempt into a module of their own

Cause: one module held both what an instance shares and the course of each stream, with functions of over forty lines.

Change: attempt_replacements follows one stream, stage_replacer gathers what is known for the choice; the search and the order are split into steps. No decision changes.

--- a/packages/cactusmux-relay/src/cactusmux_relay/stage_replacement.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stage_replacement.py
@@ -8,7 +8,7 @@
 many streams concerned, a target is drawn in proportion to its speed.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 import heapq
 import math
 from typing import NamedTuple
@@ -22,6 +22,8 @@
 
 # Returns a random number from 0 up to, but without, 1.
 Draw = Callable[[], float]
+# The next layer to be covered, and the zone of the stage before it.
+_Place = tuple[int, str]
 
 
 class Loss(NamedTuple):
@@ -248,32 +250,45 @@
         node_by_place = {(lost.first, entry_zone): _Node(0.0, ())}
         places = [(lost.first, entry_zone)]
         while places and places[0][0] < lost.end:
-            first, zone = place = heapq.heappop(places)
-            for target in free:
-                held = target.layers
-                if not held.first <= first < held.end:
-                    continue
-                layers = targets.LayerRange(first, min(held.end, lost.end))
-                crossing = self._entry_ms(zone, target.zone, pipes)
-                if crossing is None:
-                    continue
-                before = node_by_place[place]
-                stage = cost_model.Stage(target, layers)
-                cost = before.cost + crossing + self._price(stage)
-                next_place = (layers.end, target.zone)
+            place = heapq.heappop(places)
+            before = node_by_place[place]
+            for next_place, node in self._steps(
+                place, before, lost.end, free, pipes
+            ):
                 known = node_by_place.get(next_place)
                 if known is None:
                     heapq.heappush(places, next_place)
-                if known is None or cost < known.cost:
-                    node_by_place[next_place] = _Node(
-                        cost, (*before.stages, stage)
-                    )
+                if known is None or node.cost < known.cost:
+                    node_by_place[next_place] = node
         return self._best_end(hole, node_by_place, pipes)
 
+    def _steps(
+        self,
+        place: _Place,
+        before: _Node,
+        end: int,
+        free: list[targets.Target],
+        pipes: frozenset[tuple[str, str]] | None,
+    ) -> Iterator[tuple[_Place, _Node]]:
+        """Yields what each target that holds the next layer leads to."""
+        first, zone = place
+        for target in free:
+            held = target.layers
+            if not held.first <= first < held.end:
+                continue
+            crossing = self._entry_ms(zone, target.zone, pipes)
+            if crossing is None:
+                continue
+            layers = targets.LayerRange(first, min(held.end, end))
+            stage = cost_model.Stage(target, layers)
+            cost = before.cost + crossing + self._price(stage)
+            node = _Node(cost, (*before.stages, stage))
+            yield (layers.end, target.zone), node
+
     def _best_end(
         self,
         hole: _Hole,
-        node_by_place: Mapping[tuple[int, str], _Node],
+        node_by_place: Mapping[_Place, _Node],
         pipes: frozenset[tuple[str, str]] | None,
     ) -> tuple[cost_model.Stage, ...] | None:
         """Returns the cheapest whole cover, with the way to what follows."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -7,6 +7,7 @@
 from cactusmux_base import metrics
 from cactusmux_base import timers
 
+from . import attempt_replacements
 from . import context
 from . import cost_model
 from . import dialect
@@ -202,9 +203,9 @@
 
     def _replacements(
         self, noted: noted_load.NotedLoad
-    ) -> stage_replacer.AttemptReplacements:
+    ) -> attempt_replacements.AttemptReplacements:
         """Returns what replaces lost stages of one attempt."""
-        return stage_replacer.AttemptReplacements(
+        return attempt_replacements.AttemptReplacements(
             self._parts.replacer,
             self._exchange,
             self._demand,
