Replace stages of streams whose target was restarted before it was found down

Cause: a target that is up again within a fraction of a second accepts connections, so probes find it sound; its streams waited until their first target gave them up after 2 to 3 s, when most callers had left.

Change: the target book tells of known targets that start anew; live streams take a stage with an older start for lost, as one that refuses connections.

Measured: test_restarted_targets: the replacement begins within 0.1 s of the news (never before the change, as nothing subscribed).

--- a/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
@@ -72,7 +72,7 @@
         Returns whether an order is under way; must not block. A path of one
         stage, or one whose first target is lost, has nothing to keep.
         """
-        if stream.target_ids[0] in self._parts.down.ids:
+        if stream.target_ids[0] in self._parts.live.lost_ids(stream):
             return False
         if self._failures >= MAX_FAILURES:
             return False
@@ -113,9 +113,10 @@
         event_tokens = engine.event_tokens if engine else 0
         written = event_tokens * max(self._last_id() or 0, stream.events)
         in_path = set(stream.target_ids)
+        lost_ids = self._parts.live.lost_ids(stream)
         return stage_replacement.Loss(
             path=stream.path,
-            lost_ids=frozenset(in_path & (self._parts.down.ids | missing)),
+            lost_ids=frozenset(in_path & (lost_ids | missing)),
             tokens_so_far=self._demand.prompt_tokens + written,
             tokens_to_come=max(0.0, self._demand.answer_tokens - written),
             longest_pause_s=self._demand.longest_pause_s,
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -7,7 +7,7 @@
 is silent, and once it is certain that it can go on elsewhere.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import functools
 
 from cactusmux_base import timers
@@ -63,6 +63,7 @@
         self.secure_next = secure_next
         self.replace_lost = replace_lost
         self.is_replacing = False
+        self.restarted_ids: frozenset[str] = frozenset()
         self.next_replacement_at = now
         self.next_look_at = now
         self.expected_pause_ms = expected_pause_ms
@@ -82,9 +83,19 @@
         """Goes by another path with the same first target from now on."""
         self.path = path
         self.target_ids = tuple(stage.target.id for stage in path)
+        self.restarted_ids &= frozenset(self.target_ids)
         self.expected_pause_ms = expected_pause_ms
         self.next_replacement_at = now
 
+    def note_started(self, start_by_id: Mapping[str, targets.Start]) -> None:
+        """Takes it that targets have started anew, perhaps ours."""
+        self.restarted_ids |= {
+            stage.target.id
+            for stage in self.path
+            if start_by_id.get(stage.target.id, stage.target.start)
+            != stage.target.start
+        }
+
     def note_event(self, now: float) -> None:
         """Notes that an event has arrived."""
         if self.has_started:
@@ -159,7 +170,7 @@
 
     def check(self) -> None:
         """Has the targets probed on which silent streams depend."""
-        self._hand_over_all(self._down.ids)
+        self._hand_over_lost()
         now = self._timer.now()
         silent = [each for each in self._streams if each.is_silent(now)]
         if not silent:
@@ -171,9 +182,8 @@
             for target_id in stream.target_ids:
                 last_at = last_at_by_target.get(target_id, 0.0)
                 last_at_by_target[target_id] = max(last_at, stream.last_at)
-        down_ids = self._down.ids
         for stream in silent:
-            if not down_ids.isdisjoint(stream.target_ids):
+            if self.lost_ids(stream):
                 # Why it is silent is known; it waits for another path.
                 continue
             for stage in stream.path:
@@ -184,8 +194,25 @@
                 if now - stream.last_at > SLOW_SILENCE_S:
                     self._suspect_slow(stage.target)
 
+    def note_started(self, start_by_id: Mapping[str, targets.Start]) -> None:
+        """Takes it that targets have started anew.
+
+        One that is up again so soon accepts connections: nothing else tells
+        that it has lost what ran on it.
+        """
+        for stream in self._streams:
+            stream.note_started(start_by_id)
+        for target_id in start_by_id:
+            self._look_when_overdue(target_id)
+        self._hand_over_lost()
+
+    def lost_ids(self, stream: LiveStream) -> frozenset[str]:
+        """Returns the targets of a stream that are down or were restarted."""
+        down_ids = self._down.ids.intersection(stream.target_ids)
+        return down_ids | stream.restarted_ids
+
     def _interrupt(self, target_id: str) -> None:
-        self._hand_over_all(frozenset((target_id,)))
+        self._hand_over_lost()
         if target_id in self._down.refused_ids:
             self._look_when_overdue(target_id)
 
@@ -203,15 +230,13 @@
         """Hands over a stream at once if it passes through a lost target."""
         if stream not in self._streams:
             return
-        if not self._down.ids.isdisjoint(stream.target_ids):
+        if self.lost_ids(stream):
             self._hand_over(stream)
 
-    def _hand_over_all(self, down_ids: frozenset[str]) -> None:
-        """Hands over the streams that pass through targets that are down."""
-        if not down_ids:
-            return
+    def _hand_over_lost(self) -> None:
+        """Hands over the streams that have lost a target of their path."""
         for stream in list(self._streams):
-            if not down_ids.isdisjoint(stream.target_ids):
+            if self.lost_ids(stream):
                 self._hand_over(stream)
 
     def _hand_over(self, stream: LiveStream) -> None:
@@ -238,7 +263,8 @@
         now = self._timer.now()
         if stream.may_be_dead(now):
             return True
-        if self._down.refused_ids.isdisjoint(stream.target_ids):
+        lost_for_certain = self._down.refused_ids | stream.restarted_ids
+        if lost_for_certain.isdisjoint(stream.target_ids):
             return False
         return not stream.overdue_in_s(now)
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
@@ -1,18 +1,22 @@
 """What this instance believes of the targets of each service."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from . import desired
 from . import leaving_targets
 from . import segments
 from . import targets
 
+# Told of targets that have started anew, by their ids.
+Started = Callable[[Mapping[str, targets.Start]], None]
+
 
 class TargetBook:
     """Targets by service, and the segments of layers that they can run."""
 
     def __init__(self) -> None:
         self._leaving = leaving_targets.LeavingTargets()
+        self._callbacks: list[Started] = []
         self._service_by_name: Mapping[str, desired.Service] = {}
         self._ready_by_service: dict[str, list[targets.Target]] = {}
         self._graph_by_service: dict[str, segments.SegmentGraph] = {}
@@ -29,12 +33,29 @@
         Targets that have said themselves that they leave do so whatever the
         list says.
         """
+        known_by_id = self.target_by_id
         self.target_by_id = {
             each.id: self._leaving.marked(each) for each in all_targets
         }
         self._leaving.forget(self.target_by_id)
         self._service_by_name = service_by_name
         self._index()
+        self._tell_started(known_by_id)
+
+    def subscribe_started(self, callback: Started) -> None:
+        """Calls ``callback`` with the known targets that start anew."""
+        self._callbacks.append(callback)
+
+    def _tell_started(self, known_by_id: Mapping[str, targets.Target]) -> None:
+        start_by_id = {
+            each.id: each.start
+            for each in self.target_by_id.values()
+            if each.id in known_by_id
+            and known_by_id[each.id].born_ms < each.born_ms
+        }
+        if start_by_id:
+            for callback in self._callbacks:
+                callback(start_by_id)
 
     def note_leaving(
         self, start: targets.Start, source: leaving_targets.Source
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_restarted_targets.py
@@ -0,0 +1,101 @@
+"""Streams through a target that was restarted before it was found down."""
+
+import random
+
+from cactusmux_base import timers
+from cactusmux_fakes import sample_engine
+from cactusmux_relay import cost_model
+from cactusmux_relay import down_targets
+from cactusmux_relay import live_streams
+from cactusmux_relay import target_book
+from cactusmux_relay import targets
+import pytest
+
+FIRST = sample_engine.target('first', 'a100', 'a', targets.LayerRange(0, 40))
+SECOND = sample_engine.target(
+    'second', 'a100', 'a', targets.LayerRange(40, 80)
+)
+PATH = (
+    cost_model.Stage(FIRST, FIRST.layers),
+    cost_model.Stage(SECOND, SECOND.layers),
+)
+PAUSE_S = 0.04
+# The longest pause of callers, less what a replacement takes.
+NOTICED_S = 0.1
+
+
+class _Call:
+    def has_unread(self):
+        return False
+
+    def cut(self):
+        pass
+
+
+class _World:
+    """One stream over two targets, whose restarts the book tells."""
+
+    def __init__(self):
+        self.timer = timers.ManualTimers()
+        down = down_targets.DownTargets(self.timer, random.Random(1))
+        self.book = target_book.TargetBook()
+        self.live = live_streams.LiveStreams(
+            self.timer, down, lambda target: None, lambda target: None
+        )
+        self.book.subscribe_started(self.live.note_started)
+        self.book.replace([FIRST, SECOND], {})
+        self.live.start()
+        self.replaced_at = []
+        self.stream = live_streams.LiveStream(
+            PATH, 40.0, self.timer.now(), lambda: False, self._replace
+        )
+        self.stream.call = _Call()
+        self.live.add(self.stream)
+        for _ in range(5):
+            self.timer.advance(PAUSE_S)
+            self.stream.note_event(self.timer.now())
+
+    def _replace(self, stream):
+        self.replaced_at.append((self.timer.now(), self.live.lost_ids(stream)))
+        stream.is_replacing = True
+        return True
+
+    def restart(self, target):
+        again = target._replace(born_ms=target.born_ms + 1000)
+        others = [each for each in (FIRST, SECOND) if each.id != target.id]
+        self.book.replace([again, *others], {})
+
+
+@pytest.fixture(name='world')
+def _world():
+    return _World()
+
+
+def test_stream_through_a_restarted_target_is_replaced_in_time(world):
+    """It waited until its first target gave it up, after 2 to 3 s."""
+    begun = world.timer.now()
+    world.restart(SECOND)
+    world.timer.advance(0.25)
+    assert len(world.replaced_at) == 1
+    at, lost_ids = world.replaced_at[0]
+    assert at - begun <= NOTICED_S
+    assert lost_ids == {'second'}
+
+
+def test_stream_that_began_after_the_restart_is_left_alone(world):
+    world.restart(SECOND)
+    again = world.book.target_by_id['second']
+    path = (PATH[0], cost_model.Stage(again, again.layers))
+    later = live_streams.LiveStream(path, 40.0, world.timer.now())
+    world.live.add(later)
+    world.book.replace([FIRST, again], {})
+    assert world.live.lost_ids(later) == frozenset()
+
+
+def test_known_restart_is_forgotten_with_the_stage(world):
+    """Else the stream would be replaced again and again."""
+    world.restart(SECOND)
+    other = SECOND._replace(id='other')
+    path = (PATH[0], cost_model.Stage(other, other.layers))
+    world.stream.use_path(path, 40.0, world.timer.now())
+    assert world.live.lost_ids(world.stream) == frozenset()
