Limit targets whose streams failed, too, when they are used again

Cause: the limits of recovered targets knew only of ejected plain targets.

Change: targets that are left out for failing streams count as ejected.

--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -106,11 +106,12 @@
 
     def ejected_ids() -> frozenset[str]:
         target_by_address = shared.book.target_by_address
-        return frozenset(
+        plain_ids = frozenset(
             target_by_address[address].id
             for address in health.ejected()
             if address in target_by_address
         )
+        return plain_ids | shared.failing.ids()
 
     causes = target_pace_limit.Cause
     shared.limits.watch(causes.DOWN, lambda: shared.down.refused_ids)
