Replace stages of streams whose layers are moved

Cause: an order to hold other layers cuts what passes through the layers that are given up, and the streams stall until their first target gives them up after 2 s.

Change: what the target book tells of restarted targets it tells of given up layers too; streams of which a stage lies there have it replaced at once.

Measured: test_restarted_targets (both new tests; the first fails without the change, as nothing was told).

--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -87,13 +87,15 @@
         self.expected_pause_ms = expected_pause_ms
         self.next_replacement_at = now
 
-    def note_started(self, start_by_id: Mapping[str, targets.Start]) -> None:
-        """Takes it that targets have started anew, perhaps ours."""
+    def note_changed(self, target_by_id: Mapping[str, targets.Target]) -> None:
+        """Takes it that targets have lost something, perhaps our stage."""
         self.restarted_ids |= {
             stage.target.id
             for stage in self.path
-            if start_by_id.get(stage.target.id, stage.target.start)
-            != stage.target.start
+            if stage.target.id in target_by_id
+            and not target_by_id[stage.target.id].still_has(
+                stage.target._replace(layers=stage.layers)
+            )
         }
 
     def note_event(self, now: float) -> None:
@@ -194,15 +196,15 @@
                 if now - stream.last_at > SLOW_SILENCE_S:
                     self._suspect_slow(stage.target)
 
-    def note_started(self, start_by_id: Mapping[str, targets.Start]) -> None:
-        """Takes it that targets have started anew.
+    def note_changed(self, target_by_id: Mapping[str, targets.Target]) -> None:
+        """Takes it that targets have started anew or given up layers.
 
-        One that is up again so soon accepts connections: nothing else tells
-        that it has lost what ran on it.
+        Such a target accepts connections: nothing else tells that it has
+        lost what ran on it.
         """
         for stream in self._streams:
-            stream.note_started(start_by_id)
-        for target_id in start_by_id:
+            stream.note_changed(target_by_id)
+        for target_id in target_by_id:
             self._look_when_overdue(target_id)
         self._hand_over_lost()
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -95,7 +95,7 @@
         self._live = live_streams.LiveStreams(
             timer, self._down, self._down.probe, self._paces.suspect
         )
-        self._book.subscribe_started(self._live.note_started)
+        self._book.subscribe_changed(self._live.note_changed)
         self._refused = refused_callers.RefusedCallers(timer, rng)
         self._quota = pipe_quota.PipeQuota(timer, metric, rng)
         self._ejections = ejection_reports.EjectionReports(
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
@@ -7,8 +7,8 @@
 from . import segments
 from . import targets
 
-# Told of targets that have started anew, by their ids.
-Started = Callable[[Mapping[str, targets.Start]], None]
+# Told of targets that have started anew or given up layers, by their ids.
+Changed = Callable[[Mapping[str, targets.Target]], None]
 
 
 class TargetBook:
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self._leaving = leaving_targets.LeavingTargets()
-        self._callbacks: list[Started] = []
+        self._callbacks: list[Changed] = []
         self._service_by_name: Mapping[str, desired.Service] = {}
         self._ready_by_service: dict[str, list[targets.Target]] = {}
         self._graph_by_service: dict[str, segments.SegmentGraph] = {}
@@ -40,22 +40,25 @@
         self._leaving.forget(self.target_by_id)
         self._service_by_name = service_by_name
         self._index()
-        self._tell_started(known_by_id)
+        self._tell_changed(known_by_id)
 
-    def subscribe_started(self, callback: Started) -> None:
-        """Calls ``callback`` with the known targets that start anew."""
+    def subscribe_changed(self, callback: Changed) -> None:
+        """Calls ``callback`` with known targets that have lost something.
+
+        These have started anew, or have given up layers.
+        """
         self._callbacks.append(callback)
 
-    def _tell_started(self, known_by_id: Mapping[str, targets.Target]) -> None:
-        start_by_id = {
-            each.id: each.start
+    def _tell_changed(self, known_by_id: Mapping[str, targets.Target]) -> None:
+        changed_by_id = {
+            each.id: each
             for each in self.target_by_id.values()
             if each.id in known_by_id
-            and known_by_id[each.id].born_ms < each.born_ms
+            and not each.still_has(known_by_id[each.id])
         }
-        if start_by_id:
+        if changed_by_id:
             for callback in self._callbacks:
-                callback(start_by_id)
+                callback(changed_by_id)
 
     def note_leaving(
         self, start: targets.Start, source: leaving_targets.Source
--- a/packages/cactusmux-relay/src/cactusmux_relay/targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/targets.py
@@ -56,3 +56,9 @@
     def start(self) -> Start:
         """Returns what tells this start from others of the target."""
         return Start(self.id, self.born_ms)
+
+    def still_has(self, earlier: 'Target') -> bool:
+        """Whether what ran here earlier can go on: the start, the layers."""
+        return self.start == earlier.start and (
+            self.layers.covers(earlier.layers)
+        )
--- a/packages/cactusmux-relay/tests/test_restarted_targets.py
+++ b/packages/cactusmux-relay/tests/test_restarted_targets.py
@@ -42,7 +42,7 @@
         self.live = live_streams.LiveStreams(
             self.timer, down, lambda target: None, lambda target: None
         )
-        self.book.subscribe_started(self.live.note_started)
+        self.book.subscribe_changed(self.live.note_changed)
         self.book.replace([FIRST, SECOND], {})
         self.live.start()
         self.replaced_at = []
@@ -82,6 +82,23 @@
     assert lost_ids == {'second'}
 
 
+def test_stream_whose_layers_are_moved_is_replaced_in_time(world):
+    """Moving layers cut the streams there, which waited for 2 to 3 s."""
+    begun = world.timer.now()
+    moved = SECOND._replace(layers=targets.LayerRange(40, 60))
+    world.book.replace([FIRST, moved], {})
+    world.timer.advance(0.25)
+    at, lost_ids = world.replaced_at[0]
+    assert at - begun <= NOTICED_S
+    assert lost_ids == {'second'}
+
+
+def test_stream_whose_target_takes_more_layers_is_left_alone(world):
+    more = SECOND._replace(layers=targets.LayerRange(30, 80))
+    world.book.replace([FIRST, more], {})
+    assert world.live.lost_ids(world.stream) == frozenset()
+
+
 def test_stream_that_began_after_the_restart_is_left_alone(world):
     world.restart(SECOND)
     again = world.book.target_by_id['second']
