--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gated_service.py
@@ -0,0 +1,149 @@
+"""What one instance knows of a service whose callers compete for room."""
+
+import math
+
+from cactusmux_base import timers
+
+from . import admission_queue
+from . import cost_model
+from . import desired
+from . import down_targets
+from . import service_pressure
+from . import service_room
+from . import stream_admission
+from . import target_book
+
+# Requests that wait are looked at this often.
+REVIEW_S = 0.02
+# What is known of the targets changes seldom.
+ROOM_AGE_S = 0.1
+# Weight of one more stream in the mean time that streams hold their memory.
+HOLD_SMOOTHING = 0.05
+
+
+class GatedService:
+    """The queue of a service, its pressure and what its streams do."""
+
+    def __init__(
+        self,
+        name: str,
+        engine: desired.Engine,
+        book: target_book.TargetBook,
+        down: down_targets.DownTargets,
+        pressures: service_pressure.PressureBook,
+        timer: timers.TimerService,
+    ) -> None:
+        self.name = name
+        self.ranks = 1
+        self.queue = admission_queue.AdmissionQueue(self._hold)
+        self._engine = engine
+        self._book = book
+        self._down = down
+        self._pressures = pressures
+        self._timer = timer
+        # Until streams have ended: at the slowest card's pace.
+        self._hold_s = first_event_s(engine, 0.0, engine.usual_answer)
+        self._resuming_by_rank: dict[int, int] = {}
+        self._room_tokens = 0.0
+        self._room_at = -math.inf
+        self._reviewed_at = -math.inf
+
+    def configure(self, engine: desired.Engine, ranks: int) -> None:
+        """Takes the engine and the number of ranks in force."""
+        if engine is not self._engine:
+            self._room_at = -math.inf
+        self._engine = engine
+        self.ranks = ranks
+
+    @property
+    def pressure(self) -> service_pressure.Pressure:
+        """Returns what is believed of the service now."""
+        now = self._timer.now()
+        if now - self._room_at >= ROOM_AGE_S:
+            down = self._down.ids
+            ready = self._book.ready(self.name)
+            self._room_at = now
+            self._room_tokens = service_room.room_tokens(
+                self._engine, [each for each in ready if each.id not in down]
+            )
+        return self._pressures.pressure(
+            self.name, self.ranks, self._room_tokens
+        )
+
+    @property
+    def course(self) -> stream_admission.Course:
+        """Returns what goes on besides the fill."""
+        resuming = [
+            rank for rank, count in self._resuming_by_rank.items() if count
+        ]
+        return stream_admission.Course(
+            self._hold_s, min(resuming, default=None)
+        )
+
+    def ask(
+        self, ask: stream_admission.Ask
+    ) -> tuple[int, admission_queue.Verdict]:
+        """Decides a new request; see :class:`admission_queue`."""
+        self._pressures.note_asked(
+            self.name, ask.rank, ask.organisation, ask.tokens
+        )
+        return self.queue.ask(
+            ask, self.pressure, self.course, self._timer.now()
+        )
+
+    def verdict(self, number: int) -> admission_queue.Verdict:
+        """Returns what is now decided of a request that waits."""
+        self._review()
+        return self.queue.verdict(number)
+
+    def withdraw(self, number: int, ask: stream_admission.Ask) -> None:
+        """Forgets a request whose caller has gone while it waited."""
+        if self.queue.withdraw(number):
+            self.end(ask)
+
+    def end(self, ask: stream_admission.Ask) -> None:
+        """Gives back the room of an admitted request."""
+        self._pressures.hold(
+            self.name, ask.rank, ask.organisation, -ask.tokens
+        )
+
+    def note_rejected(self, ask: stream_admission.Ask) -> None:
+        """Counts a request that was rejected for want of room."""
+        self._pressures.note_rejected(self.name, ask.rank, ask.tokens)
+
+    def _hold(self, ask: stream_admission.Ask) -> None:
+        self._pressures.hold(self.name, ask.rank, ask.organisation, ask.tokens)
+
+    def _review(self) -> None:
+        """Looks at those that wait, unless that was done a moment ago."""
+        now = self._timer.now()
+        if now - self._reviewed_at < REVIEW_S / 2.0:
+            return
+        self._reviewed_at = now
+        self.queue.review(self.pressure, self.course, now)
+
+    def note_held(self, held_s: float) -> None:
+        """Notes for how long a stream held its memory."""
+        self._hold_s += HOLD_SMOOTHING * (held_s - self._hold_s)
+
+    def count_resuming(self, rank: int, change: int) -> None:
+        """Counts streams that have begun and look for another path."""
+        count = self._resuming_by_rank.get(rank, 0) + change
+        self._resuming_by_rank[rank] = max(0, count)
+
+
+def first_event_s(
+    engine: desired.Engine, prompt_tokens: float, event_tokens: float
+) -> float:
+    """Returns the time until so many tokens of an answer are there.
+
+    On an idle path of the slowest cards.
+    """
+    cards = engine.card_by_name.values()
+    layers = engine.layers
+    whole_ms = max(
+        cost_model.read_ms(engine, card, layers, prompt_tokens)
+        + event_tokens * cost_model.step_ms(engine, card, layers, 1.0, 0.0)
+        for card in cards
+    )
+    return whole_ms / cost_model.MS_PER_S
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/service_room.py
@@ -0,0 +1,32 @@
+"""How many tokens the usable targets of a service can hold."""
+
+from collections.abc import Iterable
+
+from . import cost_model
+from . import desired
+from . import path_choice
+from . import targets
+
+
+def room_tokens(
+    engine: desired.Engine, usable: Iterable[targets.Target]
+) -> float:
+    """Returns the token memory of the layers that have the least of it.
+
+    A stream needs memory for each of its tokens in every layer, so the
+    layers with the least memory bound the service. 0 if a layer is held by
+    no usable target.
+    """
+    change_by_layer = [0.0] * (engine.layers + 1)
+    for each in usable:
+        if each.card not in engine.card_by_name or each.layers.size <= 0:
+            continue
+        card = engine.card_by_name[each.card]
+        tokens = cost_model.room_tokens(engine, card, each.layers.size)
+        change_by_layer[each.layers.first] += max(0.0, tokens)
+        change_by_layer[each.layers.end] -= max(0.0, tokens)
+    least = total = change_by_layer[0]
+    for change in change_by_layer[1:-1]:
+        total += change
+        least = min(least, total)
+    return max(0.0, least) * path_choice.FILL_LIMIT
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/urgency_ranks.py
@@ -0,0 +1,41 @@
+"""Which services have callers of different urgency, and how these rank."""
+
+import bisect
+from collections.abc import Iterable
+
+from . import desired
+
+# Urgencies on the wire are 0 to 9; there are no more ranks than that.
+MAX_RANKS = 10
+
+Urgencies = tuple[int, ...]
+
+
+def urgencies_by_service(
+    routes: Iterable[desired.Route],
+) -> dict[str, Urgencies]:
+    """Returns the sorted urgencies of each service's routes.
+
+    Services all of whose routes have the same urgency are left out: their
+    callers don't compete by urgency.
+    """
+    found: dict[str, set[int]] = {}
+    for route in routes:
+        for each in route.services:
+            if each.weight > 0:
+                found.setdefault(each.service, set()).add(route.urgency)
+    return {
+        service: tuple(sorted(urgencies))[:MAX_RANKS]
+        for service, urgencies in found.items()
+        if len(urgencies) > 1
+    }
+
+
+def rank(urgencies: Urgencies, urgency: int) -> int:
+    """Returns the place of an urgency among a service's, 0 for the first.
+
+    The urgency of an organisation may lie between or beyond those of the
+    routes.
+    """
+    place = bisect.bisect_left(urgencies, urgency)
+    return min(place, len(urgencies) - 1)
