Admit streams by urgency before their first path is chosen

Change: stream_run asks stream_gate once, before the first path. A ticket bounds the pause and the search of that path, gives the retry time, notes that a stream resumes, and says which part of the repeats is left to others. Requests bear the service's urgencies; Sender tells targets the urgency where it differs. Two news topics are registered. Services whose routes have equal urgency get the unranked ticket, which changes nothing.

Measured: all tests of cactusmux-relay and tests/adapter pass. With a gate that admits everything, nine of the eleven tests in test_stream_gate fail; the two that pass show that equal urgency stays as it was.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -45,6 +45,8 @@
         headers.append((b'path', path.encode()))
         if sending.organisation:
             headers.append((b'organisation', sending.organisation.encode()))
+        if sending.urgency is not None:
+            headers.append((b'urgency', str(sending.urgency).encode()))
         if sending.last_event_id is not None:
             last = str(sending.last_event_id).encode()
             headers.append((b'last-event', last))
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -14,9 +14,12 @@
 from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
 from cactusmux_relay import refused_callers
+from cactusmux_relay import refused_news
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import request_core
 from cactusmux_relay import sending
+from cactusmux_relay import service_pressure
+from cactusmux_relay import stream_gate
 from cactusmux_relay import stream_run
 from cactusmux_relay import target_book
 from cactusmux_relay import target_calls
@@ -103,6 +106,9 @@
         self.refused = refused_callers.RefusedCallers(timer, rng)
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
+        self.pressures = service_pressure.PressureBook(
+            timer, lambda: ledger.instances
+        )
         connections = target_calls.TargetConnections(timer)
         sender = sending.Sender(connections, spelling, timer, held, self.book)
         self.health = breakers.Breakers(
@@ -147,6 +153,15 @@
                 live=live,
                 timer=timer,
                 metric=self.metric,
+                gate=stream_gate.RankedGate(
+                    self.book,
+                    self.down,
+                    self.pressures,
+                    refused_news.RefusedNews(timer, self.refused),
+                    timer,
+                    self.metric,
+                    rng,
+                ),
             ),
             budget,
             timer,
--- a/packages/cactusmux-relay/src/cactusmux_relay/context.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/context.py
@@ -6,12 +6,14 @@
 from . import dialect
 from . import http_server
 from . import outcomes
+from . import urgency_ranks
 
 
 class Exchange(NamedTuple):
     """A request that may be served: route, organisation and deadline.
 
     :ivar ends_at: monotonic time at which the caller gets a final answer.
+    :ivar urgencies: of the service's routes, empty if they are all the same.
     """
 
     request: http_server.Request
@@ -21,6 +23,7 @@
     service: desired.Service
     organisation: desired.Organisation | None
     ends_at: float
+    urgencies: urgency_ranks.Urgencies = ()
 
     @property
     def urgency(self) -> int:
@@ -29,6 +32,13 @@
             return self.organisation.urgency
         return self.route.urgency
 
+    @property
+    def sent_urgency(self) -> int | None:
+        """Urgency that targets are told, ``None`` where it doesn't differ."""
+        if self.service.engine is None or not self.urgencies:
+            return None
+        return min(max(self.urgency, 0), urgency_ranks.MAX_RANKS - 1)
+
 
 class Refused(Exception):
     """Ends a request with an answer of our own.
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -17,9 +17,12 @@
 from . import path_finder
 from . import plain_relay
 from . import refused_callers
+from . import refused_news
 from . import repeat_budget
 from . import request_core
 from . import sending
+from . import service_pressure
+from . import stream_gate
 from . import stream_run
 from . import target_book
 from . import target_calls
@@ -43,6 +46,8 @@
     budget: repeat_budget.RepeatBudget
     live: live_streams.LiveStreams
     refused: refused_callers.RefusedCallers
+    refused_news: refused_news.RefusedNews
+    pressures: service_pressure.PressureBook
     timer: timers.TimerService
     metric: metrics.Metrics
     rng: random.Random
@@ -113,4 +118,13 @@
         live=shared.live,
         timer=shared.timer,
         metric=shared.metric,
+        gate=stream_gate.RankedGate(
+            shared.book,
+            shared.down,
+            shared.pressures,
+            shared.refused_news,
+            shared.timer,
+            shared.metric,
+            shared.rng,
+        ),
     )
--- a/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
@@ -32,6 +32,8 @@
         self._exchange = exchange
         self._demand = demand
         self._secured: path_choice.Choice | None = None
+        # Share of the repeats that this stream leaves to others.
+        self.repeats_kept = 0.0
         self._kept_for: outcomes.Refusal | None = None
 
     def secure(self, avoided: set[str]) -> bool:
@@ -39,7 +41,7 @@
         if self._secured is not None:
             return True
         service = self._exchange.service.name
-        if not self._budget.has_left(service):
+        if not self._budget.has_left(service, self.repeats_kept):
             return self.keep(outcomes.Refusal.REPEATS_SPENT)
         choice = self._finder.choose(
             self._exchange, self._demand, avoided, 0.0
--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -98,6 +98,11 @@
             },
         )
 
+    @property
+    def instances(self) -> int:
+        """How many instances there are, ourselves included."""
+        return self._instances
+
     def set_instances(self, count: int) -> None:
         """Sets how many instances there are, ourselves included."""
         self._instances = count
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -29,9 +29,11 @@
 from . import pace_book
 from . import placement_keeper
 from . import refused_callers
+from . import refused_news
 from . import relay_settings
 from . import repeat_budget
 from . import request_core
+from . import service_pressure
 from . import soft_exchange
 from . import store_contact
 from . import store_mirror
@@ -87,6 +89,10 @@
             timer, self._down, self._down.probe, self._paces.ask
         )
         self._refused = refused_callers.RefusedCallers(timer, rng)
+        self._refused_news = refused_news.RefusedNews(timer, self._refused)
+        self._pressures = service_pressure.PressureBook(
+            timer, lambda: self._ledger.instances
+        )
         core = self._make_core(metric, rng)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -114,6 +120,7 @@
             self._down,
             self._paces,
             self._refused,
+            (self._pressures, self._refused_news),
         )
         self._checks = mirror_checks.MirrorChecks(
             tuple(self._mirror_by_prefix.values()),
@@ -188,6 +195,8 @@
                 budget=self._budget,
                 live=self._live,
                 refused=self._refused,
+                refused_news=self._refused_news,
+                pressures=self._pressures,
                 timer=self._timer,
                 metric=metric,
                 rng=rng,
--- a/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/repeat_budget.py
@@ -62,15 +62,18 @@
         """Counts a request of a caller."""
         self._times(self._requests, service).append(self._timer.now())
 
-    def has_left(self, service: str) -> bool:
-        """Whether a repeat is allowed now."""
+    def has_left(self, service: str, kept: float = 0.0) -> bool:
+        """Whether a repeat is allowed now.
+
+        :param kept: share of what is allowed that is left to others.
+        """
         requests = self._times(self._requests, service)
         repeats = self._times(self._repeats, service)
         allowed = self._ratio * len(requests)
         shared_by = self._shared_by()
         if shared_by:
             allowed += self._allowance / shared_by
-        return len(repeats) + 1 <= allowed
+        return len(repeats) + 1 <= allowed * (1.0 - kept)
 
     def take(self, service: str) -> bool:
         """Counts a repeat if one is left; tells whether it is allowed."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_core.py
@@ -17,6 +17,7 @@
 from . import repeat_budget
 from . import route_table
 from . import stream_run
+from . import urgency_ranks
 
 STATUS_BY_REFUSAL = {
     outcomes.Refusal.MALFORMED: 400,
@@ -40,6 +41,7 @@
     def __init__(self) -> None:
         self.state: desired.DesiredState | None = None
         self._table = route_table.RouteTable(())
+        self._urgencies_by_service: dict[str, urgency_ranks.Urgencies] = {}
 
     def replace(self, state: desired.DesiredState) -> None:
         """Puts a state in force unless it is older than the present one."""
@@ -47,6 +49,9 @@
             return
         self.state = state
         self._table = route_table.RouteTable(state.routes)
+        self._urgencies_by_service = urgency_ranks.urgencies_by_service(
+            state.routes
+        )
         events.info(
             'configuration_in_force',
             version=state.version,
@@ -62,6 +67,10 @@
         """Returns the route of a request."""
         return self._table.find(host, path)
 
+    def urgencies(self, service: str) -> urgency_ranks.Urgencies:
+        """Returns the urgencies of a service's routes if they differ."""
+        return self._urgencies_by_service.get(service, ())
+
 
 class RequestCore:
     """Finds out what a request may have, and serves it until its deadline."""
@@ -154,6 +163,7 @@
             service=service,
             organisation=organisation,
             ends_at=request.received_at + wait_s,
+            urgencies=self._in_force.urgencies(service.name),
         )
 
     def _await_state(self) -> desired.DesiredState | None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -90,7 +90,7 @@
                 organisation=organisation.name if organisation else None,
                 left_s=max(exchange.ends_at - self._timer.now(), LEAST_LEFT_S),
                 path=path,
-                urgency=None,
+                urgency=exchange.sent_urgency,
                 last_event_id=last_event_id,
             ),
         )
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_gate.py
@@ -0,0 +1,346 @@
+"""Lets streams begin where callers of different urgency want the same room.
+
+The part of :mod:`stream_run` that waits: the decisions are in
+:mod:`stream_admission` and :mod:`admission_queue`, what is known of the
+fleet is in :mod:`service_pressure`. Where all routes of a service have the
+same urgency, nothing is decided here and nothing waits.
+"""
+
+import abc
+import random
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from returns import result
+
+from . import admission_queue
+from . import admission_ticket
+from . import context
+from . import cost_model
+from . import down_targets
+from . import gated_service
+from . import path_choice
+from . import refused_news
+from . import service_pressure
+from . import stream_admission
+from . import target_book
+from . import urgency_ranks
+
+# A busy pool's time to the first event, against that of an idle one.
+BUSY_FACTOR = 1.5
+# A returning caller is late in any case; it waits as it did for a path.
+RETURNING_WAIT_S = 1.0
+# An admitted request looks for a path at least so long.
+LEAST_PATH_WAIT_S = 0.05
+# Share of the repeats that the least urgent requests leave to others.
+MOST_REPEATS_KEPT = 0.3
+# Callers return after up to a third of the time that they have left.
+RETRY_SHARE = 1.0 / 3.0
+
+Entered = result.Result[admission_ticket.Ticket, float]
+
+
+class Gate(abc.ABC):
+    """Decides when a stream may begin."""
+
+    @abc.abstractmethod
+    def enter(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        caller: int | None,
+        is_returning: bool,
+    ) -> Entered:
+        """Returns leave to begin, after a wait if need be.
+
+        The failure is the time in seconds after which to retry.
+
+        :param caller: by which the request is recognised when it returns.
+        """
+
+
+class OpenGate(Gate):
+    """Lets all streams begin at once."""
+
+    def enter(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        caller: int | None,
+        is_returning: bool,
+    ) -> Entered:
+        return result.Success(admission_ticket.UNRANKED)
+
+
+class RankedGate(Gate):
+    """Admits streams by urgency, where that differs."""
+
+    def __init__(
+        self,
+        book: target_book.TargetBook,
+        down: down_targets.DownTargets,
+        pressures: service_pressure.PressureBook,
+        refused: refused_news.RefusedNews,
+        timer: timers.TimerService,
+        metric: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._book = book
+        self._down = down
+        self._pressures = pressures
+        self._refused = refused
+        self._timer = timer
+        self._metric = metric
+        self._rng = rng
+        self._service_by_name: dict[str, gated_service.GatedService] = {}
+
+    def enter(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        caller: int | None,
+        is_returning: bool,
+    ) -> Entered:
+        engine = exchange.service.engine
+        if engine is None or not exchange.urgencies:
+            return result.Success(admission_ticket.UNRANKED)
+        service = self._service(exchange)
+        ask = self._ask(exchange, demand, is_returning)
+        number, verdict = service.ask(ask)
+        if isinstance(verdict, admission_queue.Waiting):
+            self._note('stream_waits', 'waited', exchange, ask, service)
+            verdict = self._wait(service, ask, number)
+        if isinstance(verdict, admission_queue.Rejected):
+            return self._reject(exchange, ask, service, verdict, caller)
+        assert isinstance(verdict, admission_queue.Admitted)
+        self._count('admitted', exchange)
+        return result.Success(
+            _RankedTicket(self, service, exchange, ask, caller, verdict)
+        )
+
+    def _wait(
+        self,
+        service: gated_service.GatedService,
+        ask: stream_admission.Ask,
+        number: int,
+    ) -> admission_queue.Verdict:
+        """Returns the verdict on a request that waits, once there is one."""
+        is_decided = False
+        try:
+            while True:
+                self._timer.sleep(gated_service.REVIEW_S)
+                verdict = service.verdict(number)
+                if not isinstance(verdict, admission_queue.Waiting):
+                    is_decided = True
+                    return verdict
+        finally:
+            if not is_decided:
+                service.withdraw(number, ask)
+
+    def _reject(
+        self,
+        exchange: context.Exchange,
+        ask: stream_admission.Ask,
+        service: gated_service.GatedService,
+        verdict: admission_queue.Rejected,
+        caller: int | None,
+    ) -> Entered:
+        service.note_rejected(ask)
+        retry_s = self._retry_s(exchange, ask, verdict.expected_s)
+        self._note(
+            'stream_rejected',
+            'rejected',
+            exchange,
+            ask,
+            service,
+            reason=verdict.reason,
+            expected_ms=_ms(verdict.expected_s),
+            retry_ms=_ms(retry_s),
+        )
+        self._refused.note(caller)
+        return result.Failure(retry_s)
+
+    def note_unserved(
+        self,
+        exchange: context.Exchange,
+        ask: stream_admission.Ask,
+        service: gated_service.GatedService,
+        caller: int | None,
+    ) -> float:
+        """Returns when an admitted caller that no target ran is to return."""
+        pressure, course = service.pressure, service.course
+        shares = stream_admission.divide(pressure, course.hold_s)
+        expected_s = service.queue.expected_wait_s(
+            ask, pressure, shares, course
+        )
+        self._refused.note(caller)
+        self._count('sent_back', exchange)
+        return self._retry_s(exchange, ask, expected_s)
+
+    def now(self) -> float:
+        """Returns monotonic time."""
+        return self._timer.now()
+
+    def _retry_s(
+        self,
+        exchange: context.Exchange,
+        ask: stream_admission.Ask,
+        expected_s: float,
+    ) -> float:
+        retry_s = stream_admission.retry_after_s(
+            expected_s, self._rng.random(), ask.rank
+        )
+        left_s = exchange.ends_at - self._timer.now()
+        return min(retry_s, max(0.0, left_s) * RETRY_SHARE)
+
+    def _note(
+        self,
+        event: str,
+        counter: str,
+        exchange: context.Exchange,
+        ask: stream_admission.Ask,
+        service: gated_service.GatedService,
+        **value_by_key: object,
+    ) -> None:
+        """Logs and counts a decision with the data that it rests on."""
+        self._count(counter, exchange)
+        pressure, course = service.pressure, service.course
+        shares = stream_admission.divide(pressure, course.hold_s)
+        limit = shares.limit_by_rank[ask.rank]
+        events.info(
+            event,
+            id=exchange.facts.request_id,
+            route=exchange.route.name,
+            urgency=exchange.urgency,
+            tokens=int(ask.tokens),
+            returning=ask.is_returning,
+            barred_by=stream_admission.bar(pressure, shares, ask, course)
+            or 'order',
+            fill=round(pressure.fill, 3),
+            limit=round(limit / max(1.0, pressure.room_tokens), 3),
+            heard=pressure.heard,
+            pressure_age_s=round(pressure.age_s, 2),
+            waiting=len(service.queue.waiting),
+            left_ms=_ms(ask.until - self._timer.now()),
+            **value_by_key,
+        )
+
+    def _count(self, what: str, exchange: context.Exchange) -> None:
+        self._metric.count(f'relay.admission.{what}.{exchange.urgency}')
+
+    def _service(
+        self, exchange: context.Exchange
+    ) -> gated_service.GatedService:
+        name = exchange.service.name
+        engine = exchange.service.engine
+        assert engine is not None
+        service = self._service_by_name.get(name)
+        if service is None:
+            service = gated_service.GatedService(
+                name,
+                engine,
+                self._book,
+                self._down,
+                self._pressures,
+                self._timer,
+            )
+            self._service_by_name[name] = service
+        service.configure(engine, len(exchange.urgencies))
+        return service
+
+    def _ask(
+        self,
+        exchange: context.Exchange,
+        demand: path_choice.Demand,
+        is_returning: bool,
+    ) -> stream_admission.Ask:
+        organisation = exchange.organisation
+        now = self._timer.now()
+        until = now + RETURNING_WAIT_S
+        if not is_returning:
+            until = _latest_begin(exchange, demand)
+        return stream_admission.Ask(
+            rank=urgency_ranks.rank(exchange.urgencies, exchange.urgency),
+            organisation=service_pressure.organisation_key(
+                organisation.name if organisation else ''
+            ),
+            tokens=demand.tokens,
+            asked_at=now,
+            until=min(until, exchange.ends_at),
+            is_returning=is_returning,
+        )
+
+
+class _RankedTicket(admission_ticket.Ticket):
+    """That of a stream whose service has callers of different urgency."""
+
+    def __init__(
+        self,
+        gate: RankedGate,
+        service: gated_service.GatedService,
+        exchange: context.Exchange,
+        ask: stream_admission.Ask,
+        caller: int | None,
+        admitted: admission_queue.Admitted,
+    ) -> None:
+        self._gate = gate
+        self._service = service
+        self._exchange = exchange
+        self._ask = ask
+        self._caller = caller
+        self._pause_share = admitted.pause_share
+        self._admitted_at = gate.now()
+        self._is_resuming = False
+        self._is_released = False
+
+    def demand(self, demand: path_choice.Demand) -> path_choice.Demand:
+        longest_s = demand.longest_pause_s * self._pause_share
+        return demand._replace(longest_pause_s=longest_s)
+
+    def path_wait_s(self, usual_s: float) -> float:
+        """Looks for a path as long as it would have waited for room."""
+        left_s = self._ask.until - self._gate.now()
+        return max(LEAST_PATH_WAIT_S, left_s)
+
+    def retry_after_s(self, usual_s: float) -> float:
+        return self._gate.note_unserved(
+            self._exchange, self._ask, self._service, self._caller
+        )
+
+    @property
+    def repeats_kept(self) -> float:
+        last = len(self._exchange.urgencies) - 1
+        return MOST_REPEATS_KEPT * self._ask.rank / last
+
+    def set_resuming(self, is_resuming: bool) -> None:
+        if is_resuming != self._is_resuming:
+            self._is_resuming = is_resuming
+            change = 1 if is_resuming else -1
+            self._service.count_resuming(self._ask.rank, change)
+
+    def release(self, has_run: bool) -> None:
+        if self._is_released:
+            return
+        self._is_released = True
+        self.set_resuming(False)
+        self._service.end(self._ask)
+        if has_run:
+            self._service.note_held(self._gate.now() - self._admitted_at)
+
+
+def _latest_begin(
+    exchange: context.Exchange, demand: path_choice.Demand
+) -> float:
+    """Returns until when a request may begin and meet its objective."""
+    engine = exchange.service.engine
+    assert engine is not None
+    first_s = gated_service.first_event_s(
+        engine, demand.prompt_tokens, engine.event_tokens
+    )
+    aim_at = exchange.request.received_at + exchange.route.objective_s
+    return aim_at - BUSY_FACTOR * first_s
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * cost_model.MS_PER_S)
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -6,7 +6,9 @@
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from returns import result
 
+from . import admission_ticket
 from . import context
 from . import cost_model
 from . import dialect
@@ -21,6 +23,7 @@
 from . import refused_callers
 from . import repeat_budget
 from . import sending
+from . import stream_gate
 from . import target_calls
 
 # Sends after which a request that no path took is refused.
@@ -47,6 +50,7 @@
     live: live_streams.LiveStreams
     timer: timers.TimerService
     metric: metrics.Metrics
+    gate: stream_gate.Gate = stream_gate.OpenGate()
 
 
 class _Broken(Exception):
@@ -70,6 +74,7 @@
         self._demand = demand_of(exchange)
         self._caller = caller_of(exchange)
         self._is_returning = parts.refused.is_returning(self._caller)
+        self._ticket: admission_ticket.Ticket = admission_ticket.UNRANKED
         self._avoided: set[str] = set()
         self._runs = 0
         self._runs_before = 0
@@ -93,6 +98,7 @@
             self._run_attempts()
         finally:
             self._hand_over.release()
+            self._ticket.release(self._has_begun)
 
     def _run_attempts(self) -> None:
         while True:
@@ -113,13 +119,38 @@
                 return secured.path, secured.pause_ms
         if not self._runs and self._parts.finder.is_closed(service):
             self._give_up(outcomes.Refusal.NO_TARGET)
-        found = self._choose(self._room_wait_s())
+        if not self._sends:
+            self._enter()
+        found = self._choose_next()
         if found is not None and secured is None and self._sends:
             found = self._paid_for(found, service)
         if found is None:
             self._give_up(outcomes.Refusal.NO_ROOM)
         return found
 
+    def _enter(self) -> None:
+        """Gets leave to begin, or gives up."""
+        entered = self._parts.gate.enter(
+            self._exchange, self._demand, self._caller, self._is_returning
+        )
+        match entered:
+            case result.Success(ticket):
+                self._ticket = ticket
+                self._hand_over.repeats_kept = ticket.repeats_kept
+            case result.Failure(retry_s):
+                self._give_up(outcomes.Refusal.NO_ROOM, retry_s)
+
+    def _choose_next(self) -> tuple[cost_model.Path, float] | None:
+        """Returns a path for the first send, or to go on after a failure."""
+        if not self._sends:
+            wait_s = self._ticket.path_wait_s(self._room_wait_s())
+            return self._choose(wait_s, self._ticket.demand(self._demand))
+        self._ticket.set_resuming(self._has_begun)
+        try:
+            return self._choose(self._room_wait_s())
+        finally:
+            self._ticket.set_resuming(False)
+
     def _paid_for(
         self, found: tuple[cost_model.Path, float], service: str
     ) -> tuple[cost_model.Path, float] | None:
@@ -135,15 +166,16 @@
             self._parts.budget.give_back(service)
         return found_again
 
-    def _choose(self, wait_s: float) -> tuple[cost_model.Path, float] | None:
+    def _choose(
+        self, wait_s: float, demand: path_choice.Demand | None = None
+    ) -> tuple[cost_model.Path, float] | None:
         """Returns a path with room and its expected pause, if any is left."""
         finder = self._parts.finder
-        choice = finder.choose(
-            self._exchange, self._demand, self._avoided, wait_s
-        )
+        demand = demand or self._demand
+        choice = finder.choose(self._exchange, demand, self._avoided, wait_s)
         if choice.path is None and self._avoided:
             self._avoided = set()
-            choice = finder.choose(self._exchange, self._demand, set(), 0.0)
+            choice = finder.choose(self._exchange, demand, set(), 0.0)
         if choice.path is None:
             return None
         return choice.path, choice.pause_ms
@@ -152,7 +184,9 @@
         """Takes a repeat; a stream that has begun waits for one."""
         wait_s = RESUME_ROOM_WAIT_S if self._has_begun else 0.0
         until = min(self._parts.timer.now() + wait_s, self._exchange.ends_at)
-        while not self._parts.budget.take(service):
+        budget = self._parts.budget
+        kept = self._ticket.repeats_kept
+        while not (budget.has_left(service, kept) and budget.take(service)):
             if self._parts.timer.now() >= until:
                 return False
             self._parts.timer.sleep(REPEAT_POLL_S)
@@ -314,7 +348,13 @@
             return False
         return runs < self._exchange.route.max_attempts
 
-    def _give_up(self, refusal: outcomes.Refusal) -> NoReturn:
+    def _give_up(
+        self, refusal: outcomes.Refusal, retry_s: float | None = None
+    ) -> NoReturn:
+        """Ends the request.
+
+        :param retry_s: when the caller is to return, where that is known.
+        """
         if self._has_begun:
             raise context.BrokenOff(refusal)
         has_run = self._runs > 0
@@ -324,6 +364,10 @@
             retry_after_s = self._parts.refused.note_refused(
                 self._caller, wait_s
             )
+            if retry_s is None:
+                retry_s = self._ticket.retry_after_s(retry_after_s)
+            # Targets that are left alone may keep the service longer.
+            retry_after_s = max(retry_s, wait_s)
             if self._is_returning:
                 self._parts.metric.count('relay.refused_again')
         raise context.Refused(refusal, has_run, retry_after_s)
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_stream_gate.py
@@ -0,0 +1,307 @@
+"""Streams at the gate: waits, rejections, and services without ranks."""
+
+import random
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import sample_engine
+from cactusmux_fakes import scripted_target
+from cactusmux_relay import admission_ticket
+from cactusmux_relay import context
+from cactusmux_relay import desired
+from cactusmux_relay import dialect
+from cactusmux_relay import down_targets
+from cactusmux_relay import http_server
+from cactusmux_relay import path_choice
+from cactusmux_relay import refused_callers
+from cactusmux_relay import refused_news
+from cactusmux_relay import repeat_budget
+from cactusmux_relay import service_pressure
+from cactusmux_relay import stream_gate
+from cactusmux_relay import target_book
+from cactusmux_relay import targets
+import h11
+import pytest
+from returns import result
+
+DEMAND = path_choice.Demand(800.0, 200.0, 0.25)
+URGENCIES = (0, 1, 2)
+ORGANISATION = desired.Organisation('almaty', None)
+KEY = service_pressure.organisation_key('almaty')
+SERVICE = sample_engine.SERVICE
+CALLER = 12345
+
+
+class _Rig:
+    """A gate before one card that holds the whole model."""
+
+    def __init__(self):
+        self.timer = timers.ManualTimers()
+        self.metric = metrics.MemoryMetrics()
+        self.rng = random.Random(1)
+        card = desired.Card('whole', 160_000.0, 1.0, 1.0)
+        self.engine = sample_engine.ENGINE._replace(
+            card_by_name={'whole': card}
+        )
+        self.service = desired.Service(SERVICE, '/health', 10, self.engine)
+        layers = targets.LayerRange(0, self.engine.layers)
+        target = sample_engine.target('t', 'whole', 'a', layers)
+        book = target_book.TargetBook()
+        book.replace([target], {SERVICE: self.service})
+        self.pressures = service_pressure.PressureBook(self.timer, lambda: 1)
+        callers = refused_callers.RefusedCallers(self.timer, self.rng)
+        self.news = refused_news.RefusedNews(self.timer, callers)
+        self.gate = stream_gate.RankedGate(
+            book,
+            down_targets.DownTargets(self.timer, self.rng),
+            self.pressures,
+            self.news,
+            self.timer,
+            self.metric,
+            self.rng,
+        )
+
+    def exchange(self, urgency=1, urgencies=URGENCIES, timeout_s=20.0):
+        """Returns a request that has just been received."""
+        now = self.timer.now()
+        facts = dialect.RequestFacts(
+            'r1', 'h', None, None, '', 800.0, 200.0, None, None, []
+        )
+        route = relay_rig.route('/stream/', desired.RequestKind.STREAM, 's')
+        return context.Exchange(
+            request=http_server.Request('POST', '/stream/', [], b'', now),
+            facts=facts,
+            answerer=None,
+            route=route._replace(urgency=urgency),
+            service=self.service,
+            organisation=ORGANISATION,
+            ends_at=now + timeout_s,
+            urgencies=urgencies,
+        )
+
+    def enter(self, exchange=None, is_returning=False):
+        """Asks for leave to begin."""
+        exchange = exchange or self.exchange()
+        return self.gate.enter(exchange, DEMAND, CALLER, is_returning)
+
+    @property
+    def held(self):
+        """Tokens held at the service."""
+        return self.pressures.pressure(SERVICE, 3, 1.0).used_tokens
+
+    def fill(self, tokens_left=0.0, rank=1):
+        """Has other streams hold all room but this."""
+        card = self.engine.card_by_name['whole']
+        layers = self.engine.layers
+        free_mb = card.memory_mb - layers * self.engine.layer_mb
+        room = path_choice.FILL_LIMIT * free_mb / self.engine.token_mb
+        self.pressures.hold(SERVICE, rank, KEY, room - tokens_left)
+
+
+@pytest.fixture(name='rig')
+def _rig():
+    return _Rig()
+
+
+@pytest.fixture(name='lines')
+def _lines(monkeypatch):
+    found = []
+    monkeypatch.setattr(
+        events, 'info', lambda event, **values: found.append((event, values))
+    )
+    return found
+
+
+def test_service_of_equal_urgency_is_left_as_it_was(rig, lines):
+    """No decision, wait, draw, message, line or counter is new there."""
+    drawn = rig.rng.getstate()
+    begun = rig.timer.now()
+    rig.fill()
+    pressures = rig.pressures
+    rig.gate._pressures = None
+    entered = rig.enter(rig.exchange(urgencies=()))
+    ticket = entered.unwrap()
+    assert ticket is admission_ticket.UNRANKED
+    assert ticket.demand(DEMAND) is DEMAND
+    assert ticket.path_wait_s(0.05) == 0.05
+    assert ticket.retry_after_s(1.1) == 1.1
+    assert ticket.repeats_kept == 0.0
+    assert rig.rng.getstate() == drawn
+    assert rig.timer.now() == begun
+    assert rig.news.own() == b''
+    assert not lines
+    assert not rig.metric.counter_by_name
+    assert pressures.pressure(SERVICE, 1, 1.0).asked == (0.0,)
+
+
+def test_admitted_stream_holds_its_tokens_until_it_ends(rig):
+    ticket = rig.enter().unwrap()
+    assert rig.held == DEMAND.tokens
+    ticket.release(has_run=True)
+    ticket.release(has_run=True)
+    assert rig.held == 0.0
+    assert rig.metric.counter_by_name['relay.admission.admitted.1'] == 1
+
+
+def test_request_waits_within_its_objective_for_room(rig, lines):
+    first = rig.enter().unwrap()
+    rig.fill(tokens_left=1500.0)
+    rig.timer.after(0.2, lambda: first.release(True))
+    exchange = rig.exchange()
+    begun = rig.timer.now()
+    assert isinstance(rig.enter(exchange), result.Success)
+    assert 0.2 <= rig.timer.now() - begun <= exchange.route.objective_s
+    assert rig.metric.counter_by_name['relay.admission.waited.1'] == 1
+    assert [event for event, _ in lines] == ['stream_waits']
+    values = lines[0][1]
+    assert values['barred_by'] == 'room'
+    assert {'fill', 'limit', 'pressure_age_s', 'heard', 'urgency'} <= set(
+        values
+    )
+
+
+def test_request_is_rejected_when_its_objective_would_be_missed(rig, lines):
+    rig.fill(tokens_left=500.0)
+    held = rig.held
+    exchange = rig.exchange()
+    begun = rig.timer.now()
+    entered = rig.enter(exchange)
+    assert isinstance(entered, result.Failure)
+    assert rig.timer.now() - begun < exchange.route.objective_s
+    assert rig.held == held
+    assert rig.metric.counter_by_name['relay.admission.rejected.1'] == 1
+    event, values = lines[-1]
+    assert event == 'stream_rejected'
+    assert values['reason'] in ('too_late', 'waited_too_long')
+    assert values['retry_ms'] == round(entered.failure() * 1000.0)
+    assert rig.news.own()
+
+
+def test_retry_time_is_within_a_third_of_the_time_left(rig):
+    """Callers ignore a longer one."""
+    rig.fill(tokens_left=-1e6)
+    entered = rig.enter(rig.exchange(timeout_s=3.0))
+    assert 0.0 < entered.failure() <= 1.0
+
+
+def test_returning_caller_may_wait_for_longer(rig):
+    rig.fill(tokens_left=500.0)
+    begun = rig.timer.now()
+    rig.timer.after(0.8, lambda: rig.pressures.hold(SERVICE, 1, KEY, -2000.0))
+    assert isinstance(rig.enter(is_returning=True), result.Success)
+    assert rig.timer.now() - begun >= 0.8
+
+
+def test_caller_that_goes_while_it_waits_leaves_nothing_behind(rig):
+    rig.fill(tokens_left=500.0)
+    held = rig.held
+
+    def go():
+        raise http_server.CallerGone
+
+    rig.timer.after(0.1, go)
+    with pytest.raises(http_server.CallerGone):
+        rig.enter()
+    assert rig.held == held
+    service = rig.gate._service_by_name[SERVICE]
+    assert not service.queue.waiting
+
+
+def test_streams_that_resume_go_first_until_they_have_a_path(rig):
+    begun = rig.enter().unwrap()
+    begun.set_resuming(True)
+    rig.timer.after(0.1, lambda: begun.set_resuming(False))
+    at = rig.timer.now()
+    rig.enter(rig.exchange(urgency=0)).unwrap()
+    assert rig.timer.now() == at
+    rig.enter(rig.exchange(urgency=1)).unwrap()
+    assert rig.timer.now() - at >= 0.1
+
+
+def test_last_repeats_are_left_to_urgent_streams(rig):
+    budget = repeat_budget.RepeatBudget(rig.timer, 0.0, 10.0, 10.0)
+    budget.set_instances(1)
+    tickets = [
+        rig.enter(rig.exchange(urgency)).unwrap() for urgency in URGENCIES
+    ]
+    for _ in range(6):
+        assert budget.take(SERVICE)
+    left = [budget.has_left(SERVICE, each.repeats_kept) for each in tickets]
+    assert left == [True, True, False]
+    assert budget.take(SERVICE)
+    left = [budget.has_left(SERVICE, each.repeats_kept) for each in tickets]
+    assert left == [True, False, False]
+
+
+def _ranked_rig():
+    rig = relay_rig.RelayRig()
+    state = relay_rig.desired_state(version=2)
+    urgency_by_name = {'/stream/': 0, '/once/': 2}
+    routes = tuple(
+        each._replace(urgency=urgency_by_name.get(each.name, each.urgency))
+        for each in state.routes
+    )
+    rig.in_force.replace(state._replace(routes=routes))
+    return rig
+
+
+def _status(received):
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(
+        h11.Request(method='GET', target='/', headers=[('host', 'h')])
+    )
+    connection.send(h11.EndOfMessage())
+    connection.receive_data(received)
+    head = connection.next_event()
+    return head.status_code, dict(head.headers)
+
+
+def _engine_target():
+    events_sent = b''.join(
+        scripted_target.chunk(scripted_target.event(number))
+        for number in range(1, 4)
+    )
+    head = scripted_target.stream_head({'Signature': 'first'})
+
+    def script(sock, _request):
+        sock.sendall(head + events_sent + scripted_target.chunk(b''))
+        return False
+
+    return scripted_target.ScriptedTarget(script)
+
+
+def test_urgency_decides_who_is_served_on_a_nearly_full_service():
+    """Through the whole core: what callers and targets get."""
+    rig = _ranked_rig()
+    target = _engine_target()
+    rig.use_engines(target.address)
+    room = 45_000.0
+    rig.pressures.note_asked(SERVICE, 0, KEY, room / 2.0)
+    rig.pressures.hold(SERVICE, 1, KEY, 0.7 * room)
+    try:
+        less = rig.ask(relay_rig.request('/once/', prompt='800'))
+        urgent = rig.ask(relay_rig.request('/stream/', prompt='800'))
+    finally:
+        rig.server.stop()
+    status, headers = _status(less)
+    assert status == 503
+    assert 0.0 < float(headers[b'retry-after']) <= 5.0 / 3.0
+    assert _status(urgent)[0] == 200
+    (received,) = target.received
+    assert received.value_by_header['urgency'] == '0'
+    # What was asked and held has ended with the request.
+    assert rig.pressures.pressure(SERVICE, 2, 1.0).held[0] == 0.0
+
+
+def test_equal_urgency_is_not_told_to_targets():
+    rig = relay_rig.RelayRig()
+    target = _engine_target()
+    rig.use_engines(target.address)
+    try:
+        answer = rig.ask(relay_rig.request('/stream/', prompt='800'))
+    finally:
+        rig.server.stop()
+    assert _status(answer)[0] == 200
+    assert 'urgency' not in target.received[0].value_by_header
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_urgency_ranks.py
@@ -0,0 +1,55 @@
+"""Which services are decided by urgency, and what targets are told."""
+
+from cactusmux_fakes import relay_rig
+from cactusmux_relay import context
+from cactusmux_relay import desired
+from cactusmux_relay import urgency_ranks
+
+STREAM = desired.RequestKind.STREAM
+
+
+def _route(service, urgency):
+    route = relay_rig.route(f'/{service}-{urgency}/', STREAM, service)
+    return route._replace(urgency=urgency)
+
+
+def _exchange(urgencies, urgency, engine='engine'):
+    service = desired.Service('drafts', '/health', 10, engine)
+    route = _route('drafts', urgency)
+    return context.Exchange(
+        None, None, None, route, service, None, 0.0, urgencies
+    )
+
+
+def test_only_services_whose_routes_differ_have_ranks():
+    routes = [
+        _route('drafts', 2),
+        _route('drafts', 0),
+        _route('drafts', 2),
+        _route('equal', 1),
+        _route('equal', 1),
+    ]
+    assert urgency_ranks.urgencies_by_service(routes) == {'drafts': (0, 2)}
+
+
+def test_urgencies_between_and_beyond_those_of_the_routes_have_a_rank():
+    ranks = [urgency_ranks.rank((0, 3, 5), each) for each in (0, 1, 3, 5, 9)]
+    assert ranks == [0, 1, 1, 2, 2]
+
+
+def test_targets_are_told_an_urgency_only_where_it_differs():
+    assert _exchange((0, 2), 2).sent_urgency == 2
+    assert _exchange((0, 12), 12).sent_urgency == 9
+    assert _exchange((), 2).sent_urgency is None
+    assert _exchange((0, 2), 2, engine=None).sent_urgency is None
+
+
+def test_urgencies_in_force_follow_the_configuration():
+    """A rank of an older version would let callers in by it."""
+    rig_state = relay_rig.desired_state()
+    in_force = relay_rig.request_core.InForce()
+    in_force.replace(rig_state)
+    assert in_force.urgencies('drafts') == ()
+    routes = (_route('drafts', 2), _route('drafts', 0))
+    in_force.replace(rig_state._replace(version=2, routes=routes))
+    assert in_force.urgencies('drafts') == (0, 2)
