--- a/packages/cactusmux-relay/src/cactusmux_relay/service_pressure.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/service_pressure.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 import hashlib
+import itertools
 import math
 from typing import NamedTuple
 
@@ -29,6 +30,8 @@
 ORGANISATION_KEY_BYTES = 2
 # News of so many others, or of all, are as good as of the whole fleet.
 ENOUGH_HEARD = 16
+# Sums of the others' news are kept for so long if nothing new comes.
+SUM_AGE_S = 0.1
 MS_PER_S = 1000.0
 
 Ranks = tuple[float, ...]
@@ -198,6 +201,15 @@
 _NOTHING = Tally([], [], [])
 
 
+class _Others(NamedTuple):
+    """What others tell of one service, summed at a time."""
+
+    at: float
+    tallies: tuple[Tally, ...]
+    total: Tally
+    age_s: float
+
+
 class PressureBook(news_topics.NewsTopic):
     """Sums what this instance and others tell of each service.
 
@@ -213,6 +225,7 @@
         self._instances = instances
         self._own_by_service: dict[str, _Own] = {}
         self._heard_by_sender: dict[str, _Heard] = {}
+        self._others_by_service: dict[str, _Others] = {}
 
     def note_asked(
         self, service: str, rank: int, organisation: int, tokens: float
@@ -265,6 +278,7 @@
             if report.sent_ms <= known.report.sent_ms:
                 return
         self._heard_by_sender[sender] = _Heard(now, report)
+        self._others_by_service.clear()
 
     def pressure(
         self, service: str, ranks: int, room_tokens: float
@@ -272,38 +286,41 @@
         """Returns what is believed of a service with so many ranks."""
         now = self._timer.now()
         own = self._of(service).tally(now)
-        fresh = [each for each in self._fresh() if each.tells_of(service)]
-        tallies = [
-            each.report.tally_by_service.get(service, _NOTHING)
-            for each in fresh
-        ]
-        instances = max(1, self._instances(), len(fresh) + 1)
-        if not tallies:
-            tallies, stands_for = [own], float(instances - 1)
-        else:
-            stands_for = (instances - 1) / len(tallies)
-        ages = [now - each.at for each in fresh]
+        others = self._others(service)
+        # Without news, the others are taken to be like ourselves.
+        tallies = others.tallies or (own,)
+        instances = max(1, self._instances(), len(others.tallies) + 1)
+        stands_for = (instances - 1) / len(tallies)
+        told = _total(tallies) if not others.tallies else others.total
         return Pressure(
             room_tokens=room_tokens,
-            held=_sum(
-                ranks, own.held, [each.held for each in tallies], stands_for
-            ),
-            asked=_sum(
-                ranks, own.asked, [each.asked for each in tallies], stands_for
-            ),
-            rejected=_sum(
-                ranks,
-                own.rejected,
-                [each.rejected for each in tallies],
-                stands_for,
-            ),
+            held=_sum(ranks, own.held, told.held, stands_for),
+            asked=_sum(ranks, own.asked, told.asked, stands_for),
+            rejected=_sum(ranks, own.rejected, told.rejected, stands_for),
             own_tokens=float(sum(own.held)),
             instances=instances,
-            heard=len(fresh),
-            age_s=sum(ages) / len(ages) if ages else math.inf,
-            held_by_organisation=_sum_by_key(own, tallies, stands_for, 0),
-            asked_by_organisation=_sum_by_key(own, tallies, stands_for, 1),
+            heard=len(others.tallies),
+            age_s=others.age_s + now - others.at,
+            held_by_organisation=_by_key(own, told, stands_for, 0),
+            asked_by_organisation=_by_key(own, told, stands_for, 1),
+        )
+
+    def _others(self, service: str) -> _Others:
+        """Returns what others tell; summed anew when news have come."""
+        now = self._timer.now()
+        known = self._others_by_service.get(service)
+        if known is not None and now - known.at < SUM_AGE_S:
+            return known
+        fresh = [each for each in self._fresh() if each.tells_of(service)]
+        tallies = tuple(
+            each.report.tally_by_service.get(service, _NOTHING)
+            for each in fresh
         )
+        ages = [now - each.at for each in fresh]
+        age_s = sum(ages) / len(ages) if ages else math.inf
+        found = _Others(now, tallies, _total(tallies), age_s)
+        self._others_by_service[service] = found
+        return found
 
     def _of(self, service: str) -> _Own:
         return self._own_by_service.setdefault(service, _Own())
@@ -316,34 +333,49 @@
         return list(self._heard_by_sender.values())
 
 
+def _total(tallies: Sequence[Tally]) -> Tally:
+    """Adds up tallies of several instances."""
+    by_key: dict[int, tuple[int, int]] = {}
+    for tally in tallies:
+        for key, (held, asked) in tally.held_and_asked.items():
+            before = by_key.get(key, (0, 0))
+            by_key[key] = (before[0] + held, before[1] + asked)
+    return Tally(
+        _added([each.held for each in tallies]),
+        _added([each.asked for each in tallies]),
+        _added([each.rejected for each in tallies]),
+        by_key,
+    )
+
+
+def _added(lists: Sequence[list[int]]) -> list[int]:
+    return [
+        sum(amounts) for amounts in itertools.zip_longest(*lists, fillvalue=0)
+    ]
+
+
 def _sum(
-    ranks: int,
-    own: Sequence[int],
-    others: Sequence[Sequence[int]],
-    stands_for: float,
+    ranks: int, own: Sequence[int], told: Sequence[int], stands_for: float
 ) -> Ranks:
     """Adds up by rank; ranks beyond the last one count as the last one."""
     total = [0.0] * ranks
     for rank, amount in enumerate(own):
         total[min(rank, ranks - 1)] += amount
-    for told in others:
-        for rank, amount in enumerate(told):
-            total[min(rank, ranks - 1)] += amount * stands_for
+    for rank, amount in enumerate(told):
+        total[min(rank, ranks - 1)] += amount * stands_for
     return tuple(total)
 
 
-def _sum_by_key(
-    own: Tally, others: Sequence[Tally], stands_for: float, column: int
+def _by_key(
+    own: Tally, told: Tally, stands_for: float, column: int
 ) -> dict[int, float]:
     """Adds up what organisations hold, or what they ask for."""
-    total: dict[int, float] = {}
-    for tally, weight in [
-        (own, 1.0),
-        *((each, stands_for) for each in others),
-    ]:
-        for key, held_and_asked in tally.held_and_asked.items():
-            amount = held_and_asked[column] * weight
-            total[key] = total.get(key, 0.0) + amount
+    total = {
+        key: each[column] * stands_for
+        for key, each in told.held_and_asked.items()
+    }
+    for key, each in own.held_and_asked.items():
+        total[key] = total.get(key, 0.0) + each[column]
     return total
 
 
