--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -20,10 +20,13 @@
 from . import pipe_quota
 from . import plain_relay
 from . import refused_callers
+from . import refused_news
 from . import repeat_budget
 from . import request_core
 from . import sending
+from . import service_pressure
 from . import stage_replacer
+from . import stream_gate
 from . import stream_run
 from . import target_book
 from . import target_calls
@@ -51,6 +54,8 @@
     orders: layer_orders.LayerOrders
     refused: refused_callers.RefusedCallers
     failing: failing_targets.FailingTargets
+    refused_news: refused_news.RefusedNews
+    pressures: service_pressure.PressureBook
     timer: timers.TimerService
     metric: metrics.Metrics
     rng: random.Random
@@ -149,6 +154,15 @@
         metric=shared.metric,
         failing=shared.failing,
         limits=shared.limits,
+        gate=stream_gate.RankedGate(
+            shared.book,
+            shared.down,
+            shared.pressures,
+            shared.refused_news,
+            shared.timer,
+            shared.metric,
+            shared.rng,
+        ),
     )
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -36,9 +36,11 @@
 from . import prompt_news
 from . import recovery_news
 from . import refused_callers
+from . import refused_news
 from . import relay_settings
 from . import repeat_budget
 from . import request_core
+from . import service_pressure
 from . import soft_exchange
 from . import store_contact
 from . import store_mirror
@@ -112,6 +114,10 @@
             timer,
             metric,
         )
+        self._refused_news = refused_news.RefusedNews(timer, self._refused)
+        self._pressures = service_pressure.PressureBook(
+            timer, lambda: self._ledger.instances
+        )
         core = self._make_core(metric, rng, orders)
         self._entry = http_server.HttpServer(
             settings.entry_address,
@@ -151,6 +157,8 @@
                 recovery_news.RecoveryNews(self._down),
                 trouble,
                 self._limits,
+                self._pressures,
+                self._refused_news,
             ),
         )
         self._checks = mirror_checks.MirrorChecks(
@@ -235,6 +243,8 @@
                 orders=orders,
                 refused=self._refused,
                 failing=self._failing,
+                refused_news=self._refused_news,
+                pressures=self._pressures,
                 timer=self._timer,
                 metric=metric,
                 rng=rng,
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -6,7 +6,9 @@
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from returns import result
 
+from . import admission_ticket
 from . import attempt_replacements
 from . import context
 from . import cost_model
@@ -27,6 +29,7 @@
 from . import repeat_budget
 from . import sending
 from . import stage_replacer
+from . import stream_gate
 from . import stream_pace
 from . import target_calls
 
@@ -57,6 +60,7 @@
     metric: metrics.Metrics
     failing: failing_targets.FailingTargets
     limits: pace_limits.PaceLimits = pace_limits.NoPaceLimits()
+    gate: stream_gate.Gate = stream_gate.OpenGate()
 
 
 class _Broken(Exception):
@@ -80,6 +84,7 @@
         self._demand = demand_of(exchange)
         self._caller = caller_of(exchange)
         self._is_returning = parts.refused.is_returning(self._caller)
+        self._ticket: admission_ticket.Ticket = admission_ticket.UNRANKED
         self._avoided: set[str] = set()
         self._failed_ids: set[str] = set()
         self._failed: outcomes.Whole | None = None
@@ -107,6 +112,7 @@
             self._run_attempts()
         finally:
             self._hand_over.release()
+            self._ticket.release(self._has_begun)
 
     def _run_attempts(self) -> None:
         while True:
@@ -127,13 +133,38 @@
                 return secured.path, secured.pause_ms
         if not self._runs and self._parts.finder.is_closed(service):
             self._give_up(outcomes.Refusal.NO_TARGET)
-        found = self._choose(self._room_wait_s())
+        if not self._sends:
+            self._enter()
+        found = self._choose_next()
         if found is not None and secured is None and self._sends:
             found = self._paid_for(found, service)
         if found is None:
             self._give_up(outcomes.Refusal.NO_ROOM)
         return found
 
+    def _enter(self) -> None:
+        """Gets leave to begin, or gives up."""
+        entered = self._parts.gate.enter(
+            self._exchange, self._demand, self._caller, self._is_returning
+        )
+        match entered:
+            case result.Success(ticket):
+                self._ticket = ticket
+                self._hand_over.repeats_kept = ticket.repeats_kept
+            case result.Failure(retry_s):
+                self._give_up(outcomes.Refusal.NO_ROOM, retry_s)
+
+    def _choose_next(self) -> tuple[cost_model.Path, float] | None:
+        """Returns a path for the first send, or to go on after a failure."""
+        if not self._sends:
+            wait_s = self._ticket.path_wait_s(self._room_wait_s())
+            return self._choose(wait_s, self._ticket.demand(self._demand))
+        self._ticket.set_resuming(self._has_begun)
+        try:
+            return self._choose(self._room_wait_s())
+        finally:
+            self._ticket.set_resuming(False)
+
     def _paid_for(
         self, found: tuple[cost_model.Path, float], service: str
     ) -> tuple[cost_model.Path, float] | None:
@@ -149,15 +180,14 @@
             self._parts.budget.give_back(service)
         return found_again
 
-    def _choose(self, wait_s: float) -> tuple[cost_model.Path, float] | None:
+    def _choose(
+        self, wait_s: float, demand: path_choice.Demand | None = None
+    ) -> tuple[cost_model.Path, float] | None:
         """Returns a path with room and its expected pause, if any is left."""
         finder = self._parts.finder
+        demand = demand or self._demand
         choice = finder.choose(
-            self._exchange,
-            self._demand,
-            self._avoided,
-            wait_s,
-            self._runs > 0,
+            self._exchange, demand, self._avoided, wait_s, self._runs > 0
         )
         if choice.path is None and self._avoided:
             # A failure is passed on rather than asked for again.
@@ -165,11 +195,7 @@
             if not self._has_begun:
                 self._avoided = set(self._failed_ids)
             choice = finder.choose(
-                self._exchange,
-                self._demand,
-                self._avoided,
-                0.0,
-                self._runs > 0,
+                self._exchange, demand, self._avoided, 0.0, self._runs > 0
             )
         if choice.path is None:
             return None
@@ -179,7 +205,9 @@
         """Takes a repeat; a stream that has begun waits for one."""
         wait_s = RESUME_ROOM_WAIT_S if self._has_begun else 0.0
         until = min(self._parts.timer.now() + wait_s, self._exchange.ends_at)
-        while not self._parts.budget.take(service):
+        budget = self._parts.budget
+        kept = self._ticket.repeats_kept
+        while not (budget.has_left(service, kept) and budget.take(service)):
             if self._parts.timer.now() >= until:
                 return False
             self._parts.timer.sleep(REPEAT_POLL_S)
@@ -414,7 +442,13 @@
             return False
         return runs < self._exchange.route.max_attempts
 
-    def _give_up(self, refusal: outcomes.Refusal) -> NoReturn:
+    def _give_up(
+        self, refusal: outcomes.Refusal, retry_s: float | None = None
+    ) -> NoReturn:
+        """Ends the request.
+
+        :param retry_s: when the caller is to return, where that is known.
+        """
         if self._has_begun:
             raise context.BrokenOff(refusal)
         if self._failed is not None:
@@ -426,6 +460,10 @@
             retry_after_s = self._parts.refused.note_refused(
                 self._caller, wait_s
             )
+            if retry_s is None:
+                retry_s = self._ticket.retry_after_s(retry_after_s)
+            # Targets that are left alone may keep the service longer.
+            retry_after_s = max(retry_s, wait_s)
             if self._is_returning:
                 self._parts.metric.count('relay.refused_again')
         raise context.Refused(refusal, has_run, retry_after_s)
