Give the test of limits' causes all parts that a core needs

Cause: the fixture of test_pace_wiring.py raised TypeError. DownTargets, shared rechecks and RecoveryNews aren't involved: their new arguments have defaults, and the code is sound.

Change: the set-up passes the three parts, real ones as in RelayInstance. What the tests check is unchanged.

--- a/packages/cactusmux-relay/tests/test_pace_wiring.py
+++ b/packages/cactusmux-relay/tests/test_pace_wiring.py
@@ -10,9 +10,12 @@
 from cactusmux_relay import backoffs
 from cactusmux_relay import core_assembly
 from cactusmux_relay import down_targets
+from cactusmux_relay import ejection_reports
+from cactusmux_relay import failing_targets
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
+from cactusmux_relay import pipe_quota
 from cactusmux_relay import recoveries
 from cactusmux_relay import refused_callers
 from cactusmux_relay import repeat_budget
@@ -54,6 +57,13 @@
             timer,
             metric,
         )
+        orders = silent_orders.SilentOrders()
+        reports = ejection_reports.EjectionReports(
+            'own', self.book, timer, metric, rng
+        )
+        self.failing = failing_targets.FailingTargets(
+            self.book, ledger, reports, timer, metric, rng
+        )
         made = []
         real = breakers.Breakers
         monkeypatch.setattr(
@@ -69,17 +79,20 @@
                 book=self.book,
                 ledger=ledger,
                 down=self.down,
-                paces=pace_book.PaceBook(silent_orders.SilentOrders(), timer),
+                paces=pace_book.PaceBook(orders, timer),
                 held=self.held,
                 budget=repeat_budget.RepeatBudget(timer, 1.0, 10.0, 10.0),
                 live=live_streams.LiveStreams(
                     timer, self.down, self.down.probe, self.down.probe
                 ),
+                orders=orders,
                 refused=refused_callers.RefusedCallers(timer, rng),
+                failing=self.failing,
                 timer=timer,
                 metric=metric,
                 rng=rng,
                 takes_work=lambda longest_s: True,
+                quota=pipe_quota.PipeQuota(timer, metric, rng),
                 limits=self.paces,
             )
         )
