Sum the loads once for all searches of one look for a path

Cause: each of up to four searches of PathFinder._look called all_loads, which goes over what all peers have told, though nothing changes between them.

Change: _look sums the loads once and passes them to _search. Where no target is softly excluded or limited and the pipe limit is the usual one, it makes its one search at once.

Measured: a look of four searches with 32 peers of 50 targets each takes 570 us, 2,059 us before (best of 7 runs of 100, shared machine). The new test counted 4 sums before and 1 after; that of the single search passed before, too, and keeps it so.

--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -117,27 +117,33 @@
         soft = self._softly_excluded() - excluded
         limited = frozenset() if is_resumed else self._at_limit()
         limited = limited - soft - excluded
+        # Nothing yields between the searches, so the loads are the same.
+        load = self._ledger.all_loads(self._paces.slow())
+        is_usual = pipe_limit <= path_choice.PIPE_LIMIT
+        if is_usual and not soft and not limited:
+            return self._search(exchange, demand, load, excluded, pipe_limit)
         without = excluded | soft | limited
         choice = path_choice.Choice(None, 0.0, 0, 0.0)
-        if self._quota.is_active and pipe_limit > path_choice.PIPE_LIMIT:
+        if self._quota.is_active and not is_usual:
             # A path within the usual share goes before one beyond it.
             choice = self._search(
-                exchange, demand, without, path_choice.PIPE_LIMIT
+                exchange, demand, load, without, path_choice.PIPE_LIMIT
             )
         if choice.path is None:
-            choice = self._search(exchange, demand, without, pipe_limit)
+            choice = self._search(exchange, demand, load, without, pipe_limit)
         if choice.path is None and limited:
             choice = self._search(
-                exchange, demand, excluded | soft, pipe_limit
+                exchange, demand, load, excluded | soft, pipe_limit
             )
         if choice.path is None and soft:
-            choice = self._search(exchange, demand, excluded, pipe_limit)
+            choice = self._search(exchange, demand, load, excluded, pipe_limit)
         return choice
 
     def _search(
         self,
         exchange: context.Exchange,
         demand: path_choice.Demand,
+        load: path_choice.Load,
         excluded: set[str],
         pipe_limit: float,
     ) -> path_choice.Choice:
@@ -149,7 +155,7 @@
             engine,
             graph,
             demand,
-            self._ledger.all_loads(self._paces.slow()),
+            load,
             excluded,
             pipe_limit,
             self._draw,
--- a/packages/cactusmux-relay/tests/test_path_finder.py
+++ b/packages/cactusmux-relay/tests/test_path_finder.py
@@ -1,5 +1,6 @@
 """How long a request looks for a path, and which pipes it may cross."""
 
+import collections
 import random
 
 from cactusmux_base import metrics
@@ -374,3 +375,45 @@
     search.soft = {'other'}
     choice, _ = search.choose(0.05)
     assert _names(choice) == ['first', 'second']
+
+
+@pytest.fixture(name='counted')
+def _counted(monkeypatch):
+    """Counts the sums of loads and the searches."""
+    counted = collections.Counter()
+    sum_loads = load_ledger.LoadLedger.all_loads
+    choose = path_choice.choose
+
+    def count_sum(*args):
+        counted['sums'] += 1
+        return sum_loads(*args)
+
+    def count_search(*args):
+        counted['searches'] += 1
+        return choose(*args)
+
+    monkeypatch.setattr(load_ledger.LoadLedger, 'all_loads', count_sum)
+    monkeypatch.setattr(path_choice, 'choose', count_search)
+    return counted
+
+
+def test_loads_are_summed_once_for_all_searches_of_one_look(counted):
+    """Each of up to four searches summed those of 32 peers anew, in 1 ms."""
+    search = _Search(busy_share=0.0)
+    search.quota.set_instances(72)
+    search.limited_ids = frozenset(('first',))
+    # Without any target for half of the layers no search finds a path.
+    search.held.note(search.second, 2.0, None)
+    search.add(_target('other', 0, 40, 'a'))
+    search.soft = {'other'}
+    choice, _ = search.choose(0.0)
+    assert choice.path is None
+    assert counted == {'sums': 1, 'searches': 4}
+
+
+def test_one_search_is_made_where_no_target_is_to_be_spared(counted):
+    """Requests that wait search each 10 ms."""
+    search = _Search(busy_share=0.02)
+    choice, _ = search.choose(0.05)
+    assert choice.path is not None
+    assert counted == {'sums': 1, 'searches': 1}
