Make replacements of lost stages take the share of pipes

Replacements neither asked PipeQuota nor paid for what they sent: the streams of each lost target kept to the limit of a pipe by themselves only. Where pipes are divided among instances, the share of the instance now decides in place of the random draw, and it is taken for what the replacement sends and returned if its order fails. Small fleets choose as before.

--- a/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
@@ -201,7 +201,7 @@
         replacement: stage_replacement.Replacement,
     ) -> None:
         self._noted.move(stream.target_ids)
-        self._replacer.note_sendings(loss, replacement, -1.0)
+        self._replacer.take_back(loss, replacement)
 
     def _adopt(
         self,
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -167,5 +167,6 @@
             timer=shared.timer,
             metric=shared.metric,
             rng=shared.rng,
+            quota=shared.quota,
         )
     )
--- a/packages/cactusmux-relay/src/cactusmux_relay/pipe_quota.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/pipe_quota.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+from collections.abc import Mapping
 import math
 import random
 from typing import NamedTuple
@@ -141,7 +142,8 @@
         """Whether loads are known only by samples: in a large fleet."""
         return self._instances - 1 > soft_exchange.MAX_TOLD_ALL
 
-    def _divides(self, engine: desired.Engine) -> bool:
+    def divides(self, engine: desired.Engine) -> bool:
+        """Whether an engine's pipes are divided among the instances."""
         return self.is_active and not math.isinf(engine.pipe_tokens_per_s)
 
     @property
@@ -159,7 +161,7 @@
         :param limit: the one of all requests, or a higher one for a request
             that would be refused otherwise.
         """
-        if not self._divides(engine):
+        if not self.divides(engine):
             return True
         shares = self._shares(engine, pipe)
         if shares.usual.level_s >= 0.0:
@@ -177,15 +179,27 @@
 
         :returns: nothing where it needs nothing.
         """
-        if not self._divides(engine):
-            return ()
-        pipe_s = tokens / engine.pipe_tokens_per_s
         times_by_pipe = collections.Counter(path_choice.crossed_pipes(path))
+        tokens_by_pipe = {
+            pipe: times * tokens for pipe, times in times_by_pipe.items()
+        }
+        return self.take_each(engine, tokens_by_pipe, request_id)
+
+    def take_each(
+        self,
+        engine: desired.Engine,
+        tokens_by_pipe: Mapping[path_choice.Pipe, float],
+        request_id: str,
+    ) -> Grant:
+        """Takes what is sent through each of these pipes at once."""
+        if not self.divides(engine):
+            return ()
         grant = tuple(
-            self._take(engine, pipe, times * pipe_s)
-            for pipe, times in times_by_pipe.items()
+            self._take(engine, pipe, tokens / engine.pipe_tokens_per_s)
+            for pipe, tokens in tokens_by_pipe.items()
         )
         if grant:
+            tokens = max(tokens_by_pipe.values())
             self._note_taken(grant, tokens, request_id)
         return grant
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/stage_replacement.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stage_replacement.py
@@ -17,6 +17,7 @@
 from . import desired
 from . import load_ledger
 from . import path_choice
+from . import pipe_quota
 from . import segments
 from . import targets
 
@@ -52,12 +53,15 @@
     :ivar ready: targets of the service that may get new work.
     :ivar excluded: ids of targets that are not to be used.
     :ivar reading_ms_by_target: given to targets just before.
+    :ivar may_cross: whether this instance has a share of a pipe now; ``None``
+        where pipes aren't divided among instances.
     """
 
     ready: Sequence[targets.Target]
     load: path_choice.Load
     excluded: frozenset[str]
     reading_ms_by_target: Mapping[str, float]
+    may_cross: Callable[[path_choice.Pipe], bool] | None = None
 
 
 class Replacement(NamedTuple):
@@ -70,6 +74,7 @@
     :ivar candidates: targets that could take part of the lost layers.
     :ivar streams: estimate of those that lose the same stage, on all
         instances.
+    :ivar crossings: taken of this instance's share of the pipes.
     """
 
     path: cost_model.Path
@@ -79,6 +84,7 @@
     pause_ms: float
     candidates: int
     streams: float
+    crossings: pipe_quota.Grant = ()
 
 
 class _Hole(NamedTuple):
@@ -374,8 +380,9 @@
         """Whether this stream may use a link.
 
         All streams that lose the same stage find the link as free as this
-        one does: each uses it with the probability at which they stay
-        within the limit together.
+        one does. Where links are divided among instances, the share of this
+        one decides; elsewhere each stream uses the link with the probability
+        at which they stay within the limit together.
         """
         may_fill = self._may_fill_by_pipe.get(name)
         if may_fill is None:
@@ -383,12 +390,18 @@
             in_use = self._known.load.pipe_tokens.get(name, 0.0)
             free = (limit - in_use) * load_ledger.PIPE_WINDOW_S
             needed = self._loss.tokens
-            may_fill = (
-                needed <= free and self._draw() * self._streams * needed < free
-            )
+            may_fill = needed <= free and self._has_share(name, needed, free)
             self._may_fill_by_pipe[name] = may_fill
         return may_fill
 
+    def _has_share(
+        self, name: tuple[str, str], needed: float, free: float
+    ) -> bool:
+        may_cross = self._known.may_cross
+        if may_cross is not None:
+            return may_cross(name)
+        return self._draw() * self._streams * needed < free
+
     def _joined(
         self, cover_by_hole: Mapping[_Hole, tuple[cost_model.Stage, ...]]
     ) -> Replacement | None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stage_replacer.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stage_replacer.py
@@ -4,6 +4,9 @@
 that streams that lose a stage in the same instant see each other.
 """
 
+import collections
+from collections.abc import Callable
+import functools
 import random
 from typing import NamedTuple
 
@@ -11,19 +14,26 @@
 from cactusmux_base import timers
 
 from . import context
+from . import cost_model
+from . import desired
 from . import down_targets
 from . import layer_orders
 from . import live_streams
 from . import load_ledger
 from . import pace_book
+from . import path_choice
 from . import path_finder
+from . import pipe_quota
 from . import reading_backlog
 from . import stage_replacement
 from . import target_book
 
 
 class ReplacerParts(NamedTuple):
-    """What the replacements of all streams share."""
+    """What the replacements of all streams share.
+
+    :ivar quota: ``None`` where pipes are never divided among instances.
+    """
 
     finder: path_finder.PathFinder
     book: target_book.TargetBook
@@ -35,6 +45,7 @@
     timer: timers.TimerService
     metric: metrics.Metrics
     rng: random.Random
+    quota: pipe_quota.PipeQuota | None = None
 
 
 class StageReplacer:
@@ -60,12 +71,43 @@
         found = self._search(exchange, loss, excluded | soft)
         if found is None and soft:
             found = self._search(exchange, loss, excluded)
-        if found is not None:
-            self._backlog.add(found.reading_ms_by_target)
-            self.note_sendings(loss, found, 1.0)
-        return found
+        if found is None:
+            return None
+        self._backlog.add(found.reading_ms_by_target)
+        self._note_sendings(loss, found, 1.0)
+        return found._replace(crossings=self._take(exchange, loss, found))
+
+    def take_back(
+        self,
+        loss: stage_replacement.Loss,
+        replacement: stage_replacement.Replacement,
+    ) -> None:
+        """Takes back what a replacement counts, as nothing was sent."""
+        self._note_sendings(loss, replacement, -1.0)
+        if self.parts.quota is not None:
+            self.parts.quota.give_back(replacement.crossings)
 
-    def note_sendings(
+    def _take(
+        self,
+        exchange: context.Exchange,
+        loss: stage_replacement.Loss,
+        replacement: stage_replacement.Replacement,
+    ) -> pipe_quota.Grant:
+        """Takes what is sent of this instance's share of the pipes."""
+        engine = exchange.service.engine
+        if self.parts.quota is None or engine is None:
+            return ()
+        tokens_by_pipe: dict[path_choice.Pipe, float] = (
+            collections.defaultdict(float)
+        )
+        for (stage, following), tokens in _sendings(loss, replacement):
+            pipe = path_choice.pipe(stage.target.zone, following.target.zone)
+            tokens_by_pipe[pipe] += tokens
+        return self.parts.quota.take_each(
+            engine, tokens_by_pipe, exchange.facts.request_id
+        )
+
+    def _note_sendings(
         self,
         loss: stage_replacement.Loss,
         replacement: stage_replacement.Replacement,
@@ -75,12 +117,7 @@
 
         :param sign: -1 takes back what was noted, as nothing was sent.
         """
-        for pair, tokens in stage_replacement.sendings(
-            replacement.path,
-            replacement.added,
-            loss.tokens_so_far,
-            loss.tokens_to_come,
-        ):
+        for pair, tokens in _sendings(loss, replacement):
             self.parts.ledger.note_crossings(pair, sign * tokens)
 
     def _search(
@@ -97,7 +134,27 @@
             load=self.parts.ledger.all_loads(self.parts.paces.slow()),
             excluded=frozenset(excluded),
             reading_ms_by_target=self._backlog.left_ms(),
+            may_cross=self._may_cross(engine),
         )
         return stage_replacement.find(
             engine, loss, known, self.parts.rng.random
         )
+
+    def _may_cross(
+        self, engine: desired.Engine
+    ) -> Callable[[path_choice.Pipe], bool] | None:
+        quota = self.parts.quota
+        if quota is None or not quota.divides(engine):
+            return None
+        return functools.partial(quota.may_cross, engine)
+
+
+def _sendings(
+    loss: stage_replacement.Loss, replacement: stage_replacement.Replacement
+) -> list[tuple[cost_model.Path, float]]:
+    return stage_replacement.sendings(
+        replacement.path,
+        replacement.added,
+        loss.tokens_so_far,
+        loss.tokens_to_come,
+    )
--- a/packages/cactusmux-relay/tests/test_replacement_load.py
+++ b/packages/cactusmux-relay/tests/test_replacement_load.py
@@ -1,6 +1,7 @@
 """One stage is lost by all streams through it, on a whole fleet at once."""
 
 import collections
+import math
 import random
 
 from cactusmux_base import metrics
@@ -19,6 +20,7 @@
 from cactusmux_relay import pace_book
 from cactusmux_relay import path_choice
 from cactusmux_relay import path_finder
+from cactusmux_relay import pipe_quota
 from cactusmux_relay import stage_replacement
 from cactusmux_relay import stage_replacer
 from cactusmux_relay import target_book
@@ -54,37 +56,52 @@
 
 
 class _Fleet:
-    """Instances that decide in the same instant, by equal knowledge."""
+    """Instances that decide in the same instant, by equal knowledge.
 
-    def __init__(self, instances, streams, lost):
+    :ivar used: chains that the streams run on, an equal part on each.
+    """
+
+    def __init__(
+        self, instances, streams, lost, engine=ENGINE, seed=0, used=1
+    ):
+        self.seed = seed
+        self.used = used
         self.timer = timers.ManualTimers()
         self.chains = _chains()
         self.state = relay_rig.desired_state()
         service = self.state.service_by_name[sample_engine.SERVICE]
-        self.service = service._replace(engine=ENGINE)
+        self.service = service._replace(engine=engine)
         self.lost = frozenset(lost)
-        self.path = tuple(
-            cost_model.Stage(each, each.layers) for each in self.chains[0]
-        )
         self.book = target_book.TargetBook()
         self.book.replace(
             [each for chain in self.chains for each in chain],
             {sample_engine.SERVICE: self.service},
         )
         self.chosen = []
-        replacers = [
+        self.replacers = [
             self._replacer(seed, streams / instances, instances)
             for seed in range(instances)
         ]
         for number in range(streams):
-            self._replace(replacers[number % instances])
+            self.replace(self.replacers[number % instances], number)
+
+    def loss(self, number):
+        """Returns what a stream of this number loses."""
+        path = tuple(
+            cost_model.Stage(each, each.layers)
+            for each in self.chains[number % self.used]
+        )
+        return stage_replacement.Loss(path, self.lost, SO_FAR, TO_COME, 0.25)
 
     def _replacer(self, seed, streams, instances):
-        rng = random.Random(seed)
+        rng = random.Random(1000 * self.seed + seed)
         metric = metrics.MemoryMetrics()
         ledger = load_ledger.LoadLedger(self.timer)
         ledger.set_instances(instances)
-        through = [stage.target.id for stage in self.path]
+        through = [
+            each.id for chain in self.chains[: self.used] for each in chain
+        ]
+        streams /= self.used
         told = load_ledger.OwnLoads(
             dict.fromkeys(through, streams * (SO_FAR + TO_COME)),
             dict.fromkeys(through, streams),
@@ -99,6 +116,8 @@
         for target_id in self.lost:
             down.mark(self.book.target_by_id[target_id], 'test')
         paces = pace_book.PaceBook(silent_orders.SilentOrders(), self.timer)
+        quota = pipe_quota.PipeQuota(self.timer, metric, rng)
+        quota.set_instances(instances)
         held = backoffs.Backoffs(self.book, self.timer, metric)
         finder = path_finder.PathFinder(
             self.book,
@@ -124,18 +143,16 @@
                 timer=self.timer,
                 metric=metric,
                 rng=rng,
+                quota=quota,
             )
         )
 
-    def _replace(self, replacer):
-        loss = stage_replacement.Loss(
-            self.path, self.lost, SO_FAR, TO_COME, 0.25
-        )
-        found = replacer.find(self._exchange(), loss, set())
+    def replace(self, replacer, number):
+        found = replacer.find(self.exchange(), self.loss(number), set())
         if found is not None:
             self.chosen.append(found)
 
-    def _exchange(self):
+    def exchange(self):
         facts = dialect.RequestFacts(
             'r1', 'h', None, None, '', 800.0, 200.0, None, None, []
         )
@@ -198,3 +215,71 @@
     assert fleet.chosen
     # Two links lead out of the zone.
     assert fleet.sent() <= 1.5 * 2 * PIPE
+
+
+LINK_TOKENS_PER_S = 18_900.0
+LINKED = ENGINE._replace(
+    pipe_tokens_per_s=LINK_TOKENS_PER_S, usual_prompt=800.0, usual_answer=138.0
+)
+ALL_LOST = [f'a{number}-1' for number in range(CHAINS_BY_ZONE['a'])]
+CRASHED_STREAMS = 88
+# Of each link, the rights that stand unused in all instances.
+UNUSED_TOKENS = LINK_TOKENS_PER_S * pipe_quota.UNUSED_PIPE_S
+
+
+def _sent_by_link(fleet):
+    sent = collections.Counter()
+    for found in fleet.chosen:
+        for (stage, following), tokens in stage_replacement.sendings(
+            found.path, found.added, SO_FAR, 0.0
+        ):
+            zones = (stage.target.zone, following.target.zone)
+            sent[path_choice.pipe(*zones)] += tokens
+    return sent
+
+
+def _crash(seed, streams=CRASHED_STREAMS):
+    """The targets that are lost served a quarter of the streams each."""
+    return _Fleet(INSTANCES, streams, ALL_LOST, LINKED, seed, len(ALL_LOST))
+
+
+def test_replacements_at_once_stay_within_the_shares_of_links():
+    """The streams of each lost target kept to the limit by themselves."""
+    sent = []
+    for seed in range(10):
+        sent_by_link = _sent_by_link(_crash(seed))
+        sent.extend(sent_by_link[link] for link in (('a', 'b'), ('a', 'c')))
+    assert min(sent) > 0.0
+    deviation = math.sqrt(UNUSED_TOKENS * SO_FAR / len(sent))
+    assert sum(sent) / len(sent) <= UNUSED_TOKENS + 3.0 * deviation
+
+
+def test_instance_pays_for_the_links_that_replacements_cross():
+    """A right to cross that isn't taken lets all of its streams cross."""
+    fleet = _crash(1)
+    for replacer in fleet.replacers:
+        for number in range(len(ALL_LOST)):
+            fleet.replace(replacer, number)
+    for sent in _sent_by_link(fleet).values():
+        assert sent <= 2.0 * UNUSED_TOKENS
+
+
+def test_order_that_failed_returns_its_share_of_links():
+    fleet = _crash(1, streams=0)
+    loss = fleet.loss(0)
+    replacer, found = next(
+        (each, found)
+        for each in fleet.replacers
+        if (found := each.find(fleet.exchange(), loss, set()))
+    )
+    quota = replacer.parts.quota
+    (taken,) = found.crossings
+    assert not quota.may_cross(LINKED, taken.pipe)
+    replacer.take_back(loss, found)
+    assert quota.may_cross(LINKED, taken.pipe)
+
+
+def test_small_fleet_takes_no_share_of_links():
+    fleet = _Fleet(4, STREAMS, ALL_LOST, LINKED)
+    assert fleet.chosen
+    assert not any(found.crossings for found in fleet.chosen)
