Search less often for replacements and review each kept path

An order was sent for an attempt that had ended before the task ran. The search did not know which targets the request avoids, so a target that had failed it was chosen again. A stream without a replacement searched every 0.2 s (1.5 ms each); it now waits 0.2, 0.4 and then 0.8 s. A path whose review met an order under way was not reviewed again if that order failed; the review is now repeated.

The four new tests fail without the change and pass with it.

--- a/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
@@ -7,7 +7,7 @@
 replacement, if the order fails, or if the stream stays silent.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 import functools
 
 from cactusmux_base import events
@@ -34,6 +34,9 @@
 # A stream that can't be resumed either is looked at every 0.2 s until its
 # target cuts it. Orders that were refused so often are not tried again.
 MAX_FAILURES = 2
+# Nothing changes soon where no replacement is found, and each search takes
+# 1.5 ms: a stream waits twice as long before each further one, up to this.
+MAX_SEARCH_PAUSE_S = 0.8
 # How a missing part shows in the lines and counters of rejected paths.
 STATUS_CONFLICT = 409
 
@@ -43,6 +46,7 @@
 
     :param last_id: returns the id of the last event that the caller has.
     :param avoid: makes later attempts avoid a target.
+    :param avoided: returns the ids of all targets that the request avoids.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         noted: noted_load.NotedLoad,
         last_id: Callable[[], int | None],
         avoid: Callable[[str], None],
+        avoided: Callable[[], Set[str]],
     ) -> None:
         self._replacer = replacer
         self._parts = replacer.parts
@@ -61,7 +66,9 @@
         self._noted = noted
         self._last_id = last_id
         self._avoid = avoid
+        self._run_avoided = avoided
         self._avoided: set[str] = set()
+        self._search_pause_s = live_streams.HAND_OVER_PERIOD_S
         self._kept_for = ''
         self._failures = 0
         self._added_ids: set[str] = set()
@@ -79,11 +86,20 @@
         found = self._decide(stream, frozenset())
         if found is None:
             self._note_failed(stream, 'no_replacement')
+            self._delay_search(stream)
             return False
+        self._search_pause_s = live_streams.HAND_OVER_PERIOD_S
         stream.is_replacing = True
         gevent.spawn(self._run, stream, *found)
         return True
 
+    def _delay_search(self, stream: live_streams.LiveStream) -> None:
+        now = self._parts.timer.now()
+        stream.next_replacement_at = now + self._search_pause_s
+        self._search_pause_s = min(
+            2.0 * self._search_pause_s, MAX_SEARCH_PAUSE_S
+        )
+
     def _decide(
         self, stream: live_streams.LiveStream, missing: frozenset[str]
     ) -> tuple[stage_replacement.Loss, stage_replacement.Replacement] | None:
@@ -93,7 +109,7 @@
         """
         loss = self._loss(stream, missing)
         found = self._replacer.find(
-            self._exchange, loss, self._avoided | missing
+            self._exchange, loss, self._avoided | self._run_avoided() | missing
         )
         if found is None:
             return None
@@ -153,6 +169,9 @@
 
         :param is_again: an order was refused before; this is the last one.
         """
+        if self._noted.has_ended:
+            self._take_back(stream, loss, replacement)
+            return layer_orders.RequestUnknown.reason
         begun_at = self._parts.timer.now()
         first = stream.path[0].target
         answer = self._parts.orders.change_path(
@@ -249,9 +268,18 @@
         """Resumes a stream that stays silent on its changed path."""
         if self._noted.has_ended or stream.was_interrupted:
             return
-        if stream.is_replacing or stream.path is not path:
+        if stream.path is not path:
             # A later replacement is reviewed by itself.
             return
+        if stream.is_replacing:
+            # If this order fails, the stream stays on the path.
+            self._review_in(
+                live_streams.HAND_OVER_PERIOD_S,
+                stream,
+                events_before,
+                adopted_at,
+            )
+            return
         if stream.events - events_before >= TRIAL_EVENTS:
             return
         ends_at = self._trial_ends_at(stream, adopted_at)
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -254,6 +254,7 @@
             noted,
             lambda: self._last_id,
             lambda target_id: self._avoided.add(target_id),
+            lambda: self._avoided,
         )
 
     def _send_on(
--- a/packages/cactusmux-relay/tests/test_replacement_machine.py
+++ b/packages/cactusmux-relay/tests/test_replacement_machine.py
@@ -1,5 +1,6 @@
 """Any order of losses, answers, events and ends, by the fake timer."""
 
+import itertools
 import random
 
 from cactusmux_base import metrics
@@ -84,6 +85,7 @@
             self.noted,
             lambda: None,
             self.avoided.add,
+            lambda: self.avoided,
         )
         path = tuple(
             cost_model.Stage(_target(f'{column}{row}'), _layers(column))
@@ -281,6 +283,89 @@
     return result.Failure(failure_by_outcome[outcome])
 
 
+def _lose_second(machine, spares):
+    """One stream loses its second target; only these could replace it."""
+    machine.book.replace(
+        [_target(name) for name in ('00', '10', '20', *spares)],
+        {sample_engine.SERVICE: machine.service},
+    )
+    machine.stream_begins(0)
+    machine.down.mark(_target('10'), 'test')
+    return machine.streams[0]
+
+
+def _answer_next(machine, outcome):
+    answer, first, _ = machine.orders.waiting.pop(0)
+    answer.set(_answer(outcome, first.id, ''))
+    for _ in range(3):
+        gevent.sleep(0)
+
+
+def test_no_order_is_sent_for_an_attempt_that_has_ended():
+    """The end may come before the task that sends the order runs."""
+    machine = ReplacementMachine()
+    stream = _lose_second(machine, ['11'])
+    assert stream.live.is_replacing
+    machine._end(stream)
+    for _ in range(3):
+        gevent.sleep(0)
+    assert machine.orders.waiting == []
+    assert not stream.live.is_replacing
+    assert machine.ledger.own().requests_by_target == {}
+
+
+def test_targets_that_the_request_avoids_replace_nothing():
+    """A target that failed the request was chosen for it again."""
+    machine = ReplacementMachine()
+    machine.stream_begins(0)
+    stream = machine.streams[0]
+    stream.avoided.update(('11', '12'))
+    machine.down.mark(_target('10'), 'test')
+    gevent.sleep(0)
+    (order,) = machine.orders.waiting
+    assert [stage.target.id for stage in order[2]] == ['00', '13', '20']
+
+
+def test_search_without_a_result_is_repeated_ever_less_often():
+    """Each search takes 1.5 ms, for each stream that has lost a stage."""
+    machine = ReplacementMachine()
+    searched_at = []
+    find = machine.replacer.find
+
+    def noted_find(*args):
+        searched_at.append(machine.timer.now())
+        return find(*args)
+
+    machine.replacer.find = noted_find
+    _lose_second(machine, [])
+    machine.timer.advance(5.0)
+    pauses = [later - at for at, later in itertools.pairwise(searched_at[:6])]
+    longest_s = attempt_replacements.MAX_SEARCH_PAUSE_S
+    for pause_s, least_s in zip(
+        pauses, [0.2, 0.4, longest_s, longest_s, longest_s], strict=True
+    ):
+        assert least_s - 0.001 <= pause_s < least_s + 0.1
+
+
+def test_path_is_reviewed_after_a_later_order_for_it_failed():
+    """Nothing resumed a stream that stayed silent after the second order."""
+    machine = ReplacementMachine()
+    stream = _lose_second(machine, ['11', '21'])
+    gevent.sleep(0)
+    _answer_next(machine, 'done')
+    assert stream.live.target_ids == ('00', '11', '20')
+    machine.timer.advance(0.1)
+    machine.down.mark(_target('20'), 'test')
+    gevent.sleep(0)
+    assert stream.live.is_replacing
+    machine.timer.advance(attempt_replacements.TRIAL_S)
+    machine.down._mark_up('20', 'test')
+    _answer_next(machine, 'refused')
+    machine.may_resume = True
+    machine.timer.advance(1.0)
+    assert stream.live.call.is_cut
+
+
 TestReplacementMachine = ReplacementMachine.TestCase
 TestReplacementMachine.settings = hypothesis.settings(
     deadline=None, max_examples=60, stateful_step_count=40
