--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -181,5 +181,6 @@
             timer=shared.timer,
             metric=shared.metric,
             rng=shared.rng,
+            quota=shared.quota,
         )
     )
