Play admission by urgency on the engine model; keep room for 1 s

Cause: the time for which room is kept for more urgent arrivals had been chosen by plays without engines alone.

REACTION_S is 1 s instead of 1.5 s. The unit test of the limit follows the constant, and the test through the core asks more of the urgent kind, so that it is decided by a margin.

--- a/packages/cactusmux-model/src/cactusmux_model/callers.py
+++ b/packages/cactusmux-model/src/cactusmux_model/callers.py
@@ -6,14 +6,17 @@
 from typing import NamedTuple
 
 from cactusmux_base import timers
+from cactusmux_relay import admission_queue
 from cactusmux_relay import cost_model
 from cactusmux_relay import load_ledger
 from cactusmux_relay import path_choice
 from cactusmux_relay import path_finder
 from cactusmux_relay import soft_exchange
+from cactusmux_relay import stream_admission
 import simpy
 
 from . import deployments
+from . import gates
 from . import policies
 from . import pool_world
 from . import runs
@@ -70,6 +73,9 @@
         self.first_at = 0.0
         self.event_at = 0.0
         self.longest_pause_s = 0.0
+        # For the first path of a try, where it was admitted by urgency.
+        self.pause_share = 1.0
+        self.path_until = 0.0
 
     @property
     def demand(self) -> path_choice.Demand:
@@ -77,7 +83,7 @@
         return path_choice.Demand(
             self.prompt + self.written,
             self.kind.answer_tokens,
-            self.kind.pause_s,
+            self.kind.pause_s * self.pause_share,
         )
 
     def note_event(self, now: float) -> None:
@@ -140,8 +146,12 @@
         ]
         for ledger in self._ledgers:
             ledger.set_instances(deployment.instances)
+        self._gates = [
+            gates.Gate(env, deployment, world, clock, random.Random(number))
+            for number in range(deployment.instances)
+        ]
         self.outcomes: list[Outcome] = []
-        self._times = 1.0
+        self._times_by_kind = dict.fromkeys(deployment.request_by_kind, 1.0)
         self._is_open = True
         self.under_way = 0
 
@@ -158,12 +168,17 @@
 
     def burst(self, each: deployments.Disturbance) -> None:
         """Multiplies the load for a time."""
-        self._times = each.times
-        self._env.process(self._end_burst(each.for_s))
+        kinds = [each.request] if each.request else list(self._times_by_kind)
+        for kind in kinds:
+            self._times_by_kind[kind] = each.times
+        self._env.process(self._end_burst(kinds, each.for_s))
 
-    def _end_burst(self, after_s: float) -> Generator[simpy.Event, None, None]:
+    def _end_burst(
+        self, kinds: list[str], after_s: float
+    ) -> Generator[simpy.Event, None, None]:
         yield self._env.timeout(after_s)
-        self._times = 1.0
+        for kind in kinds:
+            self._times_by_kind[kind] = 1.0
 
     def _spread_news(self) -> Generator[simpy.Event, None, None]:
         """Has all instances tell the others, a sample in a large fleet."""
@@ -181,6 +196,16 @@
                 told = _copied(ledger.own())
                 for other in others:
                     other.note_peer(str(number), told)
+                if self._policy.is_gated:
+                    self._tell_pressure(number, others)
+
+    def _tell_pressure(
+        self, number: int, others: list[load_ledger.LoadLedger]
+    ) -> None:
+        data = self._gates[number].pressures.own()
+        for place, ledger in enumerate(self._ledgers):
+            if data and any(ledger is each for each in others):
+                self._gates[place].pressures.take(str(number), data)
 
     def _arrive(
         self,
@@ -189,7 +214,8 @@
         rng: random.Random,
     ) -> Generator[simpy.Event, None, None]:
         while True:
-            yield self._env.timeout(rng.expovariate(kind.per_s * self._times))
+            per_s = kind.per_s * self._times_by_kind[name]
+            yield self._env.timeout(rng.expovariate(per_s))
             if not self._is_open:
                 return
             request = _Request(name, kind, rng)
@@ -205,15 +231,24 @@
         arrived = float(self._env.now)
         is_whole = False
         for _ in range(MAX_TRIES):
-            ledger = rng.choice(self._ledgers)
-            is_whole = yield from self._serve(request, ledger, rng)
+            place = rng.randrange(len(self._ledgers))
+            retry_s = 0.0
+            ledger = self._ledgers[place]
+            if self._policy.is_gated:
+                gate = self._gates[place]
+                is_whole, retry_s = yield from self._enter(
+                    request, gate, ledger, rng
+                )
+            else:
+                is_whole = yield from self._serve(request, ledger, rng)
             if is_whole or request.event_at:
                 break
             request.refusals += 1
             if request.refusals == MAX_TRIES:
                 break
-            wait_s = rng.uniform(LEAST_RETRY_S, LONGEST_RETRY_S)
-            yield self._env.timeout(wait_s)
+            if not self._policy.is_gated:
+                retry_s = rng.uniform(LEAST_RETRY_S, LONGEST_RETRY_S)
+            yield self._env.timeout(retry_s)
         first_s = request.first_at - arrived if request.event_at else 0.0
         self.under_way -= 1
         kind = request.kind
@@ -232,6 +267,37 @@
             )
         )
 
+    def _enter(
+        self,
+        request: _Request,
+        gate: gates.Gate,
+        ledger: load_ledger.LoadLedger,
+        rng: random.Random,
+    ) -> Generator[simpy.Event, None, tuple[bool, float]]:
+        """One try by urgency; also returns when to come again."""
+        now = float(self._env.now)
+        is_returning = request.refusals > 0
+        rank = request.kind.rank
+        ask = stream_admission.Ask(
+            rank,
+            gates.ORGANISATION,
+            request.demand.tokens,
+            now,
+            gate.latest_begin(request.kind, request.prompt, is_returning),
+            is_returning,
+        )
+        verdict = yield from gate.enter(ask)
+        if isinstance(verdict, admission_queue.Rejected):
+            return False, gate.retry_after_s(verdict.expected_s, rank)
+        assert isinstance(verdict, admission_queue.Admitted)
+        begun_at = float(self._env.now)
+        request.pause_share = verdict.pause_share
+        request.path_until = ask.until
+        is_whole = yield from self._serve(request, ledger, rng)
+        request.path_until = 0.0
+        gate.end(ask, begun_at)
+        return is_whole, gate.retry_after_s(0.0, rank)
+
     def _serve(
         self,
         request: _Request,
@@ -258,6 +324,7 @@
                 avoided.add(full)
                 continue
             begun += 1
+            request.pause_share = 1.0
             ledger.add(ids, tokens)
             ledger.note_crossings(path, tokens)
             self._world.live.add(run)
@@ -304,6 +371,8 @@
         if begun or request.refusals:
             wait_s = self._policy.returning_room_wait_s
         until = self._env.now + wait_s
+        if not begun:
+            until = max(until, request.path_until)
         while True:
             world = self._world
             limit = path_choice.PIPE_LIMIT
--- a/packages/cactusmux-model/src/cactusmux_model/deployments.py
+++ b/packages/cactusmux-model/src/cactusmux_model/deployments.py
@@ -61,6 +61,7 @@
     :ivar aim_s: to the first event, and ``pause_s`` between events, for an
         answer in time.
     :ivar late_worth: of an answer that is late.
+    :ivar rank: of its urgency, 0 first.
     """
 
     per_s: float
@@ -70,6 +71,7 @@
     pause_s: float
     worth: float
     late_worth: float
+    rank: int = 0
 
 
 class Disturbance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -79,6 +81,7 @@
     :ivar zone: where, anywhere if empty.
     :ivar for_s: how long; lost cards don't return by themselves.
     :ivar times: slower, of ``slow``; times the load, of ``burst``.
+    :ivar request: kind that a burst is of, all if empty.
     """
 
     kind: Literal['lose', 'slow', 'add', 'burst']
@@ -88,6 +91,7 @@
     count: int = 1
     for_s: float = 0.0
     times: float = 1.0
+    request: str = ''
 
 
 class Deployment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/cactusmux-model/src/cactusmux_model/policies.py
+++ b/packages/cactusmux-model/src/cactusmux_model/policies.py
@@ -47,6 +47,8 @@
 
     room_wait_s = ROOM_WAIT_S
     returning_room_wait_s = RETURNING_ROOM_WAIT_S
+    # Whether requests are admitted by urgency before a path is looked for.
+    is_gated = False
 
     @abc.abstractmethod
     def choose(self, asked: Question) -> cost_model.Path | None:
@@ -60,6 +62,12 @@
         return path_choice.choose(*asked).path
 
 
+class Competing(Marginal):
+    """The router's own choice, where kinds differ in urgency."""
+
+    is_gated = True
+
+
 class Impatient(Marginal):
     """The router's own choice without precedence for who returns."""
 
@@ -115,6 +123,7 @@
 
 CLASS_BY_NAME: dict[str, type[PathPolicy]] = {
     'marginal': Marginal,
+    'competing': Competing,
     'impatient': Impatient,
     'unspread': Unspread,
     'free_crossing': FreeCrossing,
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_admission.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_admission.py
@@ -16,7 +16,7 @@
 
 # An instance learns from the others' news within about this time; more
 # urgent requests that arrive meanwhile find room that was kept for them.
-REACTION_S = 1.5
+REACTION_S = 1.0
 # Share of its even part of the room that each rank and organisation gets in
 # any case. Callers are promised a quarter of the mean.
 ASSURED_SHARE = 0.3
--- a/packages/cactusmux-relay/tests/test_stream_admission.py
+++ b/packages/cactusmux-relay/tests/test_stream_admission.py
@@ -68,7 +68,8 @@
         stream_admission.divide(each, COURSE.hold_s).limit_by_rank[2]
         for each in (lacking, holding)
     ]
-    assert limits == [ROOM - 30_000.0, ROOM - 15_000.0]
+    arriving = 10_000.0 * stream_admission.REACTION_S
+    assert limits == [ROOM - 30_000.0, ROOM - arriving]
 
 
 def test_less_urgent_request_stops_below_the_kept_room():
--- a/packages/cactusmux-relay/tests/test_stream_gate.py
+++ b/packages/cactusmux-relay/tests/test_stream_gate.py
@@ -278,7 +278,7 @@
     target = _engine_target()
     rig.use_engines(target.address)
     room = 45_000.0
-    rig.pressures.note_asked(SERVICE, 0, KEY, room / 2.0)
+    rig.pressures.note_asked(SERVICE, 0, KEY, 0.8 * room)
     rig.pressures.hold(SERVICE, 1, KEY, 0.7 * room)
     try:
         less = rig.ask(relay_rig.request('/once/', prompt='800'))
