Don't blame the first target for a stream cut after a later loss

A first target cuts a stream whose later stage is lost. The breaker, the limits and the request's avoided targets took that for its own failure. An attempt without an event that we interrupted ourselves is judged in the same way as one with events: it blames nobody.

With a lost later stage the breaker was told of 1 failure and the limits of 1; now of none, and the stream is resumed at the same first target.

--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -274,11 +274,7 @@
                 self._note_not_run(outcome)
             case outcomes.MaybeRun(_, detail):
                 self._runs += 1
-                self._note_failed()
-                self._avoided.add(path[0].target.id)
-                self._parts.down.probe(path[0].target)
-                if not live.was_interrupted:
-                    trial.note_broken(detail)
+                self._draw_conclusions(path, live, trial, detail)
                 raise _Broken(detail)
             case outcomes.Whole() as whole:
                 self._runs += 1
@@ -315,9 +311,16 @@
         trial: failing_targets.StreamTrial,
         detail: str,
     ) -> None:
-        """Avoids the first target of a stream that broke by itself."""
+        """Avoids the first target of a stream that broke by itself.
+
+        A first target cuts a stream that has lost a later stage: that isn't
+        its own failure.
+        """
         if live.was_interrupted:
             return
+        lost_ids = self._parts.live.lost_ids(live)
+        if lost_ids and path[0].target.id not in lost_ids:
+            return
         trial.note_broken(detail)
         self._note_failed()
         self._avoided.add(path[0].target.id)
--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_lost_stages.py
@@ -0,0 +1,124 @@
+"""What the end of a stream that has lost a stage says of its targets."""
+
+from cactusmux_fakes import relay_rig
+from cactusmux_fakes import sample_engine
+from cactusmux_fakes import scripted_target
+from cactusmux_relay import pace_limits
+from cactusmux_relay import target_pace_limit
+from cactusmux_relay import targets
+import pytest
+
+HEAD = scripted_target.stream_head({'Signature': 's'})
+EVENTS = [scripted_target.event(number) for number in range(1, 5)]
+
+
+class _Limits(pace_limits.NoPaceLimits):
+    """Notes which targets failed."""
+
+    def __init__(self):
+        self.failed_ids = []
+
+    def note_answer(self, sent, answer):
+        if answer.verdict is target_pace_limit.Verdict.FAILED:
+            self.failed_ids.append(answer.target_id)
+
+
+class _World:
+    """A path of two stages, whose first target cuts the stream.
+
+    :ivar is_lost: whether it does so as the second target is down.
+    """
+
+    def __init__(self, events, is_lost):
+        self.rig = relay_rig.RelayRig(limits=_Limits())
+        self._events = events
+        self._is_lost = is_lost
+        self.first = scripted_target.ScriptedTarget(self._write)
+        self.lost = scripted_target.ScriptedTarget(lambda sock, request: False)
+        self.whole = scripted_target.ScriptedTarget(self._write_rest)
+        self._use()
+
+    def _use(self, *more):
+        self.rig.use_stages(
+            _stage('first', 0, 40, self.first),
+            _stage('lost', 40, 80, self.lost),
+            *more,
+        )
+
+    def _write(self, sock, request):
+        if len(self.first.received) > 1:
+            return self._write_rest(sock, request)
+        if self._events:
+            chunks = map(scripted_target.chunk, EVENTS[: self._events])
+            sock.sendall(HEAD + b''.join(chunks))
+        if self._is_lost:
+            self.rig.down.mark(
+                _stage('lost', 40, 80, self.lost), 'test', is_refused=False
+            )
+        # Another path is known only from here on: nothing was interrupted.
+        self._use(
+            _stage('other', 40, 80, self.lost),
+            _stage('whole', 0, 80, self.whole, 'slow_whole'),
+        )
+        return False
+
+    def _write_rest(self, sock, request):
+        after = int(request.value_by_header.get('last-event', 0))
+        rest = b''.join(scripted_target.chunk(each) for each in EVENTS[after:])
+        sock.sendall(HEAD + rest + scripted_target.chunk(b''))
+        return False
+
+    def end(self):
+        """Closes all that listens."""
+        self.rig.server.stop()
+        for each in (self.first, self.lost, self.whole):
+            each.stop()
+
+
+def _stage(name, first, end, target, card='whole'):
+    layers = targets.LayerRange(first, end)
+    return sample_engine.target(name, card, 'a', layers, target.address)
+
+
+@pytest.fixture(name='make_world')
+def _make_world():
+    made = []
+
+    def make(*given):
+        made.append(_World(*given))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.end()
+
+
+def _failures(world):
+    """Returns what the breakers and the limits of targets were told."""
+    counted = world.rig.metric.counter_by_name
+    return (
+        counted.get('relay.stream_target_failed', 0),
+        world.rig.limits.failed_ids,
+    )
+
+
+@pytest.mark.parametrize('events', [0, 2])
+def test_cut_for_a_lost_later_stage_blames_nobody(make_world, events):
+    """The first target was avoided and limited for the loss of another."""
+    world = make_world(events, True)
+    received = world.rig.ask(relay_rig.request('/stream/', prompt='800'))
+    assert EVENTS[-1] in received
+    assert _failures(world) == (0, [])
+    assert len(world.first.received) == 2
+    assert world.whole.received == []
+
+
+@pytest.mark.parametrize('events', [0, 2])
+def test_cut_of_a_whole_path_blames_the_first_target(make_world, events):
+    world = make_world(events, False)
+    received = world.rig.ask(relay_rig.request('/stream/', prompt='800'))
+    assert EVENTS[-1] in received
+    # After the first event its breaker has been told of a success.
+    assert _failures(world) == (0 if events else 1, ['first'])
+    assert len(world.first.received) == 1
+    assert len(world.whole.received) == 1
