Spread rechecks and reports only where others know of the target

Cause: in a large fleet rechecks of a target that is down and reports of a suspected one are spread as if all instances held it for down. Where only this one does, after a hiccup of its own link, nobody sends recovery news and the first recheck came after up to 5.7 s.

Change: DownTargets rechecks with RECHECK_PERIOD_S unless another instance has told of the target within TOLD_AGE_S; that is decided when a recheck is due, as the news come after the target is marked. PaceBook.suspect asks at once, unless another instance tells that the target is slow; later reports stay spread, as nobody tells of targets that answer nothing or aren't slow.

The pool of test_shared_work.py now tells each instance what the others hold for down, as FleetNews does; its bounds are unchanged.

--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -55,6 +55,8 @@
             RECHECK_PERIOD_S, instances, rng
         )
         self._recheck_at_by_id: dict[str, float] = {}
+        # Those that weren't rechecked since they went down.
+        self._unchecked_ids: set[str] = set()
         self._up_at_by_start: dict[targets.Start, float] = {}
         self._timer = timer
         self._rng = rng
@@ -130,8 +132,9 @@
             return
         self._target_by_id[target.id] = target
         self._up_at_by_start.pop(target.start, None)
-        first_s = RECHECK_PERIOD_S + self._turns.first_s()
-        self._recheck_at_by_id[target.id] = self._timer.now() + first_s
+        self._unchecked_ids.add(target.id)
+        first_at = self._timer.now() + RECHECK_PERIOD_S
+        self._recheck_at_by_id[target.id] = first_at
         events.warning(
             'target_down',
             target=target.id,
@@ -202,6 +205,7 @@
         """Takes another instance's word that a target is up; checks it."""
         target = self._target_by_id.get(start.target_id)
         if target is not None and target.start == start:
+            self._unchecked_ids.discard(target.id)
             self._recheck_at_by_id[target.id] = self._timer.now()
 
     def up_again(self) -> list[targets.Start]:
@@ -215,9 +219,35 @@
     def _recheck(self) -> None:
         now = self._timer.now()
         for target in list(self._target_by_id.values()):
-            if self._recheck_at_by_id.get(target.id, now) <= now:
-                self._recheck_at_by_id[target.id] = now + self._turns.next_s()
-                gevent.spawn(self._recheck_one, target)
+            if self._recheck_at_by_id.get(target.id, now) > now:
+                continue
+            wait_s = self._first_turn_s(target.id)
+            if wait_s > 0.0:
+                self._recheck_at_by_id[target.id] = now + wait_s
+                continue
+            period_s = RECHECK_PERIOD_S
+            if self._is_told_of(target.id):
+                period_s = self._turns.next_s()
+            self._recheck_at_by_id[target.id] = now + period_s
+            gevent.spawn(self._recheck_one, target)
+
+    def _first_turn_s(self, target_id: str) -> float:
+        """Returns how much later than usual the first recheck is.
+
+        All instances that hold a target for down found it at the same moment.
+        """
+        if target_id not in self._unchecked_ids:
+            return 0.0
+        self._unchecked_ids.discard(target_id)
+        return self._turns.first_s() if self._is_told_of(target_id) else 0.0
+
+    def _is_told_of(self, target_id: str) -> bool:
+        """Whether another instance holds a target for down, too.
+
+        If not, as after a hiccup of our own link, none rechecks it for us.
+        """
+        told_at = self._told_at_by_id.get(target_id)
+        return told_at is not None and self._timer.now() - told_at < TOLD_AGE_S
 
     def _recheck_one(self, target: targets.Target) -> None:
         tried = self._connect(target, PROBE_TIMEOUT_S)
@@ -236,5 +266,6 @@
     def _mark_up(self, target_id: str, cause: str) -> None:
         self._refused_ids.discard(target_id)
         self._recheck_at_by_id.pop(target_id, None)
+        self._unchecked_ids.discard(target_id)
         if self._target_by_id.pop(target_id, None) is not None:
             events.info('target_up', target=target_id, cause=cause)
--- a/packages/cactusmux-relay/src/cactusmux_relay/pace_book.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/pace_book.py
@@ -68,14 +68,17 @@
     def suspect(self, target: targets.Target) -> None:
         """Asks a target that may be slow, if it is this instance's turn.
 
-        All instances suspect it at the same moment; one that isn't asked now
-        is told of by those that ask.
+        All instances may suspect it at the same moment. While another one
+        tells that it is slow, even the first report waits for a turn; else
+        this instance may be the only one with a stream there.
         """
         now = self._timer.now()
         self._forget_suspects(now)
         ask_at = self._suspect_at_by_id.get(target.id)
         if ask_at is None:
-            ask_at = now + self._turns.first_s()
+            ask_at = now
+            if target.id in self._told_by_id:
+                ask_at += self._turns.first_s()
             self._suspect_at_by_id[target.id] = ask_at
         if ask_at <= now:
             self._suspect_at_by_id[target.id] = now + self._turns.next_s()
--- a/packages/cactusmux-relay/tests/test_shared_work.py
+++ b/packages/cactusmux-relay/tests/test_shared_work.py
@@ -19,12 +19,19 @@
 # With all instances asking each 0.7 s, 72 of them open 103 connections/s.
 MOST_CONNECTIONS_S = 30.0
 LOOK_S = 10.0
+# How often each instance hears which targets others hold for down.
+HEARD_S = 0.5
+FLEET = 97
 
 
 class _Pool:
-    """Instances that hold one target for down, and its connections."""
+    """Instances that hold one target for down, and its connections.
 
-    def __init__(self, count, monkeypatch):
+    All of a fleet hold it for down and tell each other, or only so many as
+    are given: the links of the others are sound, and news change nothing.
+    """
+
+    def __init__(self, count, monkeypatch, holders=None):
         self.timer = timers.ManualTimers()
         self.connections = 0
         self.is_up = False
@@ -39,7 +46,18 @@
         monkeypatch.setattr(gevent, 'spawn', lambda call, *args: call(*args))
         for book in self.books:
             book.start()
+        self._holders = self.books[:holders]
+        for book in self._holders:
             book.mark(TARGET, 'refused')
+        self._tell()
+        self.timer.every(HEARD_S, self._tell)
+
+    def _tell(self):
+        """Has each instance tell all others what it holds for down."""
+        tellers = [book for book in self._holders if book.ids]
+        for book in self._holders:
+            if any(teller is not book for teller in tellers):
+                book.note_told(TARGET)
 
     def _connect(self, address, timeout_s, timer):
         self.connections += 1
@@ -104,6 +122,24 @@
     assert pool.seconds_until_up(20.0, with_news=False) <= longest + 0.2
 
 
+def test_target_that_one_instance_holds_for_down_is_rechecked_soon(
+    monkeypatch,
+):
+    """After a hiccup of its own link it waited up to 5.7 s for the others."""
+    pool = _Pool(FLEET, monkeypatch, holders=1)
+    longest = down_targets.RECHECK_PERIOD_S + down_targets.RECHECK_LOOK_S
+    assert pool.seconds_until_up(20.0, with_news=True) <= longest + 0.01
+
+
+def test_target_that_one_instance_holds_for_down_is_rechecked_often(
+    monkeypatch,
+):
+    pool = _Pool(FLEET, monkeypatch, holders=1)
+    pool.timer.advance(LOOK_S)
+    rounds = LOOK_S / down_targets.RECHECK_PERIOD_S
+    assert pool.connections >= rounds - 2
+
+
 class _Reports(layer_orders.LayerOrders):
     """Counts the reports that are asked for."""
 
@@ -136,3 +172,29 @@
             book.suspect(TARGET)
     # All 72 at their least distance would be 900.
     assert 72 <= reports.asked <= 300
+
+
+def test_target_that_one_instance_suspects_is_asked_at_once(monkeypatch):
+    """Nobody else asks; the first report came after up to 5 s."""
+    monkeypatch.setattr(gevent, 'spawn', lambda call, *args: call(*args))
+    for seed in range(20):
+        reports = _Reports()
+        book = pace_book.PaceBook(
+            reports, timers.ManualTimers(), lambda: FLEET, random.Random(seed)
+        )
+        book.suspect(TARGET)
+        assert reports.asked == 1
+
+
+def test_target_that_others_tell_to_be_slow_is_not_asked_by_all(monkeypatch):
+    """All instances suspect it at the same moment."""
+    monkeypatch.setattr(gevent, 'spawn', lambda call, *args: call(*args))
+    reports = _Reports()
+    timer = timers.ManualTimers()
+    for number in range(FLEET):
+        book = pace_book.PaceBook(
+            reports, timer, lambda: FLEET, random.Random(number)
+        )
+        book.note_told({TARGET.id: 2.0})
+        book.suspect(TARGET)
+    assert reports.asked <= FLEET / 10
