Name the services whose limits are set aside; drop limit_by_start

Cause: TargetPaces._idle_services holds services whose limits are set aside, not idle ones. The property limit_by_start was there for tests only.

Change: _set_aside_services and _find_set_aside; the tests read the private dictionary. No change of behaviour, so there is no test that fails before.

Measured: test_target_paces.py, test_target_paces_machine.py and test_pace_wiring.py pass.

--- a/packages/cactusmux-relay/src/cactusmux_relay/target_paces.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_paces.py
@@ -102,7 +102,7 @@
         ] = {}
         self._risen_at_by_start: dict[targets.Start, tuple[float, Rise]] = {}
         self._logged_at_by_id: dict[str, float] = {}
-        self._idle_services: frozenset[str] = frozenset()
+        self._set_aside_services: frozenset[str] = frozenset()
         # None for a start that isn't the target's present one.
         self._bound_by_start: dict[targets.Start, _Bound | None] = {}
         self._bounds_end_at = 0.0
@@ -119,13 +119,6 @@
         """Begins to look for targets that have started or recovered."""
         self._timer.every(REVIEW_PERIOD_S, self.review)
 
-    @property
-    def limit_by_start(
-        self,
-    ) -> dict[targets.Start, target_pace_limit.PaceLimit]:
-        """The limits in force."""
-        return dict(self._limit_by_start)
-
     def review(self) -> None:
         """Begins, raises and removes limits as time passes."""
         self._begin_limits()
@@ -157,7 +150,7 @@
         """Returns ids of limited targets that have all that they may."""
         self._begin_limits()
         if not self._limit_by_start:
-            self._idle_services = frozenset()
+            self._set_aside_services = frozenset()
             return frozenset()
         self._renew_bounds()
         reached = [
@@ -174,7 +167,7 @@
 
     def _is_set_aside(self, start: targets.Start) -> bool:
         target = self._book.target_by_id.get(start.target_id)
-        return target is None or target.service in self._idle_services
+        return target is None or target.service in self._set_aside_services
 
     def _renew_bounds(self) -> None:
         """Computes the bounds that are missing or no longer kept.
@@ -198,7 +191,7 @@
             self._bounds_end_at = now + BOUNDS_KEPT_S
             self._bounds_epochs = epochs
             self._bounds_target_by_id = target_by_id
-            self._idle_services = self._services_set_aside()
+            self._set_aside_services = self._find_set_aside()
         if len(self._bound_by_start) < len(self._limit_by_start):
             self._add_bounds(self._limit_by_start.keys())
 
@@ -217,7 +210,7 @@
                 part, count, others[target.id]
             )
 
-    def _services_set_aside(self) -> frozenset[str]:
+    def _find_set_aside(self) -> frozenset[str]:
         """Returns the services most of whose targets are limited."""
         limited_by_service: dict[str, int] = {}
         for start in self._limit_by_start:
@@ -230,7 +223,7 @@
             for service, limited in limited_by_service.items()
             if limited > MOST_LIMITED_SHARE * self._serving(service)
         )
-        for service in found - self._idle_services:
+        for service in found - self._set_aside_services:
             self._metric.count('relay.pace_limits_set_aside')
             events.info(
                 'pace_limits_set_aside',
--- a/packages/cactusmux-relay/tests/test_pace_plays.py
+++ b/packages/cactusmux-relay/tests/test_pace_plays.py
@@ -135,7 +135,7 @@
         play.stop()
     assert plays[0].answers == plays[1].answers
     for instance in plays[1].instances:
-        assert not instance.paces.limit_by_start
+        assert not instance.paces._limit_by_start
 
 
 def test_nothing_is_limited_when_all_targets_restart_later():
@@ -155,4 +155,4 @@
     play.run(1.0)
     for instance in play.instances:
         instance.paces.review()
-        assert not instance.paces.limit_by_start
+        assert not instance.paces._limit_by_start
--- a/packages/cactusmux-relay/tests/test_pace_stream_plays.py
+++ b/packages/cactusmux-relay/tests/test_pace_stream_plays.py
@@ -103,4 +103,4 @@
     play.stop()
     assert play.refused == 0
     for instance in play.instances:
-        assert not instance.paces.limit_by_start
+        assert not instance.paces._limit_by_start
--- a/packages/cactusmux-relay/tests/test_pace_wiring.py
+++ b/packages/cactusmux-relay/tests/test_pace_wiring.py
@@ -113,7 +113,7 @@
         self.paces.review()
         return {
             start.target_id: limit.cause
-            for start, limit in self.paces.limit_by_start.items()
+            for start, limit in self.paces._limit_by_start.items()
         }
 
     def eject_plain(self, name, times):
@@ -181,7 +181,7 @@
 def test_target_that_was_ejected_repeatedly_is_limited_when_back(core, eject):
     eject(core, 'one', breakers.REPEATED_EJECTIONS)
     assert core.causes() == {'one': target_pace_limit.Cause.EJECTED}
-    (limit,) = core.paces.limit_by_start.values()
+    (limit,) = core.paces._limit_by_start.values()
     assert limit.share == target_pace_limit.BACKED_OFF_SHARE
 
 
--- a/packages/cactusmux-relay/tests/test_target_paces.py
+++ b/packages/cactusmux-relay/tests/test_target_paces.py
@@ -65,12 +65,12 @@
     @property
     def limited_ids(self):
         self.paces.review()
-        return {start.target_id for start in self.paces.limit_by_start}
+        return {start.target_id for start in self.paces._limit_by_start}
 
     def share(self, name):
         return next(
             limit.share
-            for start, limit in self.paces.limit_by_start.items()
+            for start, limit in self.paces._limit_by_start.items()
             if start.target_id == name
         )
 
@@ -242,7 +242,7 @@
     one.restart('one')
     one.answer('one', Verdict.NEAR)
     one.have(_plain('one', born_ms=3), _plain('two'), _plain('three'))
-    assert len(one.paces.limit_by_start) == 1
+    assert len(one.paces._limit_by_start) == 1
     assert one.share('one') == target_pace_limit.START_SHARE
 
 
@@ -413,7 +413,7 @@
         one.timer.advance(0.002)
         one.paces.review()
         epoch = int(one.timer.wall() / target_pace_limit.PLAIN_EPOCH_S)
-        ((start, limit),) = one.paces.limit_by_start.items()
+        ((start, limit),) = one.paces._limit_by_start.items()
         seats = target_pace_limit.seats(limit, 8.0)
         part = target_pace_limit.part(seats, turns.Turn(0, 5), start, epoch)
         expected = set() if part else {'one'}
--- a/packages/cactusmux-relay/tests/test_target_paces_machine.py
+++ b/packages/cactusmux-relay/tests/test_target_paces_machine.py
@@ -85,7 +85,7 @@
 
     def _note_seats(self):
         for each in self.instances:
-            for limit in each.paces.limit_by_start.values():
+            for limit in each.paces._limit_by_start.values():
                 seats = target_pace_limit.seats(limit, SLOTS)
                 most = self.most_seats_by_epoch[self.epoch]
                 self.most_seats_by_epoch[self.epoch] = max(most, seats)
@@ -96,7 +96,7 @@
         for _ in range(times):
             at_limit = 'new' in instance.paces.at_limit()
             self._note_seats()
-            if at_limit or not instance.paces.limit_by_start:
+            if at_limit or not instance.paces._limit_by_start:
                 return
             instance.ledger.add(('new',), 0.0)
             target = instance.book.target_by_id['new']
