Judge the targets of the changed path after a replacement

StreamTrial and StreamPace kept the path of the start: a success or failure after a replacement was credited to the lost target, and the one that took over got neither. Both now follow the path of the stream. A lost target gets no verdict from the trial. Two pauses after the change are left out, and a changed stream raises no limit, as its targets have not written the answer from its start.

--- a/packages/cactusmux-relay/src/cactusmux_relay/failing_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/failing_targets.py
@@ -7,6 +7,7 @@
 target is used where no path can be found without it.
 """
 
+from collections.abc import Callable
 import random
 
 from cactusmux_base import events
@@ -27,6 +28,10 @@
 FORGET_PERIOD_S = 10.0
 
 
+def _none() -> frozenset[str]:
+    return frozenset()
+
+
 class FailingTargets:
     """Which targets are softly excluded for failing streams."""
 
@@ -71,14 +76,22 @@
         path: cost_model.Path,
         tokens: float,
         expected_s: float,
+        lost_ids: Callable[[], frozenset[str]] = _none,
     ) -> 'StreamTrial':
         """Notes that a stream is sent on a path.
 
         :param expected_s: how long it would run.
+        :param lost_ids: returns which of its targets it has lost by now.
         """
         for stage in path:
-            self._health.note_started(stage.target.address)
-        return StreamTrial(self, request_id, path, tokens, expected_s)
+            self.note_started(stage.target)
+        return StreamTrial(
+            self, request_id, path, tokens, expected_s, lost_ids
+        )
+
+    def note_started(self, target: targets.Target) -> None:
+        """Notes that a stream is sent through a target."""
+        self._health.note_started(target.address)
 
     def note_success(self, target: targets.Target) -> None:
         """Notes that a target has done its part of a first event."""
@@ -121,7 +134,11 @@
 
 
 class StreamTrial:
-    """One attempt of a stream, and what it tells of its path's targets."""
+    """One attempt of a stream, and what it tells of its path's targets.
+
+    It tells nothing of targets that the stream has lost: what they did is
+    undone, and others may do their part by now.
+    """
 
     def __init__(
         self,
@@ -130,7 +147,9 @@
         path: cost_model.Path,
         tokens: float,
         expected_s: float,
+        lost_ids: Callable[[], frozenset[str]] = _none,
     ) -> None:
+        self._lost_ids = lost_ids
         self._failing = failing
         self._request_id = request_id
         self._path = path
@@ -138,13 +157,32 @@
         self._expected_s = expected_s
         self._is_settled = False
 
+    def use_path(
+        self, path: cost_model.Path, expected_pause_ms: float
+    ) -> None:
+        """Goes by another path of the same stream from now on."""
+        if not self._is_settled:
+            starts = {stage.target.start for stage in path}
+            starts_before = {stage.target.start for stage in self._path}
+            for stage in self._path:
+                if stage.target.start not in starts:
+                    self._failing.note_abandoned(stage.target)
+            for stage in path:
+                if stage.target.start not in starts_before:
+                    self._failing.note_started(stage.target)
+        self._path = path
+
     def note_event(self) -> None:
         """Notes an event; the first one shows that all stages work."""
         if self._is_settled:
             return
         self._is_settled = True
+        lost_ids = self._lost_ids()
         for stage in self._path:
-            self._failing.note_success(stage.target)
+            if stage.target.id in lost_ids:
+                self._failing.note_abandoned(stage.target)
+            else:
+                self._failing.note_success(stage.target)
 
     def note_answered(self, status: int, named: str | None) -> str:
         """Notes an answer that is a failure; returns the target at fault.
@@ -177,6 +215,9 @@
     def _fail(
         self, at_fault: targets.Target, detail: str, is_answered: bool
     ) -> None:
+        if at_fault.id in self._lost_ids():
+            self.end()
+            return
         self._is_settled = True
         for stage in self._path:
             if stage.target.id != at_fault.id:
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -35,6 +35,10 @@
 HAND_OVER_PERIOD_S = 0.2
 
 
+# Takes the path of a stream and the expected pause in milliseconds.
+PathCallback = Callable[[cost_model.Path, float], None]
+
+
 def _always() -> bool:
     return True
 
@@ -60,6 +64,7 @@
         secure_next: Callable[[], bool] = _always,
         replace_lost: Callable[['LiveStream'], bool] = _never,
     ) -> None:
+        self._path_callbacks: list[PathCallback] = []
         self.secure_next = secure_next
         self.replace_lost = replace_lost
         self.is_replacing = False
@@ -86,6 +91,12 @@
         self.restarted_ids &= frozenset(self.target_ids)
         self.expected_pause_ms = expected_pause_ms
         self.next_replacement_at = now
+        for callback in self._path_callbacks:
+            callback(path, expected_pause_ms)
+
+    def subscribe_path(self, callback: PathCallback) -> None:
+        """Calls ``callback`` with each later path and its expected pause."""
+        self._path_callbacks.append(callback)
 
     def note_started(self, start_by_id: Mapping[str, targets.Start]) -> None:
         """Takes it that targets have started anew, perhaps ours."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_pace.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_pace.py
@@ -19,6 +19,9 @@
 # Pauses that are judged together, and how many of them decide.
 WINDOW_PAUSES = 4
 DECISIVE_PAUSES = 3
+# Pauses after a change of the path that tell nothing: the first event may
+# come from before the loss, and the next one waits for what is read anew.
+CHANGE_PAUSES = 2
 
 
 class StreamPace:
@@ -43,13 +46,33 @@
         self._may_raise = True
         self._verdicts: list[target_pace_limit.Verdict] = []
         self._window_s = 0.0
+        self._pauses_left_out = 0
+
+    def use_path(
+        self, path: cost_model.Path, expected_pause_ms: float
+    ) -> None:
+        """Judges the targets of another path of the stream from now on.
+
+        They have not written the answer from its start, so that it raises no
+        limit.
+        """
+        self._sent = self._limits.note_sent([stage.target for stage in path])
+        self._pause_s = expected_pause_ms / cost_model.MS_PER_S
+        self._has_begun = True
+        self._may_raise = False
+        self._verdicts = []
+        self._window_s = 0.0
+        self._pauses_left_out = CHANGE_PAUSES
 
     def note_event(self, now: float) -> None:
         """Notes that an event has arrived."""
-        if not self._sent.starts:
-            return
         passed_s = now - self._last_at
         self._last_at = now
+        if self._pauses_left_out:
+            self._pauses_left_out -= 1
+            return
+        if not self._sent.starts:
+            return
         if not self._has_begun:
             self._has_begun = True
             self._note_first(passed_s)
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -223,7 +223,9 @@
             path,
             tokens,
             expected_s(self._exchange, self._demand, expected_pause_ms),
+            lambda: parts.live.lost_ids(live),
         )
+        live.subscribe_path(trial.use_path)
         parts.ledger.note_crossings(path, tokens)
         self._crossings = parts.finder.reserve_crossings(
             self._exchange, path, self._demand
@@ -236,6 +238,7 @@
             expected_pause_ms,
             parts.timer.now(),
         )
+        live.subscribe_path(self._pace.use_path)
         try:
             self._send_on(path, live, trial)
         finally:
