Notice a target that is dark within the longest pause of callers

Silence, check, probe, race, order and reading came to 285 ms of the 250 ms that callers allow: 80+30+60+35+20+60. With 60 ms of silence, a check each 20 ms and a probe of 40 ms they come to 235 ms. A false alarm leads to one probe of a target each 0.4 s and touches no stream.

--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -20,7 +20,8 @@
 from . import shared_work
 from . import targets
 
-PROBE_TIMEOUT_S = 0.06
+# Part of the longest pause of callers: see live_streams.MIN_SILENCE_S.
+PROBE_TIMEOUT_S = 0.04
 # A target found to be up isn't probed again for so long.
 PROBE_PERIOD_S = 0.4
 RECHECK_PERIOD_S = 0.7
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -17,19 +17,22 @@
 from . import target_calls
 from . import targets
 
-CHECK_PERIOD_S = 0.03
+# Callers allow a pause of 250 ms. A target that is dark takes 235 ms of it:
+# silence 60, check 20, probe 40 (down_targets.PROBE_TIMEOUT_S), race 35,
+# order 20, and reading by the new target 60. A false alarm costs a probe.
+CHECK_PERIOD_S = 0.02
+MIN_SILENCE_S = 0.06
 # A stream is silent after this many of its usual pauses: early enough for
 # its next event to come from another path within the longest pause allowed.
 SILENT_PAUSES = 1.6
 # A target that holds up a stream for so long may be slow rather than down.
 SLOW_SILENCE_S = 0.25
-MIN_SILENCE_S = 0.08
 # Before its first event a request may wait for others' prompts.
 FIRST_EVENT_SILENCE_S = 0.2
 PAUSE_SMOOTHING = 0.3
 # A target that refuses connections has lost its streams: an event that is
 # overdue by the stream's usual pause, or by this time, won't come. Waiting
-# for silence as with other targets would take 40 ms of the longest pause.
+# for silence as with other targets would take 20 ms of the longest pause.
 OVERDUE_S = 0.04
 # How often a stream through a target that is down is looked at for a way on.
 HAND_OVER_PERIOD_S = 0.2
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -235,10 +235,10 @@
     stream = watched.add('x', 'y', replace_lost=replacing)
     watched.play(stream, [0.03] * 20)
     watched.down.mark(sample_engine.target('y'), 'test', is_refused=False)
-    watched.timer.advance(0.06)
+    watched.timer.advance(0.05)
     watched.live.check()
     assert replacing.asked_at == []
-    watched.timer.advance(0.03)
+    watched.timer.advance(0.02)
     watched.live.check()
     assert len(replacing.asked_at) == 1
 
@@ -292,6 +292,67 @@
     assert not stream.call.is_cut
 
 
+LONGEST_PAUSE_S = 0.25
+# After the probe of a target that is dark: a race, an order and the reading.
+RACE_S = 0.035
+ORDER_S = 0.02
+READING_S = 0.06
+
+
+def test_loss_of_a_dark_target_is_noticed_within_the_longest_pause():
+    """It took up to 285 ms until the next event could come."""
+    watched = _Watched()
+    suspected_at = []
+    watched.live = live_streams.LiveStreams(
+        watched.timer,
+        watched.down,
+        lambda each: suspected_at.append(watched.timer.now()),
+        lambda each: None,
+    )
+    watched.live.start()
+    for place in range(20):
+        watched.timer.advance(0.001 * place)
+        stream = watched.add('x', 'y')
+        watched.play(stream, [0.03] * 20)
+        heard_at = watched.timer.now()
+        suspected_at.clear()
+        watched.timer.advance(0.15)
+        watched.live.remove(stream)
+        noticed_s = suspected_at[0] - heard_at + down_targets.PROBE_TIMEOUT_S
+        total_s = noticed_s + RACE_S + ORDER_S + READING_S
+        assert total_s <= LONGEST_PAUSE_S
+
+
+def test_false_alarm_costs_few_probes_and_leaves_the_stream_alone(monkeypatch):
+    """Streams with pauses just above the silence are suspected often."""
+    tried = []
+
+    def connect(address, timeout_s, timer):
+        tried.append(address)
+        return connects.Connect(connects.Outcome.ACCEPTED, '', 0.0)
+
+    monkeypatch.setattr(connects, 'connect', connect)
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    watched.live = live_streams.LiveStreams(
+        watched.timer, watched.down, watched.down.probe, lambda each: None
+    )
+    watched.live.start()
+    watched.timer.advance(1.0)
+    stream = watched.add('x', replace_lost=replacing)
+    begun_at = watched.timer.now()
+    for _ in range(20):
+        watched.play(stream, [0.03] * 3)
+        watched.timer.advance(0.08)
+        gevent.sleep(0)
+    passed_s = watched.timer.now() - begun_at
+    assert tried
+    assert len(tried) <= 1 + passed_s / down_targets.PROBE_PERIOD_S
+    assert watched.down.ids == frozenset()
+    assert replacing.asked_at == []
+    assert not stream.call.is_cut
+
+
 def test_down_target_is_up_again_when_it_started_anew_or_is_gone():
     timer = timers.ManualTimers()
     down = _down_targets(timer)
