Keep the failure of one stream from others and from the load

An exception between noting the load of an attempt and its try left the load, the trial and the live entry in place for good. One in the hand-over of a stream kept the streams after it and the later subscribers of DownTargets waiting. The attempt now ends all that it began, and the failure of a hand-over is logged for each stream.

A raising stream no longer keeps 20 others from being cut at once.

--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 import functools
 
+from cactusmux_base import events
 from cactusmux_base import timers
 
 from . import cost_model
@@ -258,9 +259,20 @@
             return
         for stream in list(self._streams):
             if _has_lost(stream, down_ids):
-                self._hand_over(stream)
+                self._try_hand_over(stream)
         self._has_restarts = any(each.restarted_ids for each in self._streams)
 
+    def _try_hand_over(self, stream: LiveStream) -> None:
+        """Hands over a stream; its failure must not keep others waiting."""
+        try:
+            self._hand_over(stream)
+        except Exception as error:
+            events.error(
+                'hand_over_failed',
+                path=','.join(stream.target_ids),
+                error=repr(error),
+            )
+
     def _hand_over(self, stream: LiveStream) -> None:
         """Replaces what a stream has lost, or else resumes it elsewhere."""
         if not self._replace(stream):
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -1,6 +1,7 @@
 """One stream from its request to its end, over one path after another."""
 
 from collections.abc import Iterator
+import contextlib
 from typing import NamedTuple, NoReturn
 
 from cactusmux_base import events
@@ -217,34 +218,33 @@
         )
         self._sends += 1
         self._log_path(path, expected_pause_ms)
-        noted.move(ids)
-        trial = parts.failing.begin(
-            self._exchange.facts.request_id,
-            path,
-            tokens,
-            expected_s(self._exchange, self._demand, expected_pause_ms),
-            lambda: parts.live.lost_ids(live),
-        )
-        live.subscribe_path(trial.use_path)
-        parts.ledger.note_crossings(path, tokens)
-        self._crossings = parts.finder.reserve_crossings(
-            self._exchange, path, self._demand
-        )
-        parts.live.add(live)
-        self._pace = stream_pace.StreamPace(
-            parts.limits,
-            self._exchange,
-            path,
-            expected_pause_ms,
-            parts.timer.now(),
-        )
-        live.subscribe_path(self._pace.use_path)
-        try:
+        with contextlib.ExitStack() as ending:
+            ending.callback(noted.end)
+            noted.move(ids)
+            trial = parts.failing.begin(
+                self._exchange.facts.request_id,
+                path,
+                tokens,
+                expected_s(self._exchange, self._demand, expected_pause_ms),
+                lambda: parts.live.lost_ids(live),
+            )
+            ending.callback(trial.end)
+            live.subscribe_path(trial.use_path)
+            parts.ledger.note_crossings(path, tokens)
+            self._crossings = parts.finder.reserve_crossings(
+                self._exchange, path, self._demand
+            )
+            parts.live.add(live)
+            ending.callback(parts.live.remove, live)
+            self._pace = stream_pace.StreamPace(
+                parts.limits,
+                self._exchange,
+                path,
+                expected_pause_ms,
+                parts.timer.now(),
+            )
+            live.subscribe_path(self._pace.use_path)
             self._send_on(path, live, trial)
-        finally:
-            trial.end()
-            parts.live.remove(live)
-            noted.end()
 
     def _replacements(
         self, noted: noted_load.NotedLoad
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -5,8 +5,10 @@
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import ejection_reports
+from cactusmux_relay import failing_targets
 from cactusmux_relay import hand_over
 from cactusmux_relay import leaving_targets
+from cactusmux_relay import live_streams
 from cactusmux_relay import path_finder
 from cactusmux_relay import pipe_quota
 from cactusmux_relay import refused_callers
@@ -374,6 +376,28 @@
     assert rig.ledger.own().tokens_by_target == {}
 
 
+@pytest.mark.parametrize('name', ['begin', 'add', 'reserve_crossings'])
+def test_stream_that_fails_before_it_is_sent_leaves_no_load(
+    rig, monkeypatch, name
+):
+    """Its targets counted as loaded for as long as the instance ran."""
+    owners = {
+        'begin': failing_targets.FailingTargets,
+        'add': live_streams.LiveStreams,
+        'reserve_crossings': path_finder.PathFinder,
+    }
+
+    def fail(*args):
+        raise ValueError('test')
+
+    monkeypatch.setattr(owners[name], name, fail)
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(target.address)
+    rig.ask(relay_rig.request('/stream/'))
+    assert target.received == []
+    assert rig.ledger.own().tokens_by_target == {}
+
+
 def test_caller_that_leaves_cuts_the_stream_at_its_target(rig):
     closed = []
 
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -158,6 +158,22 @@
     assert all(each >= live_streams.HAND_OVER_PERIOD_S for each in pauses)
 
 
+def test_stream_that_fails_to_be_handed_over_keeps_no_other_waiting():
+    """The streams after it waited, and the other subscribers as well."""
+    watched = _Watched()
+
+    def fail(stream):
+        raise ValueError('test')
+
+    told = []
+    watched.down.subscribe(told.append)
+    streams = [watched.add('x', 'y', replace_lost=fail)]
+    streams += [watched.add('x', 'y') for _ in range(20)]
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert [each.call.is_cut for each in streams] == [False] + 20 * [True]
+    assert told == ['y']
+
+
 class _CountingDown(down_targets.DownTargets):
     """Counts how often the set of targets that are down is built."""
 
