--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 import functools
 
+from cactusmux_base import events
 from cactusmux_base import timers
 
 from . import cost_model
@@ -17,24 +18,31 @@
 from . import target_calls
 from . import targets
 
-CHECK_PERIOD_S = 0.03
+# Callers allow a pause of 250 ms. A target that is dark takes 235 ms of it:
+# silence 60, check 20, probe 40 (down_targets.PROBE_TIMEOUT_S), race 35,
+# order 20, and reading by the new target 60. A false alarm costs a probe.
+CHECK_PERIOD_S = 0.02
+MIN_SILENCE_S = 0.06
 # A stream is silent after this many of its usual pauses: early enough for
 # its next event to come from another path within the longest pause allowed.
 SILENT_PAUSES = 1.6
 # A target that holds up a stream for so long may be slow rather than down.
 SLOW_SILENCE_S = 0.25
-MIN_SILENCE_S = 0.08
 # Before its first event a request may wait for others' prompts.
 FIRST_EVENT_SILENCE_S = 0.2
 PAUSE_SMOOTHING = 0.3
 # A target that refuses connections has lost its streams: an event that is
 # overdue by the stream's usual pause, or by this time, won't come. Waiting
-# for silence as with other targets would take 40 ms of the longest pause.
+# for silence as with other targets would take 20 ms of the longest pause.
 OVERDUE_S = 0.04
 # How often a stream through a target that is down is looked at for a way on.
 HAND_OVER_PERIOD_S = 0.2
 
 
+# Takes the path of a stream and the expected pause in milliseconds.
+PathCallback = Callable[[cost_model.Path, float], None]
+
+
 def _always() -> bool:
     return True
 
@@ -60,6 +68,7 @@
         secure_next: Callable[[], bool] = _always,
         replace_lost: Callable[['LiveStream'], bool] = _never,
     ) -> None:
+        self._path_callbacks: list[PathCallback] = []
         self.secure_next = secure_next
         self.replace_lost = replace_lost
         self.is_replacing = False
@@ -86,6 +95,12 @@
         self.restarted_ids &= frozenset(self.target_ids)
         self.expected_pause_ms = expected_pause_ms
         self.next_replacement_at = now
+        for callback in self._path_callbacks:
+            callback(path, expected_pause_ms)
+
+    def subscribe_path(self, callback: PathCallback) -> None:
+        """Calls ``callback`` with each later path and its expected pause."""
+        self._path_callbacks.append(callback)
 
     def note_changed(self, target_by_id: Mapping[str, targets.Target]) -> None:
         """Takes it that targets have lost something, perhaps our stage."""
@@ -246,9 +261,20 @@
             return
         for stream in list(self._streams):
             if _has_lost(stream, down_ids):
-                self._hand_over(stream)
+                self._try_hand_over(stream)
         self._has_restarts = any(each.restarted_ids for each in self._streams)
 
+    def _try_hand_over(self, stream: LiveStream) -> None:
+        """Hands over a stream; its failure must not keep others waiting."""
+        try:
+            self._hand_over(stream)
+        except Exception as error:
+            events.error(
+                'hand_over_failed',
+                path=','.join(stream.target_ids),
+                error=repr(error),
+            )
+
     def _hand_over(self, stream: LiveStream) -> None:
         """Replaces what a stream has lost, or else resumes it elsewhere."""
         if not self._replace(stream):
