Rename PromptNews to ImmediateNews

A prompt is the input of a model here. _tell_soon serves recovered targets as well as ejected ones, and its docstring says so. No change in behaviour; the tests of the module pass under the new name.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/failing_fleet.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/failing_fleet.py
@@ -19,11 +19,11 @@
 from cactusmux_relay import failing_targets
 from cactusmux_relay import fleet_news
 from cactusmux_relay import http_server
+from cactusmux_relay import immediate_news
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
 from cactusmux_relay import path_choice
 from cactusmux_relay import path_finder
-from cactusmux_relay import prompt_news
 from cactusmux_relay import refused_callers
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import soft_exchange
@@ -144,7 +144,7 @@
             refused_callers.RefusedCallers(timer, rng),
             topics=(self.reports,) if fleet.tells else (),
         )
-        self.prompt = prompt_news.PromptNews(
+        self.immediate = immediate_news.ImmediateNews(
             timer,
             rng,
             lambda: [each for each in fleet.member_by_name if each != name],
@@ -160,7 +160,7 @@
 
     def _tell_soon(self) -> None:
         if self._fleet.tells:
-            self.prompt.ask()
+            self.immediate.ask()
 
     def _send(self) -> None:
         peers = list(self._fleet.member_by_name)
--- a/packages/cactusmux-relay/src/cactusmux_relay/prompt_news.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/immediate_news.py
@@ -18,7 +18,7 @@
 LEAST_PERIOD_S = 0.1
 
 
-class PromptNews:
+class ImmediateNews:
     """Sends our news soon after it was asked to.
 
     :param peers: addresses of the other instances.
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -23,6 +23,7 @@
 from . import gauges
 from . import held_orders
 from . import http_server
+from . import immediate_news
 from . import instance_trouble
 from . import layer_orders
 from . import leaving_reports
@@ -33,7 +34,6 @@
 from . import pace_book
 from . import pipe_quota
 from . import placement_keeper
-from . import prompt_news
 from . import recovery_news
 from . import refused_callers
 from . import relay_settings
@@ -171,7 +171,7 @@
             rng,
             self._take_delta,
         )
-        self._prompt_news = prompt_news.PromptNews(
+        self._immediate_news = immediate_news.ImmediateNews(
             timer, rng, self._fleet.peer_addresses, self._exchange.send_to
         )
         self._copy_server = http_server.HttpServer(
@@ -312,8 +312,8 @@
         self._entry.stop()
 
     def _tell_soon(self) -> None:
-        """Lets other instances know of ejected targets within 0.1 s."""
-        self._prompt_news.ask()
+        """Tells others of ejected and recovered targets within 0.1 s."""
+        self._immediate_news.ask()
 
     def _count(self) -> int:
         return len(self._fleet.instance_by_name)
--- a/packages/cactusmux-relay/tests/test_ejection_reports.py
+++ b/packages/cactusmux-relay/tests/test_ejection_reports.py
@@ -7,7 +7,7 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_relay import ejection_reports
-from cactusmux_relay import prompt_news
+from cactusmux_relay import immediate_news
 from cactusmux_relay import soft_exchange
 from cactusmux_relay import target_book
 import msgspec
@@ -166,15 +166,15 @@
     assert fleet.news_asked.count('d') == ejection_reports.ENOUGH_REPORTERS
 
 
-def test_prompt_news_are_bounded_in_number():
+def test_immediate_news_are_bounded_in_number():
     """A storm of failures must not become a storm of datagrams."""
     timer = timers.ManualTimers()
     sent = []
     peers = [f'10.0.0.{index}:1' for index in range(96)]
-    prompt = prompt_news.PromptNews(
+    immediate = immediate_news.ImmediateNews(
         timer, random.Random(1), lambda: peers, sent.append
     )
-    timer.every(0.001, prompt.ask)
+    timer.every(0.001, immediate.ask)
     timer.advance(1.0)
-    assert 1 <= len(sent) <= 1.0 / prompt_news.LEAST_PERIOD_S
+    assert 1 <= len(sent) <= 1.0 / immediate_news.LEAST_PERIOD_S
     assert all(len(each) == soft_exchange.SAMPLE for each in sent)
