Give the stream pace tests their limits by name

Cause: RelayRig takes orders first since two parts were merged; the fixture passed its limits in their place, and six tests failed.

--- a/packages/cactusmux-relay/tests/test_stream_pace.py
+++ b/packages/cactusmux-relay/tests/test_stream_pace.py
@@ -152,7 +152,7 @@
 
 @pytest.fixture(name='rig')
 def _rig():
-    rig = relay_rig.RelayRig(_Limits())
+    rig = relay_rig.RelayRig(limits=_Limits())
     yield rig
     rig.server.stop()
 
