Rename parts of the admission by urgency and explain them

Ask, Course, bar and PATIENCE become Candidate, Activity, find_blocker and WAIT_TOLERANCE, and the methods ask become submit. Comments say what each constant and field stands for.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/competing_callers.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/competing_callers.py
@@ -107,7 +107,7 @@
 class _Waiter(NamedTuple):
     instance: int
     number: int
-    ask: stream_admission.Ask
+    candidate: stream_admission.Candidate
     tried: _Try
 
 
@@ -200,7 +200,7 @@
                 ):
                     per_s *= burst.factor
             for _ in range(_poisson(self._rng, per_s * STEP_S)):
-                self._ask(
+                self._submit(
                     _Try(
                         kind,
                         self._draw_organisation(),
@@ -223,7 +223,7 @@
             return self._rng.uniform(2000.0, 3000.0)
         return self._rng.uniform(600.0, 1000.0)
 
-    def _ask(self, tried: _Try) -> None:
+    def _submit(self, tried: _Try) -> None:
         instance = self._rng.randrange(len(self.services))
         service = self.services[instance]
         now = self._timer.now()
@@ -231,7 +231,7 @@
         until = tried.first_at + tried.kind.objective_s - FIRST_S
         if is_returning:
             until = now + RETURNING_WAIT_S
-        ask = stream_admission.Ask(
+        candidate = stream_admission.Candidate(
             tried.kind.rank,
             tried.organisation,
             tried.tokens,
@@ -239,8 +239,8 @@
             until,
             is_returning,
         )
-        number, verdict = service.ask(ask)
-        waiter = _Waiter(instance, number, ask, tried)
+        number, verdict = service.submit(candidate)
+        waiter = _Waiter(instance, number, candidate, tried)
         if isinstance(verdict, admission_queue.Waiting):
             self._waiters.append(waiter)
         else:
@@ -258,10 +258,12 @@
 
     def _end(self, waiter: _Waiter, verdict: admission_queue.Verdict) -> None:
         now = self._timer.now()
-        waited_s = now - waiter.ask.asked_at
+        waited_s = now - waiter.candidate.asked_at
         past_s = waiter.tried.past_s
-        if not waiter.ask.is_returning:
-            past_s = max(0.0, now - waiter.ask.until) if waited_s else 0.0
+        if not waiter.candidate.is_returning:
+            past_s = (
+                max(0.0, now - waiter.candidate.until) if waited_s else 0.0
+            )
         tried = waiter.tried._replace(
             waited_s=waiter.tried.waited_s + waited_s, past_s=past_s
         )
@@ -270,7 +272,7 @@
             return
         assert isinstance(verdict, admission_queue.Rejected)
         service = self.services[waiter.instance]
-        service.note_rejected(waiter.ask)
+        service.note_rejected(waiter.candidate)
         retry_s = stream_admission.retry_after_s(
             verdict.expected_s, self._rng.random(), tried.kind.rank
         )
@@ -318,7 +320,7 @@
         while self._later and self._later[0][0] <= now:
             at, _, what = heapq.heappop(self._later)
             if isinstance(what, _Try):
-                self._ask(what)
+                self._submit(what)
             elif isinstance(what, _Waiter):
                 self._end_stream(what)
             elif isinstance(what, tuple):
@@ -327,9 +329,9 @@
 
     def _end_stream(self, waiter: _Waiter) -> None:
         service = self.services[waiter.instance]
-        service.end(waiter.ask)
-        service.note_held(self._timer.now() - waiter.ask.asked_at)
-        self.held -= waiter.ask.tokens
+        service.end(waiter.candidate)
+        service.note_held(self._timer.now() - waiter.candidate.asked_at)
+        self.held -= waiter.candidate.tokens
 
     def _tell(self, sender: int) -> None:
         data = self._pressures[sender].own()
--- a/packages/cactusmux-model/src/cactusmux_model/callers.py
+++ b/packages/cactusmux-model/src/cactusmux_model/callers.py
@@ -278,7 +278,7 @@
         now = float(self._env.now)
         is_returning = request.refusals > 0
         rank = request.kind.rank
-        ask = stream_admission.Ask(
+        candidate = stream_admission.Candidate(
             rank,
             gates.ORGANISATION,
             request.demand.tokens,
@@ -286,16 +286,16 @@
             gate.latest_begin(request.kind, request.prompt, is_returning),
             is_returning,
         )
-        verdict = yield from gate.enter(ask)
+        verdict = yield from gate.enter(candidate)
         if isinstance(verdict, admission_queue.Rejected):
             return False, gate.retry_after_s(verdict.expected_s, rank)
         assert isinstance(verdict, admission_queue.Admitted)
         begun_at = float(self._env.now)
         request.pause_share = verdict.pause_share
-        request.path_until = ask.until
+        request.path_until = candidate.until
         is_whole = yield from self._serve(request, ledger, rng)
         request.path_until = 0.0
-        gate.end(ask, begun_at)
+        gate.end(candidate, begun_at)
         return is_whole, gate.retry_after_s(0.0, rank)
 
     def _serve(
--- a/packages/cactusmux-model/src/cactusmux_model/gates.py
+++ b/packages/cactusmux-model/src/cactusmux_model/gates.py
@@ -94,20 +94,22 @@
         return aim_at - stream_gate.BUSY_FACTOR * first_s
 
     def enter(
-        self, ask: stream_admission.Ask
+        self, candidate: stream_admission.Candidate
     ) -> Generator[simpy.Event, None, admission_queue.Verdict]:
         """Returns what is decided of a request, after its wait."""
-        number, verdict = self._service.ask(ask)
+        number, verdict = self._service.submit(candidate)
         while isinstance(verdict, admission_queue.Waiting):
             yield self._env.timeout(gated_service.REVIEW_S)
             verdict = self._service.verdict(number)
         if isinstance(verdict, admission_queue.Rejected):
-            self._service.note_rejected(ask)
+            self._service.note_rejected(candidate)
         return verdict
 
-    def end(self, ask: stream_admission.Ask, begun_at: float) -> None:
+    def end(
+        self, candidate: stream_admission.Candidate, begun_at: float
+    ) -> None:
         """Gives back the room of an admitted request."""
-        self._service.end(ask)
+        self._service.end(candidate)
         self._service.note_held(float(self._env.now) - begun_at)
 
     def retry_after_s(self, expected_s: float, rank: int) -> float:
--- a/packages/cactusmux-relay/src/cactusmux_relay/admission_queue.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/admission_queue.py
@@ -1,9 +1,10 @@
 """The order in which streams that wait for room begin, at one instance.
 
-It answers bursts above what a service can carry. Requests are served by
-urgency, then those that were rejected before, then by what their
-organisation holds of its part, then by age. Nobody overtakes a request that
-waits for more room than is free, so that large requests begin too.
+It handles bursts above the capacity of a service. Requests of ranks that
+hold less than they are assured of go first, then the more urgent ones, those
+that were rejected before, those whose organisation holds less of its fair
+part, and the older ones. A request that needs more room than is free isn't
+overtaken, so that large requests begin too.
 """
 
 from collections.abc import Callable, Mapping
@@ -13,8 +14,10 @@
 from . import service_pressure
 from . import stream_admission
 
+# Waiting requests of one service at one instance; bounds each review.
 MAX_WAITING = 64
 
+# Sorts the waiting requests; see :meth:`AdmissionQueue._order`.
 Order = tuple[bool, int, bool, float, float]
 
 
@@ -29,7 +32,8 @@
 class Admitted(NamedTuple):
     """The request begins.
 
-    :ivar pause_share: of the longest pause that its path may take.
+    :ivar pause_share: share of the caller's longest pause that the events
+        of the chosen path may take.
     """
 
     pause_share: float
@@ -44,7 +48,7 @@
 class Rejected(NamedTuple):
     """The request is rejected.
 
-    :ivar expected_s: after which there will be room.
+    :ivar expected_s: estimated time until there is room.
     """
 
     reason: Reason
@@ -62,37 +66,44 @@
     """
 
     def __init__(
-        self, on_admitted: Callable[[stream_admission.Ask], None]
+        self, on_admitted: Callable[[stream_admission.Candidate], None]
     ) -> None:
         self._on_admitted = on_admitted
         self._next_number = 0
-        self._ask_by_number: dict[int, stream_admission.Ask] = {}
+        self._candidate_by_number: dict[int, stream_admission.Candidate] = {}
         self._verdict_by_number: dict[int, Verdict] = {}
 
     @property
-    def waiting(self) -> Mapping[int, stream_admission.Ask]:
+    def waiting(self) -> Mapping[int, stream_admission.Candidate]:
         """The requests that wait, by number."""
-        return self._ask_by_number
+        return self._candidate_by_number
 
-    def ask(
+    def submit(
         self,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         pressure: service_pressure.Pressure,
-        course: stream_admission.Course,
+        activity: stream_admission.Activity,
         now: float,
     ) -> tuple[int, Verdict]:
-        """Decides a new request; one that waits is asked for by number."""
+        """Decides a new request.
+
+        :returns: a number for :meth:`verdict` and :meth:`withdraw`, and the
+            first verdict.
+        """
         number = self._next_number
         self._next_number += 1
-        self._ask_by_number[number] = ask
-        self.review(pressure, course, now)
-        if number in self._ask_by_number:
-            self._keep_or_reject(number, pressure, course, now)
+        self._candidate_by_number[number] = candidate
+        self.review(pressure, activity, now)
+        if number in self._candidate_by_number:
+            self._keep_or_reject(number, pressure, activity, now)
         return number, self.verdict(number)
 
     def verdict(self, number: int) -> Verdict:
-        """Returns what was decided of a request; an end is told once."""
-        waiting = self._ask_by_number.get(number)
+        """Returns the verdict on a request.
+
+        A final verdict can be read once only.
+        """
+        waiting = self._candidate_by_number.get(number)
         if waiting is not None:
             return Waiting(waiting.until)
         return self._verdict_by_number.pop(number)
@@ -102,53 +113,55 @@
 
         Returns whether it had been admitted.
         """
-        self._ask_by_number.pop(number, None)
+        self._candidate_by_number.pop(number, None)
         verdict = self._verdict_by_number.pop(number, None)
         return isinstance(verdict, Admitted)
 
     def review(
         self,
         pressure: service_pressure.Pressure,
-        course: stream_admission.Course,
+        activity: stream_admission.Activity,
         now: float,
     ) -> None:
-        """Admits those that wait, in their order, as far as there is room."""
-        if not self._ask_by_number:
+        """Admits waiting requests in their order while there is room."""
+        if not self._candidate_by_number:
             return
-        shares = stream_admission.divide(pressure, course.hold_s)
-        self._reject_late(pressure, shares, course, now)
-        while self._ask_by_number:
+        shares = stream_admission.divide(pressure, activity.hold_s)
+        self._reject_late(pressure, shares, activity, now)
+        while self._candidate_by_number:
             number = min(
-                self._ask_by_number,
+                self._candidate_by_number,
                 key=lambda each: self._order(each, pressure, shares),
             )
-            ask = self._ask_by_number[number]
-            if stream_admission.bar(pressure, shares, ask, course):
+            candidate = self._candidate_by_number[number]
+            if stream_admission.find_blocker(
+                pressure, shares, candidate, activity
+            ):
                 return
-            del self._ask_by_number[number]
+            del self._candidate_by_number[number]
             self._verdict_by_number[number] = Admitted(
-                stream_admission.pause_share(pressure, shares, ask.rank)
+                stream_admission.pause_share(pressure, shares, candidate.rank)
             )
-            self._on_admitted(ask)
+            self._on_admitted(candidate)
             pressure = pressure.with_stream(
-                ask.rank, ask.organisation, ask.tokens
+                candidate.rank, candidate.organisation, candidate.tokens
             )
 
     def expected_wait_s(
         self,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         pressure: service_pressure.Pressure,
         shares: stream_admission.Shares,
-        course: stream_admission.Course,
+        activity: stream_admission.Activity,
     ) -> float:
-        """Returns when there will be room for a request."""
+        """Returns in how many seconds there will be room for a request."""
         ahead = sum(
             each.tokens
-            for each in self._ask_by_number.values()
-            if each is not ask and each.rank <= ask.rank
+            for each in self._candidate_by_number.values()
+            if each is not candidate and each.rank <= candidate.rank
         )
         return stream_admission.expected_wait_s(
-            pressure, shares, ask, course, ahead * pressure.instances
+            pressure, shares, candidate, activity, ahead * pressure.instances
         )
 
     def _order(
@@ -157,32 +170,36 @@
         pressure: service_pressure.Pressure,
         shares: stream_admission.Shares,
     ) -> Order:
-        ask = self._ask_by_number[number]
+        candidate = self._candidate_by_number[number]
         return (
-            not stream_admission.is_assured(pressure, shares, ask.rank),
-            ask.rank,
-            not ask.is_returning,
-            stream_admission.part_used(pressure, shares, ask.organisation),
-            ask.asked_at,
+            not stream_admission.is_assured(pressure, shares, candidate.rank),
+            candidate.rank,
+            not candidate.is_returning,
+            stream_admission.part_used(
+                pressure, shares, candidate.organisation
+            ),
+            candidate.asked_at,
         )
 
     def _keep_or_reject(
         self,
         number: int,
         pressure: service_pressure.Pressure,
-        course: stream_admission.Course,
+        activity: stream_admission.Activity,
         now: float,
     ) -> None:
-        """Rejects a request that would wait for nothing."""
-        ask = self._ask_by_number[number]
-        shares = stream_admission.divide(pressure, course.hold_s)
-        expected_s = self.expected_wait_s(ask, pressure, shares, course)
-        patience_s = stream_admission.PATIENCE * (ask.until - now)
-        if ask.until <= now or expected_s > patience_s:
+        """Rejects a hopeless new request, or the last of a full queue."""
+        candidate = self._candidate_by_number[number]
+        shares = stream_admission.divide(pressure, activity.hold_s)
+        expected_s = self.expected_wait_s(
+            candidate, pressure, shares, activity
+        )
+        tolerated_s = stream_admission.WAIT_TOLERANCE * (candidate.until - now)
+        if candidate.until <= now or expected_s > tolerated_s:
             self._reject(number, Reason.TOO_LATE, expected_s)
-        elif len(self._ask_by_number) > MAX_WAITING:
+        elif len(self._candidate_by_number) > MAX_WAITING:
             last = max(
-                self._ask_by_number,
+                self._candidate_by_number,
                 key=lambda each: self._order(each, pressure, shares),
             )
             self._reject(last, Reason.QUEUE_FULL, expected_s)
@@ -191,17 +208,19 @@
         self,
         pressure: service_pressure.Pressure,
         shares: stream_admission.Shares,
-        course: stream_admission.Course,
+        activity: stream_admission.Activity,
         now: float,
     ) -> None:
-        """Rejects those whose objective would be missed."""
-        for number, ask in list(self._ask_by_number.items()):
-            # A new request is decided by what is expected.
-            if ask.until > now or ask.asked_at >= now:
+        """Rejects waiting requests that will miss their objective."""
+        for number, candidate in list(self._candidate_by_number.items()):
+            # New requests are judged by their expected wait instead.
+            if candidate.until > now or candidate.asked_at >= now:
                 continue
-            expected_s = self.expected_wait_s(ask, pressure, shares, course)
+            expected_s = self.expected_wait_s(
+                candidate, pressure, shares, activity
+            )
             self._reject(number, Reason.WAITED_TOO_LONG, expected_s)
 
     def _reject(self, number: int, reason: Reason, expected_s: float) -> None:
-        del self._ask_by_number[number]
+        del self._candidate_by_number[number]
         self._verdict_by_number[number] = Rejected(reason, expected_s)
--- a/packages/cactusmux-relay/src/cactusmux_relay/admission_ticket.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/admission_ticket.py
@@ -1,4 +1,4 @@
-"""What a stream was granted when it was let begin."""
+"""The terms on which a stream was admitted."""
 
 import abc
 
@@ -6,36 +6,42 @@
 
 
 class Ticket(abc.ABC):
-    """Conditions under which one stream begins and goes on."""
+    """The terms of one stream, from admission to its end."""
 
     @abc.abstractmethod
     def demand(self, demand: path_choice.Demand) -> path_choice.Demand:
-        """Returns the demand by which its first path is chosen."""
+        """Returns the demand to choose its first path by.
+
+        :param demand: of the request, without admission by urgency.
+        """
 
     @abc.abstractmethod
     def path_wait_s(self, usual_s: float) -> float:
-        """Returns for how long it may look for its first path."""
+        """Returns for how many seconds it may look for its first path."""
 
     @abc.abstractmethod
     def retry_after_s(self, usual_s: float) -> float:
-        """Returns when its caller is to return if it can't be served."""
+        """Returns the ``Retry-After`` if no target ran it, in seconds."""
 
     @property
     @abc.abstractmethod
     def repeats_kept(self) -> float:
-        """Returns which share of the repeats it leaves to others."""
+        """Returns the share of the retry budget that it leaves to others."""
 
     @abc.abstractmethod
     def set_resuming(self, is_resuming: bool) -> None:
-        """Notes whether it has begun and looks for another path."""
+        """Notes whether it looks for another path after it has begun."""
 
     @abc.abstractmethod
     def release(self, has_run: bool) -> None:
-        """Ends the stream; later calls do nothing."""
+        """Gives back the room of the stream; later calls do nothing.
+
+        :param has_run: whether a target has run it.
+        """
 
 
 class Unranked(Ticket):
-    """That of a service all of whose routes have the same urgency."""
+    """Ticket for services all of whose routes have the same urgency."""
 
     def demand(self, demand: path_choice.Demand) -> path_choice.Demand:
         return demand
--- a/packages/cactusmux-relay/src/cactusmux_relay/gated_service.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gated_service.py
@@ -15,14 +15,18 @@
 
 # Requests that wait are looked at this often.
 REVIEW_S = 0.02
-# What is known of the targets changes seldom.
+# The room is computed anew after this time, as targets change seldom.
 ROOM_AGE_S = 0.1
 # Weight of one more stream in the mean time that streams hold their memory.
 HOLD_SMOOTHING = 0.05
 
 
 class GatedService:
-    """The queue of a service, its pressure and what its streams do."""
+    """Admission to one service at one instance.
+
+    Joins the queue, the fleet-wide pressure and what this instance's streams
+    do.
+    """
 
     def __init__(
         self,
@@ -41,7 +45,7 @@
         self._down = down
         self._pressures = pressures
         self._timer = timer
-        # Until streams have ended: at the slowest card's pace.
+        # First estimate, until streams have ended: the slowest card's pace.
         self._hold_s = first_event_s(engine, 0.0, engine.usual_answer)
         self._resuming_by_rank: dict[int, int] = {}
         self._room_tokens = 0.0
@@ -71,24 +75,24 @@
         )
 
     @property
-    def course(self) -> stream_admission.Course:
-        """Returns what goes on besides the fill."""
+    def activity(self) -> stream_admission.Activity:
+        """Returns what the admitted streams of this instance do."""
         resuming = [
             rank for rank, count in self._resuming_by_rank.items() if count
         ]
-        return stream_admission.Course(
+        return stream_admission.Activity(
             self._hold_s, min(resuming, default=None)
         )
 
-    def ask(
-        self, ask: stream_admission.Ask
+    def submit(
+        self, candidate: stream_admission.Candidate
     ) -> tuple[int, admission_queue.Verdict]:
         """Decides a new request; see :class:`admission_queue`."""
         self._pressures.note_asked(
-            self.name, ask.rank, ask.organisation, ask.tokens
+            self.name, candidate.rank, candidate.organisation, candidate.tokens
         )
-        return self.queue.ask(
-            ask, self.pressure, self.course, self._timer.now()
+        return self.queue.submit(
+            candidate, self.pressure, self.activity, self._timer.now()
         )
 
     def verdict(self, number: int) -> admission_queue.Verdict:
@@ -96,31 +100,40 @@
         self._review()
         return self.queue.verdict(number)
 
-    def withdraw(self, number: int, ask: stream_admission.Ask) -> None:
+    def withdraw(
+        self, number: int, candidate: stream_admission.Candidate
+    ) -> None:
         """Forgets a request whose caller has gone while it waited."""
         if self.queue.withdraw(number):
-            self.end(ask)
+            self.end(candidate)
 
-    def end(self, ask: stream_admission.Ask) -> None:
+    def end(self, candidate: stream_admission.Candidate) -> None:
         """Gives back the room of an admitted request."""
         self._pressures.hold(
-            self.name, ask.rank, ask.organisation, -ask.tokens
+            self.name,
+            candidate.rank,
+            candidate.organisation,
+            -candidate.tokens,
         )
 
-    def note_rejected(self, ask: stream_admission.Ask) -> None:
+    def note_rejected(self, candidate: stream_admission.Candidate) -> None:
         """Counts a request that was rejected for want of room."""
-        self._pressures.note_rejected(self.name, ask.rank, ask.tokens)
+        self._pressures.note_rejected(
+            self.name, candidate.rank, candidate.tokens
+        )
 
-    def _hold(self, ask: stream_admission.Ask) -> None:
-        self._pressures.hold(self.name, ask.rank, ask.organisation, ask.tokens)
+    def _hold(self, candidate: stream_admission.Candidate) -> None:
+        self._pressures.hold(
+            self.name, candidate.rank, candidate.organisation, candidate.tokens
+        )
 
     def _review(self) -> None:
-        """Looks at those that wait, unless that was done a moment ago."""
+        """Reviews the queue, at most once in half a review period."""
         now = self._timer.now()
         if now - self._reviewed_at < REVIEW_S / 2.0:
             return
         self._reviewed_at = now
-        self.queue.review(self.pressure, self.course, now)
+        self.queue.review(self.pressure, self.activity, now)
 
     def note_held(self, held_s: float) -> None:
         """Notes for how long a stream held its memory."""
@@ -135,9 +148,9 @@
 def first_event_s(
     engine: desired.Engine, prompt_tokens: float, event_tokens: float
 ) -> float:
-    """Returns the time until so many tokens of an answer are there.
+    """Returns the time to the first event on an idle path of slowest cards.
 
-    On an idle path of the slowest cards.
+    :param event_tokens: tokens of the answer to be written by then.
     """
     cards = engine.card_by_name.values()
     layers = engine.layers
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_admission.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_admission.py
@@ -1,9 +1,9 @@
 """Whether a stream may begin now, by its urgency and by what others need.
 
-It answers a load above what a service can carry: room is kept for more
-urgent requests, by what was lately asked of them, and a small part of it
-for each less urgent kind. Only services whose routes differ in urgency are
-decided here. All functions are pure.
+It handles loads above the capacity of a service. Room is reserved for more
+urgent requests in proportion to the tokens that they asked for lately, and
+each less urgent rank is assured of a small part. It applies only to services
+whose routes differ in urgency. All functions are pure.
 """
 
 from collections.abc import Mapping
@@ -14,38 +14,44 @@
 
 from . import service_pressure
 
-# An instance learns from the others' news within about this time; more
-# urgent requests that arrive meanwhile find room that was kept for them.
+# News of the other instances arrive within about this time. Room is reserved
+# for the more urgent requests that are expected to arrive meanwhile.
 REACTION_S = 1.0
-# Share of its even part of the room that each rank and organisation gets in
-# any case. Callers are promised a quarter of the mean.
+# Each rank and organisation is assured of this share of what it asks for,
+# scaled down to the room. Callers are promised a quarter of the mean; 0.35
+# served the lowest rank as well as the middle one when callers repeat at once.
 ASSURED_SHARE = 0.3
-# An organisation that holds more than its part leaves this share of the room
-# to others while the demand passes the room.
+# Share of its rank's limit up to which an organisation that holds more than
+# its fair part is admitted, while the demand exceeds the room.
 OVER_PART_LIMIT = 0.9
-# How far one instance may go beyond an equal part of the room, at most, when
-# it hears of others. Callers are spread at random and by the capacity of
+# One instance holds at most this many equal parts of the room, when it has
+# fresh news of the others. Callers are spread at random and by the capacity of
 # instances, so some instances get more than twice the mean.
-MOST_PARTS = 3.0
-# Less urgent requests leave this much of the longest pause at the most.
+MAX_EQUAL_PARTS = 3.0
+# The largest share of the longest pause by which the limit for paths of less
+# urgent requests is lowered.
 PAUSE_RESERVE = 0.4
-# More urgent arrivals never take away more than this of what becomes free.
-MOST_TAKEN = 0.9
-# A request waits although room is expected this many times too late: the
-# expectation is that rough.
-PATIENCE = 2.0
+# Waits are estimated as if more urgent arrivals took at most this share of
+# the room that becomes free, so that the estimate stays finite.
+MAX_URGENT_SHARE = 0.9
+# A request is rejected at once only if its expected wait is more than this
+# many times the wait that it can afford: the estimate is rough.
+WAIT_TOLERANCE = 2.0
+# Shortest retry time of the most urgent rank; each further rank adds as much.
 LEAST_RETRY_S = 0.3
-# A rejected caller is recognised for six seconds.
+# A rejected caller is recognised for 6 s, so it has to return before that.
 LONGEST_RETRY_S = 5.0
 # Retry times are drawn up to this factor above the expected time.
 RETRY_SPREAD = 1.6
 
 
-class Ask(NamedTuple):
-    """What is known of a request that wants to begin.
+class Candidate(NamedTuple):
+    """A request that asks for admission.
 
-    :ivar rank: of its urgency, 0 first.
-    :ivar organisation: its key, see :mod:`service_pressure`.
+    :ivar rank: place of its urgency; 0 is the most urgent.
+    :ivar organisation: its key, see
+        :func:`service_pressure.organisation_key`.
+    :ivar tokens: the memory that it needs.
     :ivar until: monotonic time after which it would miss its objective.
     :ivar is_returning: it was rejected a short time ago.
     """
@@ -58,20 +64,28 @@
     is_returning: bool
 
 
-class Course(NamedTuple):
-    """What goes on at the service besides the fill.
+class Activity(NamedTuple):
+    """What the admitted streams of a service do.
 
-    :ivar hold_s: for which a stream holds its memory, on average.
-    :ivar resuming: least rank of our streams that look for a path after a
-        loss, ``None`` if there are none.
+    :ivar hold_s: mean time for which a stream holds its memory.
+    :ivar resuming: the most urgent rank of this instance's streams that look
+        for a path after a loss, ``None`` if there are none.
     """
 
     hold_s: float
     resuming: int | None = None
 
 
-class Bar(enum.StrEnum):
-    """What keeps a request from beginning; used in logs."""
+class Blocker(enum.StrEnum):
+    """Why a request may not begin now; logged as ``barred_by``.
+
+    :cvar RESUMING: a running stream of the same or a lower urgency looks for
+        another path.
+    :cvar ROOM: the whole service lacks room.
+    :cvar OWN_PART: this instance holds what it may.
+    :cvar KEPT: the rest of the room is reserved for more urgent ranks.
+    :cvar OVER_PART: the organisation holds more than its fair part.
+    """
 
     RESUMING = 'resuming_first'
     ROOM = 'room'
@@ -85,8 +99,8 @@
 
     :ivar limit_by_rank: tokens in use up to which a rank is admitted.
     :ivar assured_by_rank: tokens that a rank may hold in any case.
-    :ivar part_by_organisation: tokens that each may hold; empty while the
-        room suffices for all that is asked.
+    :ivar part_by_organisation: tokens of each organisation's fair part;
+        empty while the room suffices for all that is asked.
     """
 
     limit_by_rank: tuple[float, ...]
@@ -108,9 +122,9 @@
 ) -> tuple[float, ...]:
     """Returns the room less what is kept for more urgent ranks.
 
-    For each of these it is what arrives until news get around, or what its
-    streams lack of what they will hold at their present rate, if that is
-    more.
+    For each more urgent rank, the larger of two amounts is reserved: the
+    tokens that arrive within :data:`REACTION_S`, or the tokens that its
+    streams will hold at their present rate less those they hold already.
     """
     limits = []
     kept = 0.0
@@ -150,7 +164,7 @@
 
 
 def _floor_share(room_tokens: float, wanted_tokens: float) -> float:
-    """Returns the part of what each wants that it gets in any case."""
+    """Returns which share of its demand each rank is assured of."""
     if wanted_tokens <= 0:
         return 0.0
     return ASSURED_SHARE * min(1.0, room_tokens / wanted_tokens)
@@ -180,20 +194,20 @@
     """Returns what this instance may hold, whatever it believes of others.
 
     An equal part without news, more with each instance heard of. All
-    instances together thus hold at most :data:`MOST_PARTS` times the room,
-    and the room alone where no news arrive.
+    instances together thus hold at most :data:`MAX_EQUAL_PARTS` times the
+    room, and the room alone where no news arrive.
     """
     part = pressure.room_tokens / pressure.instances
-    return part * (1.0 + (MOST_PARTS - 1.0) * pressure.heard_share)
+    return part * (1.0 + (MAX_EQUAL_PARTS - 1.0) * pressure.heard_share)
 
 
-def bar(
+def find_blocker(
     pressure: service_pressure.Pressure,
     shares: Shares,
-    ask: Ask,
-    course: Course,
-) -> Bar | None:
-    """Returns what keeps a request from beginning now, if anything does.
+    candidate: Candidate,
+    activity: Activity,
+) -> Blocker | None:
+    """Returns why a request may not begin now, ``None`` if it may.
 
     Without any news, an instance that has nothing under way may always
     begin one request: it never rejects everything.
@@ -201,32 +215,32 @@
     if pressure.room_tokens <= 0:
         # Nothing is known that could be divided; the path decides.
         return None
-    if course.resuming is not None and course.resuming <= ask.rank:
-        return Bar.RESUMING
+    if activity.resuming is not None and activity.resuming <= candidate.rank:
+        return Blocker.RESUMING
     if pressure.is_guess and pressure.own_tokens <= 0:
         return None
-    after = pressure.used_tokens + ask.tokens
+    after = pressure.used_tokens + candidate.tokens
     if after > pressure.room_tokens:
-        return Bar.ROOM
-    own_after = pressure.own_tokens + ask.tokens
+        return Blocker.ROOM
+    own_after = pressure.own_tokens + candidate.tokens
     if pressure.own_tokens > 0 and own_after > own_cap_tokens(pressure):
-        return Bar.OWN_PART
-    if is_assured(pressure, shares, ask.rank):
+        return Blocker.OWN_PART
+    if is_assured(pressure, shares, candidate.rank):
         return None
-    limit = shares.limit_by_rank[ask.rank]
+    limit = shares.limit_by_rank[candidate.rank]
     if after > limit:
-        return Bar.KEPT
-    is_over = part_used(pressure, shares, ask.organisation) > 1.0
+        return Blocker.KEPT
+    is_over = part_used(pressure, shares, candidate.organisation) > 1.0
     if is_over and after > limit * OVER_PART_LIMIT:
-        return Bar.OVER_PART
+        return Blocker.OVER_PART
     return None
 
 
 def expected_wait_s(
     pressure: service_pressure.Pressure,
     shares: Shares,
-    ask: Ask,
-    course: Course,
+    candidate: Candidate,
+    activity: Activity,
     ahead_tokens: float,
 ) -> float:
     """Returns in how many seconds there will be room for a request.
@@ -239,15 +253,15 @@
     """
     if pressure.room_tokens <= 0:
         return 0.0
-    limit = shares.limit_by_rank[ask.rank]
-    if is_assured(pressure, shares, ask.rank):
+    limit = shares.limit_by_rank[candidate.rank]
+    if is_assured(pressure, shares, candidate.rank):
         limit = pressure.room_tokens
-    missing = pressure.used_tokens + ahead_tokens + ask.tokens - limit
+    missing = pressure.used_tokens + ahead_tokens + candidate.tokens - limit
     if missing <= 0:
         return 0.0
-    freed_per_s = pressure.room_tokens / course.hold_s
-    urgent_per_s = sum(pressure.asked[: ask.rank])
-    least_per_s = freed_per_s * (1.0 - MOST_TAKEN)
+    freed_per_s = pressure.room_tokens / activity.hold_s
+    urgent_per_s = sum(pressure.asked[: candidate.rank])
+    least_per_s = freed_per_s * (1.0 - MAX_URGENT_SHARE)
     return missing / max(freed_per_s - urgent_per_s, least_per_s)
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_gate.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_gate.py
@@ -1,8 +1,9 @@
 """Lets streams begin where callers of different urgency want the same room.
 
-The part of :mod:`stream_run` that waits: the decisions are in
-:mod:`stream_admission` and :mod:`admission_queue`, what is known of the
-fleet is in :mod:`service_pressure`. Where all routes of a service have the
+:mod:`stream_run` calls the gate before it looks for a path. The decisions
+are made in :mod:`stream_admission` and :mod:`admission_queue`, the state of
+the fleet is kept in :mod:`service_pressure`; here are the wait, the logs and
+the counters. Where all routes of a service have the
 same urgency, nothing is decided here and nothing waits.
 """
 
@@ -27,15 +28,18 @@
 from . import target_book
 from . import urgency_ranks
 
-# A busy pool's time to the first event, against that of an idle one.
+# Estimate of the time to the first event in a busy pool, as a multiple of
+# that in an idle one.
 BUSY_FACTOR = 1.5
-# A returning caller is late in any case; it waits as it did for a path.
+# A caller that was rejected before misses its objective in any case, so it
+# waits for a fixed time.
 RETURNING_WAIT_S = 1.0
 # An admitted request looks for a path at least so long.
 LEAST_PATH_WAIT_S = 0.05
 # Share of the repeats that the least urgent requests leave to others.
 MOST_REPEATS_KEPT = 0.3
-# Callers return after up to a third of the time that they have left.
+# A rejected caller returns after at most this share of the time it has left,
+# so that it has time for further attempts.
 RETRY_SHARE = 1.0 / 3.0
 
 Entered = result.Result[admission_ticket.Ticket, float]
@@ -52,11 +56,11 @@
         caller: int | None,
         is_returning: bool,
     ) -> Entered:
-        """Returns leave to begin, after a wait if need be.
+        """Returns a ticket for a stream, after a wait if need be.
 
         The failure is the time in seconds after which to retry.
 
-        :param caller: by which the request is recognised when it returns.
+        :param caller: key by which the request is recognised when it returns.
         """
 
 
@@ -106,23 +110,23 @@
         if engine is None or not exchange.urgencies:
             return result.Success(admission_ticket.UNRANKED)
         service = self._service(exchange)
-        ask = self._ask(exchange, demand, is_returning)
-        number, verdict = service.ask(ask)
+        candidate = self._candidate(exchange, demand, is_returning)
+        number, verdict = service.submit(candidate)
         if isinstance(verdict, admission_queue.Waiting):
-            self._note('stream_waits', 'waited', exchange, ask, service)
-            verdict = self._wait(service, ask, number)
+            self._note('stream_waits', 'waited', exchange, candidate, service)
+            verdict = self._wait(service, candidate, number)
         if isinstance(verdict, admission_queue.Rejected):
-            return self._reject(exchange, ask, service, verdict, caller)
+            return self._reject(exchange, candidate, service, verdict, caller)
         assert isinstance(verdict, admission_queue.Admitted)
         self._count('admitted', exchange)
         return result.Success(
-            _RankedTicket(self, service, exchange, ask, caller, verdict)
+            _RankedTicket(self, service, exchange, candidate, caller, verdict)
         )
 
     def _wait(
         self,
         service: gated_service.GatedService,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         number: int,
     ) -> admission_queue.Verdict:
         """Returns the verdict on a request that waits, once there is one."""
@@ -136,23 +140,23 @@
                     return verdict
         finally:
             if not is_decided:
-                service.withdraw(number, ask)
+                service.withdraw(number, candidate)
 
     def _reject(
         self,
         exchange: context.Exchange,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         service: gated_service.GatedService,
         verdict: admission_queue.Rejected,
         caller: int | None,
     ) -> Entered:
-        service.note_rejected(ask)
-        retry_s = self._retry_s(exchange, ask, verdict.expected_s)
+        service.note_rejected(candidate)
+        retry_s = self._retry_s(exchange, candidate, verdict.expected_s)
         self._note(
             'stream_rejected',
             'rejected',
             exchange,
-            ask,
+            candidate,
             service,
             reason=verdict.reason,
             expected_ms=_ms(verdict.expected_s),
@@ -164,19 +168,19 @@
     def note_unserved(
         self,
         exchange: context.Exchange,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         service: gated_service.GatedService,
         caller: int | None,
     ) -> float:
-        """Returns when an admitted caller that no target ran is to return."""
-        pressure, course = service.pressure, service.course
-        shares = stream_admission.divide(pressure, course.hold_s)
+        """Returns after how long to retry a stream that no target ran."""
+        pressure, activity = service.pressure, service.activity
+        shares = stream_admission.divide(pressure, activity.hold_s)
         expected_s = service.queue.expected_wait_s(
-            ask, pressure, shares, course
+            candidate, pressure, shares, activity
         )
         self._refused.note(caller)
         self._count('sent_back', exchange)
-        return self._retry_s(exchange, ask, expected_s)
+        return self._retry_s(exchange, candidate, expected_s)
 
     def now(self) -> float:
         """Returns monotonic time."""
@@ -185,11 +189,11 @@
     def _retry_s(
         self,
         exchange: context.Exchange,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         expected_s: float,
     ) -> float:
         retry_s = stream_admission.retry_after_s(
-            expected_s, self._rng.random(), ask.rank
+            expected_s, self._rng.random(), candidate.rank
         )
         left_s = exchange.ends_at - self._timer.now()
         return min(retry_s, max(0.0, left_s) * RETRY_SHARE)
@@ -199,30 +203,32 @@
         event: str,
         counter: str,
         exchange: context.Exchange,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         service: gated_service.GatedService,
         **value_by_key: object,
     ) -> None:
         """Logs and counts a decision with the data that it rests on."""
         self._count(counter, exchange)
-        pressure, course = service.pressure, service.course
-        shares = stream_admission.divide(pressure, course.hold_s)
-        limit = shares.limit_by_rank[ask.rank]
+        pressure, activity = service.pressure, service.activity
+        shares = stream_admission.divide(pressure, activity.hold_s)
+        limit = shares.limit_by_rank[candidate.rank]
         events.info(
             event,
             id=exchange.facts.request_id,
             route=exchange.route.name,
             urgency=exchange.urgency,
-            tokens=int(ask.tokens),
-            returning=ask.is_returning,
-            barred_by=stream_admission.bar(pressure, shares, ask, course)
+            tokens=int(candidate.tokens),
+            returning=candidate.is_returning,
+            barred_by=stream_admission.find_blocker(
+                pressure, shares, candidate, activity
+            )
             or 'order',
             fill=round(pressure.fill, 3),
             limit=round(limit / max(1.0, pressure.room_tokens), 3),
             heard=pressure.heard,
             pressure_age_s=round(pressure.age_s, 2),
             waiting=len(service.queue.waiting),
-            left_ms=_ms(ask.until - self._timer.now()),
+            left_ms=_ms(candidate.until - self._timer.now()),
             **value_by_key,
         )
 
@@ -249,18 +255,18 @@
         service.configure(engine, len(exchange.urgencies))
         return service
 
-    def _ask(
+    def _candidate(
         self,
         exchange: context.Exchange,
         demand: path_choice.Demand,
         is_returning: bool,
-    ) -> stream_admission.Ask:
+    ) -> stream_admission.Candidate:
         organisation = exchange.organisation
         now = self._timer.now()
         until = now + RETURNING_WAIT_S
         if not is_returning:
             until = _latest_begin(exchange, demand)
-        return stream_admission.Ask(
+        return stream_admission.Candidate(
             rank=urgency_ranks.rank(exchange.urgencies, exchange.urgency),
             organisation=service_pressure.organisation_key(
                 organisation.name if organisation else ''
@@ -273,21 +279,21 @@
 
 
 class _RankedTicket(admission_ticket.Ticket):
-    """That of a stream whose service has callers of different urgency."""
+    """Ticket of a stream whose service has callers of different urgency."""
 
     def __init__(
         self,
         gate: RankedGate,
         service: gated_service.GatedService,
         exchange: context.Exchange,
-        ask: stream_admission.Ask,
+        candidate: stream_admission.Candidate,
         caller: int | None,
         admitted: admission_queue.Admitted,
     ) -> None:
         self._gate = gate
         self._service = service
         self._exchange = exchange
-        self._ask = ask
+        self._candidate = candidate
         self._caller = caller
         self._pause_share = admitted.pause_share
         self._admitted_at = gate.now()
@@ -300,31 +306,31 @@
 
     def path_wait_s(self, usual_s: float) -> float:
         """Looks for a path as long as it would have waited for room."""
-        left_s = self._ask.until - self._gate.now()
+        left_s = self._candidate.until - self._gate.now()
         return max(LEAST_PATH_WAIT_S, left_s)
 
     def retry_after_s(self, usual_s: float) -> float:
         return self._gate.note_unserved(
-            self._exchange, self._ask, self._service, self._caller
+            self._exchange, self._candidate, self._service, self._caller
         )
 
     @property
     def repeats_kept(self) -> float:
         last = len(self._exchange.urgencies) - 1
-        return MOST_REPEATS_KEPT * self._ask.rank / last
+        return MOST_REPEATS_KEPT * self._candidate.rank / last
 
     def set_resuming(self, is_resuming: bool) -> None:
         if is_resuming != self._is_resuming:
             self._is_resuming = is_resuming
             change = 1 if is_resuming else -1
-            self._service.count_resuming(self._ask.rank, change)
+            self._service.count_resuming(self._candidate.rank, change)
 
     def release(self, has_run: bool) -> None:
         if self._is_released:
             return
         self._is_released = True
         self.set_resuming(False)
-        self._service.end(self._ask)
+        self._service.end(self._candidate)
         if has_run:
             self._service.note_held(self._gate.now() - self._admitted_at)
 
@@ -332,7 +338,7 @@
 def _latest_begin(
     exchange: context.Exchange, demand: path_choice.Demand
 ) -> float:
-    """Returns until when a request may begin and meet its objective."""
+    """Returns the latest time to begin at which the objective is met."""
     engine = exchange.service.engine
     assert engine is not None
     first_s = gated_service.first_event_s(
--- a/packages/cactusmux-relay/tests/test_admission_queue.py
+++ b/packages/cactusmux-relay/tests/test_admission_queue.py
@@ -6,7 +6,7 @@
 import pytest
 
 ROOM = 10_000.0
-COURSE = stream_admission.Course(hold_s=3.0)
+COURSE = stream_admission.Activity(hold_s=3.0)
 NOW = 100.0
 
 
@@ -39,7 +39,7 @@
 
 def _ask(rank=1, tokens=1000.0, at=NOW, wait_s=0.4, **more):
     values = {'organisation': 1, 'is_returning': False, **more}
-    return stream_admission.Ask(
+    return stream_admission.Candidate(
         rank=rank, tokens=tokens, asked_at=at, until=at + wait_s, **values
     )
 
@@ -47,12 +47,12 @@
 def _put(queue, *asks, pressure=FULL):
     """Asks one after the other; all of them have to wait."""
     for each in asks:
-        _, verdict = queue.ask(each, pressure, COURSE, each.asked_at)
+        _, verdict = queue.submit(each, pressure, COURSE, each.asked_at)
         assert isinstance(verdict, admission_queue.Waiting)
 
 
 def test_request_that_fits_begins_at_once(queue, admitted):
-    _, verdict = queue.ask(_ask(), _pressure(0.0), COURSE, NOW)
+    _, verdict = queue.submit(_ask(), _pressure(0.0), COURSE, NOW)
     assert verdict == admission_queue.Admitted(1.0)
     assert len(admitted) == 1
 
@@ -94,7 +94,7 @@
 def test_new_request_does_not_overtake_one_that_waits(queue, admitted):
     first = _ask(tokens=2000.0)
     _put(queue, first)
-    _, verdict = queue.ask(
+    _, verdict = queue.submit(
         _ask(tokens=500.0, at=NOW + 0.1), _pressure(8500.0), COURSE, NOW + 0.1
     )
     assert isinstance(verdict, admission_queue.Waiting)
@@ -102,7 +102,7 @@
 
 def test_wait_ends_when_the_objective_would_be_missed(queue):
     ask = _ask()
-    number, _ = queue.ask(ask, FULL, COURSE, NOW)
+    number, _ = queue.submit(ask, FULL, COURSE, NOW)
     queue.review(FULL, COURSE, ask.until)
     verdict = queue.verdict(number)
     assert isinstance(verdict, admission_queue.Rejected)
@@ -111,7 +111,7 @@
 
 def test_request_without_a_chance_is_rejected_at_once(queue):
     """Nothing is held for nothing: room comes much later than its time."""
-    _, verdict = queue.ask(_ask(), _pressure(2 * ROOM), COURSE, NOW)
+    _, verdict = queue.submit(_ask(), _pressure(2 * ROOM), COURSE, NOW)
     assert isinstance(verdict, admission_queue.Rejected)
     assert verdict.reason is admission_queue.Reason.TOO_LATE
     assert verdict.expected_s == pytest.approx(3.3, abs=0.1)
@@ -121,9 +121,9 @@
     tiny = 0.01
     numbers = []
     for _ in range(admission_queue.MAX_WAITING):
-        number, _ = queue.ask(_ask(2, tiny), FULL, COURSE, NOW)
+        number, _ = queue.submit(_ask(2, tiny), FULL, COURSE, NOW)
         numbers.append(number)
-    _, verdict = queue.ask(_ask(0, tiny), FULL, COURSE, NOW)
+    _, verdict = queue.submit(_ask(0, tiny), FULL, COURSE, NOW)
     assert isinstance(verdict, admission_queue.Waiting)
     verdicts = [queue.verdict(each) for each in numbers]
     rejected = [
@@ -136,7 +136,7 @@
 
 
 def test_withdrawn_request_blocks_nobody(queue, admitted):
-    number, _ = queue.ask(_ask(tokens=2000.0), FULL, COURSE, NOW)
+    number, _ = queue.submit(_ask(tokens=2000.0), FULL, COURSE, NOW)
     small = _ask(tokens=500.0, at=NOW + 0.01)
     _put(queue, small)
     assert not queue.withdraw(number)
@@ -145,6 +145,6 @@
 
 
 def test_request_withdrawn_after_it_was_admitted_is_told_of(queue):
-    number, _ = queue.ask(_ask(), FULL, COURSE, NOW)
+    number, _ = queue.submit(_ask(), FULL, COURSE, NOW)
     queue.review(_pressure(0.0), COURSE, NOW + 0.1)
     assert queue.withdraw(number)
--- a/packages/cactusmux-relay/tests/test_service_pressure.py
+++ b/packages/cactusmux-relay/tests/test_service_pressure.py
@@ -37,9 +37,11 @@
         """Asks with no time to wait; returns whether it was admitted."""
         self.book.note_asked(SERVICE, rank, ORGANISATION, tokens)
         now = self.timer.now()
-        ask = stream_admission.Ask(rank, ORGANISATION, tokens, now, now, False)
-        course = stream_admission.Course(HOLD_S)
-        _, verdict = self.queue.ask(ask, self.pressure(), course, now)
+        ask = stream_admission.Candidate(
+            rank, ORGANISATION, tokens, now, now, False
+        )
+        course = stream_admission.Activity(HOLD_S)
+        _, verdict = self.queue.submit(ask, self.pressure(), course, now)
         return isinstance(verdict, admission_queue.Admitted)
 
     def end_oldest(self):
@@ -240,12 +242,12 @@
     @stateful.invariant()
     def room_is_passed_by_the_stated_bound_at_most(self):
         held = sum(each.held for each in self.instances)
-        bound = stream_admission.MOST_PARTS * ROOM + INSTANCES * LARGEST
+        bound = stream_admission.MAX_EQUAL_PARTS * ROOM + INSTANCES * LARGEST
         assert held <= bound
 
     @stateful.invariant()
     def each_instance_keeps_to_its_cap(self):
-        cap = stream_admission.MOST_PARTS * ROOM / INSTANCES
+        cap = stream_admission.MAX_EQUAL_PARTS * ROOM / INSTANCES
         for each in self.instances:
             assert each.held <= max(cap, LARGEST) + 1.0
 
--- a/packages/cactusmux-relay/tests/test_stream_admission.py
+++ b/packages/cactusmux-relay/tests/test_stream_admission.py
@@ -7,7 +7,7 @@
 import pytest
 
 ROOM = 100_000.0
-COURSE = stream_admission.Course(hold_s=3.0)
+COURSE = stream_admission.Activity(hold_s=3.0)
 BIG, SMALL = 1, 2
 
 
@@ -28,12 +28,14 @@
 
 
 def _ask(rank=0, tokens=1000.0, organisation=SMALL):
-    return stream_admission.Ask(rank, organisation, tokens, 0.0, 0.5, False)
+    return stream_admission.Candidate(
+        rank, organisation, tokens, 0.0, 0.5, False
+    )
 
 
 def _bar(pressure, ask, course=COURSE):
     shares = stream_admission.divide(pressure, course.hold_s)
-    return stream_admission.bar(pressure, shares, ask, course)
+    return stream_admission.find_blocker(pressure, shares, ask, course)
 
 
 def _wait_s(pressure, ask, ahead=0.0):
@@ -46,7 +48,7 @@
 def test_most_urgent_may_use_all_room():
     pressure = _pressure(held=(0.0, 98_500.0, 0.0), asked=(9000.0, 0.0, 0.0))
     assert _bar(pressure, _ask(0)) is None
-    assert _bar(pressure, _ask(0, 2000.0)) is stream_admission.Bar.ROOM
+    assert _bar(pressure, _ask(0, 2000.0)) is stream_admission.Blocker.ROOM
 
 
 def test_limit_falls_with_the_rate_of_more_urgent_arrivals():
@@ -75,7 +77,7 @@
 def test_less_urgent_request_stops_below_the_kept_room():
     asked = (10_000.0, 3000.0, 3000.0)
     pressure = _pressure(held=(30_000.0, 50_000.0, 10_000.0), asked=asked)
-    assert _bar(pressure, _ask(2)) is stream_admission.Bar.KEPT
+    assert _bar(pressure, _ask(2)) is stream_admission.Blocker.KEPT
     assert _bar(pressure, _ask(0)) is None
 
 
@@ -84,15 +86,15 @@
     pressure = _pressure(held=(97_000.0, 0.0, 0.0), asked=asked)
     assert _bar(pressure, _ask(2)) is None
     full = _pressure(held=(99_500.0, 0.0, 0.0), asked=asked)
-    assert _bar(full, _ask(2)) is stream_admission.Bar.ROOM
+    assert _bar(full, _ask(2)) is stream_admission.Blocker.ROOM
 
 
 def test_streams_that_resume_go_before_new_ones_of_their_urgency():
-    course = stream_admission.Course(3.0, resuming=1)
+    course = stream_admission.Activity(3.0, resuming=1)
     pressure = _pressure()
     assert _bar(pressure, _ask(0), course) is None
-    assert _bar(pressure, _ask(1), course) is stream_admission.Bar.RESUMING
-    assert _bar(pressure, _ask(2), course) is stream_admission.Bar.RESUMING
+    assert _bar(pressure, _ask(1), course) is stream_admission.Blocker.RESUMING
+    assert _bar(pressure, _ask(2), course) is stream_admission.Blocker.RESUMING
 
 
 def test_organisation_over_its_part_leaves_room_to_others():
@@ -103,7 +105,7 @@
         asked_by_organisation={BIG: 45_000.0, SMALL: 5000.0},
     )
     bar = _bar(pressure, _ask(0, organisation=BIG))
-    assert bar is stream_admission.Bar.OVER_PART
+    assert bar is stream_admission.Blocker.OVER_PART
     assert _bar(pressure, _ask(0, organisation=SMALL)) is None
 
 
@@ -120,7 +122,7 @@
 def test_instance_keeps_to_its_part_without_news():
     own = ROOM / 4 - 500.0
     pressure = _pressure(held=(own * 4 - 1500.0, 0.0, 0.0), own=own, heard=0)
-    assert _bar(pressure, _ask(0)) is stream_admission.Bar.OWN_PART
+    assert _bar(pressure, _ask(0)) is stream_admission.Blocker.OWN_PART
 
 
 def test_unknown_room_is_left_to_the_search_for_a_path():
