Explain constants and messages of reports and replacements

Told becomes TargetReports, _kept_for becomes _last_reason and MOST_TOLD becomes MAX_TOLD as in the other topics. The wire format is unchanged.

--- a/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
@@ -1,6 +1,6 @@
 """Replaces the lost stages of one attempt of a stream.
 
-It answers the loss of a target by the streams that pass through it: each is
+It handles the loss of a target in the paths of running streams: each is
 given other targets for the lost layers, without a further run and without a
 repeat from the budget. The decision is made at once, and the order is sent
 by a task of its own. The stream is resumed on another path if there is no
@@ -24,20 +24,22 @@
 from . import stage_replacement
 from . import stage_replacer
 
-# A stream is resumed elsewhere if it stays silent for so long after the
-# order was accepted: the longest pause that callers allow.
+# A stream is resumed on another path if it stays silent for this time after
+# the order was accepted. It is the longest pause that callers allow.
 TRIAL_S = 0.25
-# The first event after an order may come from before the loss.
+# Events after which a changed path counts as working: the first one may have
+# been written before the loss.
 TRIAL_EVENTS = 2
-# Avoids reviews that come early by a rounding error.
+# A review this close to the end of a trial counts as being at its end, as
+# timers may fire early by a rounding error.
 LEAST_REVIEW_S = 0.001
-# A stream that can't be resumed either is looked at every 0.2 s until its
-# target cuts it. Orders that were refused so often are not tried again.
+# After this many failed orders no further one is sent for the stream. One
+# that can't be resumed either would otherwise be ordered anew every 0.2 s.
 MAX_FAILURES = 2
-# Nothing changes soon where no replacement is found, and each search takes
-# 1.5 ms: a stream waits twice as long before each further one, up to this.
+# The pause before the next search doubles after each one without a result,
+# up to this: a search takes 1.5 ms, and targets change seldom.
 MAX_SEARCH_PAUSE_S = 0.8
-# How a missing part shows in the lines and counters of rejected paths.
+# A missing part is logged and counted as a path rejected with this status.
 STATUS_CONFLICT = 409
 
 
@@ -69,7 +71,7 @@
         self._run_avoided = avoided
         self._avoided: set[str] = set()
         self._search_pause_s = live_streams.HAND_OVER_PERIOD_S
-        self._kept_for = ''
+        self._last_reason = ''
         self._failures = 0
         self._added_ids: set[str] = set()
 
@@ -103,7 +105,7 @@
     def _decide(
         self, stream: live_streams.LiveStream, missing: frozenset[str]
     ) -> tuple[stage_replacement.Loss, stage_replacement.Replacement] | None:
-        """Returns what is lost and what replaces it.
+        """Returns what is lost and what replaces it, ``None`` if nothing can.
 
         :param missing: ids of targets that lack their part.
         """
@@ -228,11 +230,11 @@
         replacement: stage_replacement.Replacement,
         begun_at: float,
     ) -> None:
-        """Goes by the new path from now on, and reviews it later."""
+        """Switches the stream to the new path and schedules its review."""
         now = self._parts.timer.now()
         stream.use_path(replacement.path, replacement.pause_ms, now)
         self._noted.move(stream.target_ids)
-        self._kept_for = ''
+        self._last_reason = ''
         self._added_ids = {each.target.id for each in replacement.added}
         self._parts.metric.count('relay.stage_replaced')
         events.info(
@@ -310,9 +312,9 @@
         self, stream: live_streams.LiveStream, reason: str
     ) -> None:
         """Logs and counts a reason once while it stays the same."""
-        if self._kept_for == reason:
+        if self._last_reason == reason:
             return
-        self._kept_for = reason
+        self._last_reason = reason
         self._parts.metric.count(f'relay.stage_not_replaced.{reason}')
         now = self._parts.timer.now()
         events.info(
--- a/packages/cactusmux-relay/src/cactusmux_relay/ejection_reports.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/ejection_reports.py
@@ -1,6 +1,6 @@
-"""What instances tell each other of targets that they have ejected.
+"""Shares reports of ejected targets among the instances.
 
-It addresses targets that fail requests while their health check is good, in a
+It handles targets that fail requests while their health check is good, in a
 fleet so large that each instance sees a given target only now and then. Each
 instance passes on what it was told, with its age, so that two reports reach
 all instances within a few datagrams. Reports of one instance alone change
@@ -21,27 +21,31 @@
 from . import target_book
 
 TOPIC = 'ejected'
-# Reports of different instances after which a target is left out.
+# A target is left out once this many different instances have reported it.
 ENOUGH_REPORTERS = 2
-# A report ends after a time drawn from this range at each instance: those
-# for which it ends first try the target again and renew the reports, so that
+# Each instance draws from this range for how long a report counts: those for
+# which it ends first try the target again and renew the reports, so that
 # not all instances try at the same moment.
 LEAST_REPORT_S = 1.0
 MOST_REPORT_S = 3.0
-# The last failure of our own is remembered for so long.
+# How long this instance remembers its own last failure at a target.
 OWN_FAILURE_S = 10.0
-# Twice what is needed, as the reports of one target end at different times.
+# Reports kept of one target: twice as many as needed, as they end at
+# different times.
 MAX_REPORTERS = 4
+# Targets in one datagram, at most some 500 bytes.
 MAX_TOLD = 16
-# Targets of which reports are kept at most.
+# Targets of which reports are kept; the first ones are dropped beyond that.
 MAX_KNOWN = 64
-# A datagram that was under way changes an age by less than this.
+# Ages that differ by less are of the same report: the way of a datagram adds
+# to the time at which a report seems to have been made.
 SAME_REPORT_S = 0.2
+# Size of the hash that stands for an instance's name.
 KEY_BYTES = 4
 MS_PER_S = 1000.0
 
 
-class Told(msgspec.Struct, array_like=True, frozen=True):
+class TargetReports(msgspec.Struct, array_like=True, frozen=True):
     """The newest reports of one target.
 
     :ivar age_ms_by_reporter: age of each report, by :func:`reporter_key`.
@@ -52,7 +56,11 @@
 
 
 class _Report(NamedTuple):
-    """When a target was ejected, and until when that counts here."""
+    """A report of one instance on one target, in monotonic time.
+
+    :ivar at: when the target was ejected.
+    :ivar until: when the report ceases to count at this instance.
+    """
 
     at: float
     until: float
@@ -89,7 +97,7 @@
         self._success_at_by_id: dict[str, float] = {}
         self._left_out: frozenset[str] = frozenset()
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(list[Told])
+        self._decoder = msgspec.msgpack.Decoder(list[TargetReports])
 
     def note_failure(self, target_id: str, is_ejected: bool) -> None:
         """Notes that our last request to a target failed.
@@ -137,7 +145,7 @@
             key=lambda item: max(each.at for each in item[1].values()),
         )
         told = [
-            Told(target_id, self._ages_ms(reports))
+            TargetReports(target_id, self._ages_ms(reports))
             for target_id, reports in newest[-MAX_TOLD:]
         ]
         return self._encoder.encode(told) if told else b''
@@ -154,7 +162,7 @@
                     self._add(told.target_id, reporter, at)
 
     def _add(self, target_id: str, reporter: int, at: float) -> None:
-        """Adds a report unless it is known, over or overtaken."""
+        """Adds a report unless it is known, expired or before a success."""
         if at + MOST_REPORT_S <= self._timer.now():
             return
         if at <= self._success_at_by_id.get(target_id, 0.0):
--- a/packages/cactusmux-relay/src/cactusmux_relay/instance_trouble.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/instance_trouble.py
@@ -1,6 +1,6 @@
-"""Whether this instance serves badly, by signs that it sees itself.
+"""Detects that this instance serves its callers badly.
 
-It answers instances that still accept callers but serve them late or not at
+It finds instances that still accept callers but serve them late or not at
 all: too little processor time, no way to the targets, no way to the store.
 """
 
@@ -17,20 +17,28 @@
 from . import target_book
 from . import tasks
 
+# How often an instance looks for signs of trouble.
 PERIOD_S = 0.25
-# Tasks that wake this late lack processor time; twice running, as a single
-# one may be a collection of garbage.
+# A task that wakes this late twice in a row lacks processor time; a single
+# delay may be a garbage collection.
 LATE_S = 0.1
-# Callers allow a pause of so long between the events of a stream.
+# A single delay counts if it is longer than the pause that callers allow
+# between the events of a stream.
 VERY_LATE_S = 0.25
-# Callers keep an answer with addresses for so long.
+# Trouble lasts for this time after the last sign: callers keep the addresses
+# that they were given for as long.
 HELD_S = 2.0
 # With this share of all targets down, our own way to them is in question.
 DOWN_SHARE = 0.5
 
 
 class Sign(enum.StrEnum):
-    """What an instance's trouble shows by."""
+    """A sign of trouble; logged as ``signs``.
+
+    :cvar LATE: tasks wake late, for want of processor time.
+    :cvar NO_TARGETS: most targets seem to be down.
+    :cvar NO_STORE: the store doesn't answer.
+    """
 
     LATE = 'late'
     NO_TARGETS = 'no_targets'
@@ -70,7 +78,8 @@
             tasks.run_step('instance_trouble', self._step, self._timer)
 
     def _step(self) -> None:
-        # Not by a fixed schedule: each delay is to be seen by itself.
+        # A fixed schedule would shorten the sleep after a late one and so hide
+        # a second delay.
         self._timer.sleep(PERIOD_S)
         self.look()
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/reading_backlog.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/reading_backlog.py
@@ -1,7 +1,7 @@
-"""Reading that this instance has just given to targets, still to be done.
+"""Prompt reading that this instance gave to targets and that is not done yet.
 
-Streams that are replaced in the same instant are read one after another on
-the same target. Reports and news come too late to show this.
+Where several streams get the same replacement target at once, it reads their
+tokens one after another. Reports and news arrive too late to show this.
 """
 
 from collections.abc import Mapping
--- a/packages/cactusmux-relay/src/cactusmux_relay/shared_work.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/shared_work.py
@@ -1,4 +1,4 @@
-"""How often one of many instances does what all of them could do.
+"""Spreads periodic checks of targets over the instances of a large fleet.
 
 Each instance of a large fleet would ask the same question of the same target:
 whether it is up again, how slow it is. The answers go round with the news, so
@@ -8,17 +8,18 @@
 from collections.abc import Callable
 import random
 
-# So many instances ask within a period; the others learn from them.
+# This many instances ask within a period; the others learn from their news.
 ASKERS = 8
-# An instance that hears nothing asks by itself after so long.
+# No instance waits longer than this for its turn, apart from the spread.
 LONGEST_S = 4.0
+# Turns vary at random by this share, so that instances don't keep in step.
 SPREAD = 0.25
 
 Instances = Callable[[], int]
 
 
 def alone() -> int:
-    """Returns the size of a fleet without other instances."""
+    """Returns the size of a fleet of one instance."""
     return 1
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/trouble_news.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/trouble_news.py
@@ -15,20 +15,22 @@
 
 from . import news_topics
 
-# A statement counts for so long after its instance made it.
+# A statement is valid for this time after its instance made it.
 KEPT_S = 3.0
-# A late copy of one that no longer counts is known for so long.
+# The number of an expired statement is kept for this time, so that a late
+# copy of it isn't taken for a new one.
 REMEMBERED_S = 2 * KEPT_S
-# In one datagram, some 250 bytes.
-MOST_TOLD = 8
+# Statements in one datagram: some 250 bytes.
+MAX_TOLD = 8
 MS_PER_S = 1000.0
 
 
 class Statement(msgspec.Struct, array_like=True, frozen=True):
-    """An instance's word that it is in trouble.
+    """An instance's statement that it is in trouble.
 
-    :ivar number: rises with each one that an instance makes.
-    :ivar age_ms: since it was made.
+    :ivar number: wall time in ms at which it was made, to tell a newer
+        statement of an instance from an older one.
+    :ivar age_ms: time since it was made.
     """
 
     name: str
@@ -80,7 +82,7 @@
             key=lambda each: each[1].stated_at,
             reverse=True,
         )
-        for name, heard in newest[: MOST_TOLD - len(told)]:
+        for name, heard in newest[: MAX_TOLD - len(told)]:
             age_ms = int((now - heard.stated_at) * MS_PER_S)
             told.append(Statement(name, heard.number, age_ms))
         return self._encoder.encode(told) if told else b''
@@ -88,7 +90,7 @@
     def take(self, sender: str, data: bytes) -> None:
         """Takes statements, made by ``sender`` or heard by it."""
         now = self._timer.now()
-        for each in self._decoder.decode(data)[:MOST_TOLD]:
+        for each in self._decoder.decode(data)[:MAX_TOLD]:
             age_s = max(0, each.age_ms) / MS_PER_S
             known = self._heard_by_name.get(each.name)
             if each.name == self._own_name or age_s > KEPT_S:
@@ -116,7 +118,7 @@
         events.info(
             'instances_troubled',
             count=len(found),
-            names=','.join(sorted(found)[:MOST_TOLD]),
+            names=','.join(sorted(found)[:MAX_TOLD]),
             oldest_s=round(oldest_s, 1),
         )
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/turns.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/turns.py
@@ -1,4 +1,4 @@
-"""Turns in what all instances share, without agreeing on anything."""
+"""An instance's place in the list of instances, to share periodic work by."""
 
 from typing import NamedTuple
 
--- a/packages/cactusmux-relay/tests/test_pace_wiring.py
+++ b/packages/cactusmux-relay/tests/test_pace_wiring.py
@@ -138,7 +138,7 @@
     def hear_ejections(self, name, reporters):
         """Takes the reports of so many other instances."""
         ages_ms = dict.fromkeys(range(reporters), 0)
-        told = [ejection_reports.Told(name, ages_ms)]
+        told = [ejection_reports.TargetReports(name, ages_ms)]
         self.reports.take('other', msgspec.msgpack.encode(told))
         assert self.causes() == {}
 
