--- a/packages/cactusmux-relay/tests/test_pace_wiring.py
+++ b/packages/cactusmux-relay/tests/test_pace_wiring.py
@@ -19,8 +19,10 @@
 from cactusmux_relay import pipe_quota
 from cactusmux_relay import recoveries
 from cactusmux_relay import refused_callers
+from cactusmux_relay import refused_news
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import request_core
+from cactusmux_relay import service_pressure
 from cactusmux_relay import target_book
 from cactusmux_relay import target_pace_limit
 from cactusmux_relay import target_paces
@@ -74,6 +76,7 @@
             'Breakers',
             lambda *args: made.append(real(*args)) or made[-1],
         )
+        refused = refused_callers.RefusedCallers(timer, rng)
         core_assembly.assemble(
             core_assembly.SharedParts(
                 zone='a',
@@ -89,7 +92,9 @@
                     timer, self.down, self.down.probe, self.down.probe
                 ),
                 orders=orders,
-                refused=refused_callers.RefusedCallers(timer, rng),
+                refused=refused,
+                refused_news=refused_news.RefusedNews(timer, refused),
+                pressures=service_pressure.PressureBook(timer, lambda: 1),
                 failing=self.failing,
                 timer=timer,
                 metric=metric,
