Split stream_run into modules of one job each

Cause: stream_run.py had 563 lines; StreamRun held admission, the choice and payment of paths, attempts, event passing, refusals and log lines, and some 20 private attributes that most of its methods shared.

Change: stream_run keeps StreamRun (the loop over attempts) and the name StreamParts. stream_parts holds what streams share, stream_state what is known of one stream, stream_paths finds and pays for the next path, stream_attempt notes an attempt and takes it back, attempt_sending sends it and judges its outcome, event_passing passes events on, stream_refusal ends a request, stream_log writes log lines and timings. Behaviour is meant to be the same. test_stream_run names constants by their new modules; what it checks is unchanged. Pages that name modules follow.

--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_gate.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_gate.py
@@ -1,6 +1,6 @@
 """Lets streams begin where callers of different urgency want the same room.
 
-The part of :mod:`stream_run` that waits: the decisions are in
+The part of :mod:`stream_paths` that waits: the decisions are in
 :mod:`stream_admission` and :mod:`admission_queue`, what is known of the
 fleet is in :mod:`service_pressure`. Where all routes of a service have the
 same urgency, nothing is decided here and nothing waits.
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_log.py
@@ -0,0 +1,85 @@
+"""Log lines and measures of single streams."""
+
+from cactusmux_base import events
+
+from . import cost_model
+from . import event_passing
+from . import live_streams
+from . import stream_parts
+from . import stream_paths
+from . import stream_state
+
+
+def log_path(
+    parts: stream_parts.StreamParts,
+    state: stream_state.StreamState,
+    found: stream_paths.FoundPath,
+) -> None:
+    """Logs a path by which a request is sent next."""
+    exchange = state.exchange
+    left_s = exchange.ends_at - parts.timer.now()
+    events.info(
+        'path_chosen',
+        id=exchange.facts.request_id,
+        route=exchange.route.name,
+        path=_ids(found.path),
+        tokens=int(state.demand.tokens),
+        expected_pause_ms=int(found.pause_ms),
+        send=state.sends,
+        returning=state.is_returning,
+        after_event=state.passing.last_id,
+        left_ms=_ms(left_s),
+    )
+
+
+def log_served(
+    parts: stream_parts.StreamParts,
+    state: stream_state.StreamState,
+    live: live_streams.LiveStream,
+) -> None:
+    """Logs and measures a stream that was passed on to its end."""
+    now = parts.timer.now()
+    passing = state.passing
+    received_at = state.exchange.request.received_at
+    first_s = max(0.0, passing.first_at - received_at)
+    parts.metric.timing('relay.stream.first', first_s)
+    parts.metric.timing('relay.stream.total', now - received_at)
+    parts.metric.timing('relay.stream.longest_pause', passing.longest_pause_s)
+    events.info(
+        'stream_served',
+        id=state.exchange.facts.request_id,
+        path=','.join(live.target_ids),
+        tokens=int(state.demand.tokens),
+        first_ms=_ms(first_s),
+        total_ms=_ms(now - received_at),
+        expected_pause_ms=int(live.expected_pause_ms),
+        mean_pause_ms=_ms(live.mean_pause_s),
+        longest_pause_ms=_ms(passing.longest_pause_s),
+        sends=state.sends,
+    )
+
+
+def log_broken(
+    parts: stream_parts.StreamParts,
+    state: stream_state.StreamState,
+    path: cost_model.Path,
+    broken: event_passing.StreamBroken,
+) -> None:
+    """Logs and counts a stream that broke off after it was sent."""
+    parts.metric.count('relay.stream_broken')
+    events.info(
+        'stream_broken',
+        id=state.exchange.facts.request_id,
+        path=_ids(path),
+        detail=broken.detail,
+        last_event=state.passing.last_id,
+        runs=state.runs,
+    )
+
+
+def _ids(path: cost_model.Path) -> str:
+    return ','.join(stage.target.id for stage in path)
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * cost_model.MS_PER_S)
--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_parts.py
@@ -0,0 +1,38 @@
+"""What all streams of an instance share."""
+
+from typing import NamedTuple
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+
+from . import dialect
+from . import down_targets
+from . import failing_targets
+from . import live_streams
+from . import load_ledger
+from . import pace_limits
+from . import path_finder
+from . import refused_callers
+from . import repeat_budget
+from . import sending
+from . import stage_replacer
+from . import stream_gate
+
+
+class StreamParts(NamedTuple):
+    """What all streams of an instance share."""
+
+    finder: path_finder.PathFinder
+    ledger: load_ledger.LoadLedger
+    sender: sending.Sender
+    spelling: dialect.Dialect
+    budget: repeat_budget.RepeatBudget
+    down: down_targets.DownTargets
+    refused: refused_callers.RefusedCallers
+    live: live_streams.LiveStreams
+    replacer: stage_replacer.StageReplacer
+    timer: timers.TimerService
+    metric: metrics.Metrics
+    failing: failing_targets.FailingTargets
+    limits: pace_limits.PaceLimits = pace_limits.NoPaceLimits()
+    gate: stream_gate.Gate = stream_gate.OpenGate()
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -4,6 +4,7 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import attempt_sending
 from cactusmux_relay import ejection_reports
 from cactusmux_relay import failing_targets
 from cactusmux_relay import hand_over
@@ -12,7 +13,7 @@
 from cactusmux_relay import path_finder
 from cactusmux_relay import pipe_quota
 from cactusmux_relay import refused_callers
-from cactusmux_relay import stream_run
+from cactusmux_relay import stream_paths
 from cactusmux_relay import target_calls
 from cactusmux_routing import breakers
 import gevent
@@ -291,7 +292,7 @@
     rig, monkeypatch
 ):
     """No connection is accepted for a while, then all are."""
-    left = [stream_run.MAX_REJECTIONS + 1]
+    left = [attempt_sending.MAX_REJECTIONS + 1]
     connect = target_calls.TargetConnections._connect
 
     def connect_late(connections, address):
@@ -452,7 +453,7 @@
     assert retry_after_s >= refused_callers.LEAST_RETRY_S
     target = _target(HEAD + _chunks(EVENTS) + END)
     returning = gevent.spawn(_ask, rig, prompt_id='5c1e07a2:800')
-    gevent.sleep(2 * stream_run.ROOM_WAIT_S)
+    gevent.sleep(2 * stream_paths.ROOM_WAIT_S)
     new_head, _, _ = _ask(rig, prompt_id='e4402b7d:250')
     rig.use_engines(target.address)
     head, _, complete = returning.get(timeout=5.0)
@@ -467,7 +468,7 @@
     rig.use_engines()
     target = _target(HEAD + _chunks(EVENTS) + END)
     returning = gevent.spawn(_ask, rig, prompt_id='5c1e07a2:800')
-    gevent.sleep(2 * stream_run.ROOM_WAIT_S)
+    gevent.sleep(2 * stream_paths.ROOM_WAIT_S)
     rig.use_engines(target.address)
     head, _, complete = returning.get(timeout=5.0)
     assert (head.status_code, complete) == (200, True)
@@ -650,7 +651,7 @@
     after_s = rig.timer.now() - begun
     assert head.status_code == 500
     assert len(bad.received) == 1
-    assert after_s < stream_run.RESUME_ROOM_WAIT_S / 2
+    assert after_s < stream_paths.RESUME_ROOM_WAIT_S / 2
 
 
 def test_callers_own_fault_is_passed_on_and_blames_nobody(rig):
