--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/parts_assembly.py
@@ -0,0 +1,124 @@
+"""Makes the parts that the request core shares with its instance."""
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+
+from . import backoffs
+from . import core_assembly
+from . import down_targets
+from . import ejection_reports
+from . import failing_targets
+from . import held_orders
+from . import leaving_reports
+from . import live_streams
+from . import load_ledger
+from . import pace_book
+from . import pipe_quota
+from . import refused_callers
+from . import refused_news
+from . import relay_settings
+from . import repeat_budget
+from . import request_core
+from . import service_pressure
+from . import target_book
+from . import target_paces
+from . import target_roster
+from . import turns
+
+
+class PartLinks(NamedTuple):
+    """What the parts ask of their instance, and tell it.
+
+    :ivar instances: how many instances are known.
+    :ivar turn: this instance's turn among them.
+    :ivar takes_work: whether a new request that may last so many seconds may
+        still be begun.
+    :ivar tell_soon: tells the other instances of ejected targets.
+    """
+
+    instances: Callable[[], int]
+    turn: Callable[[], turns.Turn]
+    takes_work: Callable[[float], bool]
+    tell_soon: Callable[[], None]
+
+
+class InstanceParts(NamedTuple):
+    """Parts of an instance that know targets, callers and loads."""
+
+    shared: core_assembly.SharedParts
+    roster: target_roster.TargetRoster
+    ejections: ejection_reports.EjectionReports
+
+
+def make_parts(
+    settings: relay_settings.RelaySettings,
+    given: relay_settings.Translations,
+    links: PartLinks,
+    timer: timers.TimerService,
+    metric: metrics.Metrics,
+    rng: random.Random,
+) -> InstanceParts:
+    """Returns the parts of one instance, which aren't started yet."""
+    in_force = request_core.InForce()
+    book = target_book.TargetBook()
+    held = backoffs.Backoffs(book, timer, metric)
+    orders = held_orders.HeldOrders(
+        leaving_reports.LeavingReports(given.orders, book), held
+    )
+    ledger = load_ledger.LoadLedger(timer)
+    down = down_targets.DownTargets(timer, rng, links.instances)
+    paces = pace_book.PaceBook(orders, timer, links.instances, rng)
+    live = live_streams.LiveStreams(timer, down, down.probe, paces.suspect)
+    book.subscribe_changed(live.note_changed)
+    refused = refused_callers.RefusedCallers(timer, rng)
+    ejections = ejection_reports.EjectionReports(
+        settings.name, book, timer, metric, rng, links.tell_soon
+    )
+    shared = core_assembly.SharedParts(
+        zone=settings.zone,
+        spelling=given.spelling,
+        in_force=in_force,
+        book=book,
+        ledger=ledger,
+        down=down,
+        paces=paces,
+        held=held,
+        budget=_repeat_budget(settings, timer),
+        live=live,
+        orders=orders,
+        refused=refused,
+        failing=failing_targets.FailingTargets(
+            book, ledger, ejections, timer, metric, rng
+        ),
+        refused_news=refused_news.RefusedNews(timer, refused),
+        pressures=service_pressure.PressureBook(
+            timer, lambda: ledger.instances
+        ),
+        timer=timer,
+        metric=metric,
+        rng=rng,
+        takes_work=links.takes_work,
+        quota=pipe_quota.PipeQuota(timer, metric, rng),
+        limits=target_paces.TargetPaces(
+            book, ledger, in_force, links.turn, timer, metric
+        ),
+    )
+    roster = target_roster.TargetRoster(
+        book, down, in_force, timer, given.decode_target
+    )
+    return InstanceParts(shared, roster, ejections)
+
+
+def _repeat_budget(
+    settings: relay_settings.RelaySettings, timer: timers.TimerService
+) -> repeat_budget.RepeatBudget:
+    return repeat_budget.RepeatBudget(
+        timer,
+        settings.repeat_ratio,
+        settings.repeat_allowance,
+        settings.repeat_window_s,
+    )
