--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_gate.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_gate.py
@@ -1,6 +1,6 @@
 """Lets streams begin where callers of different urgency want the same room.
 
-:mod:`stream_run` calls the gate before it looks for a path. The decisions
+:mod:`stream_paths` calls the gate before it looks for a path. The decisions
 are made in :mod:`stream_admission` and :mod:`admission_queue`, the state of
 the fleet is kept in :mod:`service_pressure`; here are the wait, the logs and
 the counters. Where all routes of a service have the
