--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -7,16 +7,24 @@
 from cactusmux_relay import backoffs
 from cactusmux_relay import desired
 from cactusmux_relay import down_targets
+from cactusmux_relay import ejection_reports
+from cactusmux_relay import failing_targets
 from cactusmux_relay import http_server
+from cactusmux_relay import layer_orders
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_ledger
 from cactusmux_relay import pace_book
+from cactusmux_relay import pace_limits
 from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
 from cactusmux_relay import refused_callers
+from cactusmux_relay import refused_news
 from cactusmux_relay import repeat_budget
 from cactusmux_relay import request_core
 from cactusmux_relay import sending
+from cactusmux_relay import service_pressure
+from cactusmux_relay import stage_replacer
+from cactusmux_relay import stream_gate
 from cactusmux_relay import stream_run
 from cactusmux_relay import target_book
 from cactusmux_relay import target_calls
@@ -86,8 +94,16 @@
 class RelayRig:
     """The core behind a listening socket; targets are given by address."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        orders: layer_orders.LayerOrders | None = None,
+        limits: pace_limits.PaceLimits | None = None,
+    ) -> None:
+        limits = limits or pace_limits.NoPaceLimits()
+        self.limits = limits
         timer = timers.GeventTimers()
+        orders = orders or silent_orders.SilentOrders()
+        self.timer = timer
         rng = random.Random(1)
         self.metric = metrics.MemoryMetrics()
         self.in_force = request_core.InForce()
@@ -103,15 +119,51 @@
         self.refused = refused_callers.RefusedCallers(timer, rng)
         ledger = load_ledger.LoadLedger(timer)
         self.ledger = ledger
+        self.pressures = service_pressure.PressureBook(
+            timer, lambda: ledger.instances
+        )
         connections = target_calls.TargetConnections(timer)
         sender = sending.Sender(connections, spelling, timer, held, self.book)
         self.health = breakers.Breakers(
             timer, rng, self.metric, lambda lost: True
         )
+        self.ejections = ejection_reports.EjectionReports(
+            'own', self.book, timer, self.metric, rng
+        )
+        self.failing = failing_targets.FailingTargets(
+            self.book, ledger, self.ejections, timer, self.metric, rng
+        )
         live = live_streams.LiveStreams(
             timer, self.down, self.down.probe, lambda target: None
         )
         live.start()
+        paces = pace_book.PaceBook(orders, timer)
+        finder = path_finder.PathFinder(
+            self.book,
+            ledger,
+            self.down,
+            paces,
+            timer,
+            self.metric,
+            held,
+            rng,
+            soft_exclusions=(self.failing.ids,),
+            at_limit=limits.at_limit,
+        )
+        replacer = stage_replacer.StageReplacer(
+            stage_replacer.ReplacerParts(
+                finder=finder,
+                book=self.book,
+                ledger=ledger,
+                paces=paces,
+                orders=orders,
+                down=self.down,
+                live=live,
+                timer=timer,
+                metric=self.metric,
+                rng=rng,
+            )
+        )
         core = request_core.RequestCore(
             self.in_force,
             spelling,
@@ -126,27 +178,31 @@
                 rng,
                 'a',
                 held,
+                limits,
             ),
             stream_run.StreamParts(
                 refused=self.refused,
-                finder=path_finder.PathFinder(
-                    self.book,
-                    ledger,
-                    self.down,
-                    pace_book.PaceBook(silent_orders.SilentOrders(), timer),
-                    timer,
-                    self.metric,
-                    held,
-                    rng,
-                ),
+                finder=finder,
                 ledger=ledger,
                 sender=sender,
                 spelling=spelling,
                 budget=budget,
                 down=self.down,
                 live=live,
+                replacer=replacer,
                 timer=timer,
                 metric=self.metric,
+                failing=self.failing,
+                limits=limits,
+                gate=stream_gate.RankedGate(
+                    self.book,
+                    self.down,
+                    self.pressures,
+                    refused_news.RefusedNews(timer, self.refused),
+                    timer,
+                    self.metric,
+                    rng,
+                ),
             ),
             budget,
             timer,
@@ -191,6 +247,10 @@
             )
         self._use(found)
 
+    def use_stages(self, *found: targets.Target) -> None:
+        """Makes the engine service consist of these targets."""
+        self._use(list(found))
+
     def connect(self) -> socket.socket:
         """Returns a connection to the core, for a caller."""
         return socket.create_connection(
--- a/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/core_assembly.py
@@ -11,18 +11,27 @@
 from . import backoffs
 from . import dialect
 from . import down_targets
+from . import failing_targets
+from . import layer_orders
 from . import live_streams
 from . import load_ledger
 from . import pace_book
 from . import path_finder
+from . import pipe_quota
 from . import plain_relay
 from . import refused_callers
+from . import refused_news
 from . import repeat_budget
 from . import request_core
 from . import sending
+from . import service_pressure
+from . import stage_replacer
+from . import stream_gate
 from . import stream_run
 from . import target_book
 from . import target_calls
+from . import target_pace_limit
+from . import target_paces
 
 
 class SharedParts(NamedTuple):
@@ -42,11 +51,17 @@
     held: backoffs.Backoffs
     budget: repeat_budget.RepeatBudget
     live: live_streams.LiveStreams
+    orders: layer_orders.LayerOrders
     refused: refused_callers.RefusedCallers
+    failing: failing_targets.FailingTargets
+    refused_news: refused_news.RefusedNews
+    pressures: service_pressure.PressureBook
     timer: timers.TimerService
     metric: metrics.Metrics
     rng: random.Random
     takes_work: Callable[[float], bool]
+    quota: pipe_quota.PipeQuota
+    limits: target_paces.TargetPaces
 
 
 def assemble(shared: SharedParts) -> request_core.RequestCore:
@@ -75,6 +90,7 @@
     health = breakers.Breakers(
         shared.timer, shared.rng, shared.metric, lambda lost: True
     )
+    _watch_outages(shared, health)
     return plain_relay.PlainRelay(
         shared.book,
         shared.ledger,
@@ -86,9 +102,23 @@
         shared.rng,
         shared.zone,
         shared.held,
+        shared.limits,
     )
 
 
+def _watch_outages(shared: SharedParts, health: breakers.Breakers) -> None:
+    """Has targets limited that are back after having been left out."""
+
+    def ejected_ids() -> frozenset[str]:
+        plain_ids = shared.book.ids_at(health.ejected_repeatedly())
+        return plain_ids | shared.failing.confirmed_ids()
+
+    causes = target_pace_limit.Cause
+    shared.limits.watch(causes.DOWN, lambda: shared.down.refused_ids)
+    shared.limits.watch(causes.BACKED_OFF, lambda: shared.held.ids)
+    shared.limits.watch(causes.EJECTED, ejected_ids)
+
+
 def _stream_parts(
     shared: SharedParts, sender: sending.Sender
 ) -> stream_run.StreamParts:
@@ -101,6 +131,9 @@
         shared.metric,
         shared.held,
         shared.rng,
+        quota=shared.quota,
+        soft_exclusions=(shared.failing.ids,),
+        at_limit=shared.limits.at_limit,
     )
     return stream_run.StreamParts(
         finder=finder,
@@ -111,6 +144,38 @@
         down=shared.down,
         refused=shared.refused,
         live=shared.live,
+        replacer=_stage_replacer(shared, finder),
         timer=shared.timer,
         metric=shared.metric,
+        failing=shared.failing,
+        limits=shared.limits,
+        gate=stream_gate.RankedGate(
+            shared.book,
+            shared.down,
+            shared.pressures,
+            shared.refused_news,
+            shared.timer,
+            shared.metric,
+            shared.rng,
+        ),
+    )
+
+
+def _stage_replacer(
+    shared: SharedParts, finder: path_finder.PathFinder
+) -> stage_replacer.StageReplacer:
+    return stage_replacer.StageReplacer(
+        stage_replacer.ReplacerParts(
+            finder=finder,
+            book=shared.book,
+            ledger=shared.ledger,
+            paces=shared.paces,
+            orders=shared.orders,
+            down=shared.down,
+            live=shared.live,
+            timer=shared.timer,
+            metric=shared.metric,
+            rng=shared.rng,
+            quota=shared.quota,
+        )
     )
--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -17,12 +17,18 @@
 
 from . import connects
 from . import races
+from . import shared_work
 from . import targets
 
-PROBE_TIMEOUT_S = 0.06
+# Part of the longest pause of callers: see live_streams.MIN_SILENCE_S.
+PROBE_TIMEOUT_S = 0.04
 # A target found to be up isn't probed again for so long.
 PROBE_PERIOD_S = 0.4
 RECHECK_PERIOD_S = 0.7
+# How often it is looked which targets are due.
+RECHECK_LOOK_S = 0.1
+# What others are told of a target that is up again, for so long.
+UP_TOLD_S = 1.0
 # Targets that suspected ones are raced against.
 REFERENCES = 3
 # What another instance found counts for so long after it was told.
@@ -36,7 +42,23 @@
 class DownTargets:
     """Which targets are down, and since which of their starts."""
 
-    def __init__(self, timer: timers.TimerService, rng: random.Random) -> None:
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        rng: random.Random,
+        instances: shared_work.Instances = shared_work.alone,
+    ) -> None:
+        """Prepares the book.
+
+        :param instances: how many instances share the rechecks.
+        """
+        self._turns = shared_work.SharedPeriod(
+            RECHECK_PERIOD_S, instances, rng
+        )
+        self._recheck_at_by_id: dict[str, float] = {}
+        # Those that weren't rechecked since they went down.
+        self._unchecked_ids: set[str] = set()
+        self._up_at_by_start: dict[targets.Start, float] = {}
         self._timer = timer
         self._rng = rng
         self._suspect_by_id: dict[str, targets.Target] = {}
@@ -46,20 +68,33 @@
         self._probed_at_by_id: dict[str, float] = {}
         self._known: list[targets.Target] = []
         self._callbacks: list[Callback] = []
+        self._up_callbacks: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callback) -> None:
         """Calls ``callback`` with the id of each target that goes down."""
         self._callbacks.append(callback)
 
+    def subscribe_up(self, callback: Callable[[], None]) -> None:
+        """Calls ``callback`` when a recheck has found a target up again."""
+        self._up_callbacks.append(callback)
+
     def start(self) -> None:
         """Begins to look whether targets are up again."""
-        self._timer.every(RECHECK_PERIOD_S, self._recheck)
+        self._timer.every(RECHECK_LOOK_S, self._recheck)
 
     @property
     def ids(self) -> frozenset[str]:
         """Ids of the targets that are down."""
         return frozenset(self._target_by_id)
 
+    @property
+    def refused_ids(self) -> frozenset[str]:
+        """Ids of the targets that are down and refuse connections.
+
+        No process listens there: what ran on them is lost for certain.
+        """
+        return frozenset(self._refused_ids & self._target_by_id.keys())
+
     def confirmed_ids(self, is_alone: bool) -> frozenset[str]:
         """Ids of the targets that are down by more than our own word.
 
@@ -97,6 +132,10 @@
         if target.id in self._target_by_id:
             return
         self._target_by_id[target.id] = target
+        self._up_at_by_start.pop(target.start, None)
+        self._unchecked_ids.add(target.id)
+        first_at = self._timer.now() + RECHECK_PERIOD_S
+        self._recheck_at_by_id[target.id] = first_at
         events.warning(
             'target_down',
             target=target.id,
@@ -163,14 +202,62 @@
         ]
         return self._rng.sample(others, min(REFERENCES, len(others)))
 
+    def note_up(self, start: targets.Start) -> None:
+        """Takes another instance's word that a target is up; checks it."""
+        target = self._target_by_id.get(start.target_id)
+        if target is not None and target.start == start:
+            self._unchecked_ids.discard(target.id)
+            self._recheck_at_by_id[target.id] = self._timer.now()
+
+    def up_again(self) -> list[targets.Start]:
+        """Returns the targets that have lately been found to be up again."""
+        oldest = self._timer.now() - UP_TOLD_S
+        for start, up_at in list(self._up_at_by_start.items()):
+            if up_at < oldest:
+                del self._up_at_by_start[start]
+        return list(self._up_at_by_start)
+
     def _recheck(self) -> None:
+        now = self._timer.now()
         for target in list(self._target_by_id.values()):
+            if self._recheck_at_by_id.get(target.id, now) > now:
+                continue
+            wait_s = self._first_turn_s(target.id)
+            if wait_s > 0.0:
+                self._recheck_at_by_id[target.id] = now + wait_s
+                continue
+            period_s = RECHECK_PERIOD_S
+            if self._is_told_of(target.id):
+                period_s = self._turns.next_s()
+            self._recheck_at_by_id[target.id] = now + period_s
             gevent.spawn(self._recheck_one, target)
 
+    def _first_turn_s(self, target_id: str) -> float:
+        """Returns how much later than usual the first recheck is.
+
+        All instances that hold a target for down found it at the same moment.
+        """
+        if target_id not in self._unchecked_ids:
+            return 0.0
+        self._unchecked_ids.discard(target_id)
+        return self._turns.first_s() if self._is_told_of(target_id) else 0.0
+
+    def _is_told_of(self, target_id: str) -> bool:
+        """Whether another instance holds a target for down, too.
+
+        If not, as after a hiccup of our own link, none rechecks it for us.
+        """
+        told_at = self._told_at_by_id.get(target_id)
+        return told_at is not None and self._timer.now() - told_at < TOLD_AGE_S
+
     def _recheck_one(self, target: targets.Target) -> None:
         tried = self._connect(target, PROBE_TIMEOUT_S)
-        if tried.outcome is connects.Outcome.ACCEPTED:
+        is_known = target.id in self._target_by_id
+        if is_known and tried.outcome is connects.Outcome.ACCEPTED:
+            self._up_at_by_start[target.start] = self._timer.now()
             self._mark_up(target.id, tried.cause)
+            for callback in self._up_callbacks:
+                callback()
 
     def _connect(
         self, target: targets.Target, timeout_s: float
@@ -179,5 +266,7 @@
 
     def _mark_up(self, target_id: str, cause: str) -> None:
         self._refused_ids.discard(target_id)
+        self._recheck_at_by_id.pop(target_id, None)
+        self._unchecked_ids.discard(target_id)
         if self._target_by_id.pop(target_id, None) is not None:
             events.info('target_up', target=target_id, cause=cause)
--- a/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/hand_over.py
@@ -12,6 +12,7 @@
 from . import outcomes
 from . import path_choice
 from . import path_finder
+from . import pipe_quota
 from . import repeat_budget
 
 
@@ -32,6 +33,9 @@
         self._exchange = exchange
         self._demand = demand
         self._secured: path_choice.Choice | None = None
+        self._crossings: pipe_quota.Grant = ()
+        # Share of the repeats that this stream leaves to others.
+        self.repeats_kept = 0.0
         self._kept_for: outcomes.Refusal | None = None
 
     def secure(self, avoided: set[str]) -> bool:
@@ -39,19 +43,22 @@
         if self._secured is not None:
             return True
         service = self._exchange.service.name
-        if not self._budget.has_left(service):
+        if not self._budget.has_left(service, self.repeats_kept):
             return self.keep(outcomes.Refusal.REPEATS_SPENT)
         choice = self._finder.choose(
-            self._exchange, self._demand, avoided, 0.0
+            self._exchange, self._demand, avoided, 0.0, True
         )
         if choice.path is None and avoided:
             choice = self._finder.choose(
-                self._exchange, self._demand, set(), 0.0
+                self._exchange, self._demand, set(), 0.0, True
             )
         if choice.path is None:
             return self.keep(outcomes.Refusal.NO_ROOM)
         self._budget.take(service)
         self._ledger.add(_ids(choice), self._demand.tokens)
+        self._crossings = self._finder.reserve_crossings(
+            self._exchange, choice.path, self._demand
+        )
         self._secured = choice
         return True
 
@@ -61,6 +68,8 @@
         self._secured = None
         if secured is not None:
             self._ledger.remove(_ids(secured), self._demand.tokens)
+            self._finder.return_crossings(self._crossings)
+            self._crossings = ()
         return secured
 
     def keep(self, reason: outcomes.Refusal) -> bool:
--- a/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/load_ledger.py
@@ -98,6 +98,11 @@
             },
         )
 
+    @property
+    def instances(self) -> int:
+        """How many instances there are, ourselves included."""
+        return self._instances
+
     def set_instances(self, count: int) -> None:
         """Sets how many instances there are, ourselves included."""
         self._instances = count
@@ -135,13 +140,33 @@
 
     def all_requests(self, target_id: str) -> int:
         """Returns requests under way at a target, of all instances."""
-        total = self._requests_by_target.get(target_id, 0)
+        others = self.others_requests((target_id,))
+        return self.own_requests(target_id) + others[target_id]
+
+    def own_requests(self, target_id: str) -> int:
+        """Returns this instance's requests under way at a target."""
+        return self._requests_by_target.get(target_id, 0)
+
+    def others_requests(self, target_ids: Iterable[str]) -> dict[str, int]:
+        """Returns requests under way at targets, of the other instances."""
+        total = dict.fromkeys(target_ids, 0)
         fresh = self._fresh()
         share = self._represented(len(fresh))
         for loads in fresh:
-            total += round(loads.requests_by_target.get(target_id, 0) * share)
+            told = loads.requests_by_target
+            for target_id in total:
+                if target_id in told:
+                    total[target_id] += round(told[target_id] * share)
         return total
 
+    @property
+    def oldest_age_s(self) -> float:
+        """Returns the age of the oldest news that loads are based on."""
+        self._fresh()
+        told_at = [told_at for told_at, _ in self._told_by_peer.values()]
+        now = self._timer.now()
+        return now - min(told_at, default=now)
+
     @property
     def is_sampled(self) -> bool:
         """Whether only some of the other instances are heard of."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -16,6 +16,7 @@
 from . import outcomes
 from . import pace_book
 from . import path_choice
+from . import pipe_quota
 from . import target_book
 from . import targets
 
@@ -31,6 +32,10 @@
 SoftExclusion = Callable[[], frozenset[str]]
 
 
+def _none() -> frozenset[str]:
+    return frozenset()
+
+
 class PathFinder:
     """Chooses paths by what is known of targets and loads."""
 
@@ -45,7 +50,16 @@
         held: backoffs.Backoffs,
         rng: random.Random,
         soft_exclusions: Sequence[SoftExclusion] = (),
+        quota: pipe_quota.PipeQuota | None = None,
+        at_limit: SoftExclusion = _none,
     ) -> None:
+        """Prepares the search.
+
+        :param at_limit: which targets have all that they may, after a start
+            or recovery; resumed streams use them, and others before those
+            that are softly excluded.
+        """
+        self._at_limit = at_limit
         self._soft_exclusions = tuple(soft_exclusions)
         self._book = book
         self._ledger = ledger
@@ -55,6 +69,7 @@
         self._metric = metric
         self._held = held
         self._rng = rng
+        self._quota = quota or pipe_quota.PipeQuota(timer, metric, rng)
         self._full_until_by_id: dict[str, float] = {}
 
     def choose(
@@ -63,6 +78,7 @@
         demand: path_choice.Demand,
         avoided: set[str],
         wait_s: float,
+        is_resumed: bool = False,
     ) -> path_choice.Choice:
         """Returns a path with room, waiting up to ``wait_s`` for one.
 
@@ -71,13 +87,16 @@
         """
         until = min(self._timer.now() + wait_s, exchange.ends_at - ANSWER_S)
         choice = path_choice.Choice(None, 0.0, 0, 0.0)
+        is_resumed = is_resumed or exchange.facts.last_event_id is not None
         while True:
             left_s = until - self._timer.now()
             is_last = left_s <= max(0.0, self.wait_s(exchange.service))
             pipe_limit = path_choice.PIPE_LIMIT
             if is_last:
                 pipe_limit = path_choice.LAST_PIPE_LIMIT
-            choice = self._look(exchange, demand, avoided, pipe_limit)
+            choice = self._look(
+                exchange, demand, avoided, pipe_limit, is_resumed
+            )
             if choice.path is not None:
                 return choice
             if is_last:
@@ -91,19 +110,40 @@
         demand: path_choice.Demand,
         avoided: set[str],
         pipe_limit: float,
+        is_resumed: bool,
     ) -> path_choice.Choice:
         """Looks for a path once, with those softly excluded if need be."""
         excluded = self._excluded() | avoided
         soft = self._softly_excluded() - excluded
-        choice = self._search(exchange, demand, excluded | soft, pipe_limit)
+        limited = frozenset() if is_resumed else self._at_limit()
+        limited = limited - soft - excluded
+        # Nothing yields between the searches, so the loads are the same.
+        load = self._ledger.all_loads(self._paces.slow())
+        is_usual = pipe_limit <= path_choice.PIPE_LIMIT
+        if is_usual and not soft and not limited:
+            return self._search(exchange, demand, load, excluded, pipe_limit)
+        without = excluded | soft | limited
+        choice = path_choice.Choice(None, 0.0, 0, 0.0)
+        if self._quota.is_active and not is_usual:
+            # A path within the usual share goes before one beyond it.
+            choice = self._search(
+                exchange, demand, load, without, path_choice.PIPE_LIMIT
+            )
+        if choice.path is None:
+            choice = self._search(exchange, demand, load, without, pipe_limit)
+        if choice.path is None and limited:
+            choice = self._search(
+                exchange, demand, load, excluded | soft, pipe_limit
+            )
         if choice.path is None and soft:
-            choice = self._search(exchange, demand, excluded, pipe_limit)
+            choice = self._search(exchange, demand, load, excluded, pipe_limit)
         return choice
 
     def _search(
         self,
         exchange: context.Exchange,
         demand: path_choice.Demand,
+        load: path_choice.Load,
         excluded: set[str],
         pipe_limit: float,
     ) -> path_choice.Choice:
@@ -115,10 +155,11 @@
             engine,
             graph,
             demand,
-            self._ledger.all_loads(self._paces.slow()),
+            load,
             excluded,
             pipe_limit,
             self._draw,
+            lambda pipe: self._quota.may_cross(engine, pipe, pipe_limit),
         )
 
     def _draw(self) -> float:
@@ -130,6 +171,27 @@
             return 0.0
         return self._rng.uniform(-PRICE_SPREAD, PRICE_SPREAD)
 
+    def reserve_crossings(
+        self,
+        exchange: context.Exchange,
+        path: cost_model.Path,
+        demand: path_choice.Demand,
+    ) -> pipe_quota.Grant:
+        """Takes this instance's share of the pipes of a chosen path.
+
+        To be called before another task may choose a path.
+        """
+        engine = exchange.service.engine
+        if engine is None:
+            return ()
+        return self._quota.take(
+            engine, path, demand.tokens, exchange.facts.request_id
+        )
+
+    def return_crossings(self, grant: pipe_quota.Grant) -> None:
+        """Returns what was reserved for tokens that weren't sent."""
+        self._quota.give_back(grant)
+
     def is_usable(self, service: str, path: cost_model.Path) -> bool:
         """Whether a path that was chosen earlier may still be used."""
         excluded = self._excluded()
@@ -153,6 +215,10 @@
     def _softly_excluded(self) -> set[str]:
         return set().union(*(each() for each in self._soft_exclusions))
 
+    def left_out(self) -> tuple[set[str], set[str]]:
+        """Returns ids that are not to be used, and those only if need be."""
+        return self._excluded(), self._softly_excluded()
+
     def wait_s(self, service: desired.Service) -> float:
         """Returns for how long targets left alone leave no path at all."""
         down = self._down.ids
@@ -178,6 +244,8 @@
         demand: path_choice.Demand,
         choice: path_choice.Choice,
     ) -> None:
+        if choice.withheld_pipes:
+            self._metric.count('relay.pipe_quota.withheld')
         events.info(
             'no_path',
             id=exchange.facts.request_id,
@@ -185,6 +253,7 @@
             pause_ms=int(choice.pause_ms),
             excluded=choice.excluded,
             fullest_pipe=round(choice.fullest_pipe, 2),
+            withheld_pipes=choice.withheld_pipes,
         )
 
     def note_not_run(
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_book.py
@@ -1,18 +1,22 @@
 """What this instance believes of the targets of each service."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from . import desired
 from . import leaving_targets
 from . import segments
 from . import targets
 
+# Told of targets that have started anew or given up layers, by their ids.
+Changed = Callable[[Mapping[str, targets.Target]], None]
+
 
 class TargetBook:
     """Targets by service, and the segments of layers that they can run."""
 
     def __init__(self) -> None:
         self._leaving = leaving_targets.LeavingTargets()
+        self._callbacks: list[Changed] = []
         self._service_by_name: Mapping[str, desired.Service] = {}
         self._ready_by_service: dict[str, list[targets.Target]] = {}
         self._graph_by_service: dict[str, segments.SegmentGraph] = {}
@@ -29,12 +33,32 @@
         Targets that have said themselves that they leave do so whatever the
         list says.
         """
+        known_by_id = self.target_by_id
         self.target_by_id = {
             each.id: self._leaving.marked(each) for each in all_targets
         }
         self._leaving.forget(self.target_by_id)
         self._service_by_name = service_by_name
         self._index()
+        self._tell_changed(known_by_id)
+
+    def subscribe_changed(self, callback: Changed) -> None:
+        """Calls ``callback`` with known targets that have lost something.
+
+        These have started anew, or have given up layers.
+        """
+        self._callbacks.append(callback)
+
+    def _tell_changed(self, known_by_id: Mapping[str, targets.Target]) -> None:
+        changed_by_id = {
+            each.id: each
+            for each in self.target_by_id.values()
+            if each.id in known_by_id
+            and not each.still_has(known_by_id[each.id])
+        }
+        if changed_by_id:
+            for callback in self._callbacks:
+                callback(changed_by_id)
 
     def note_leaving(
         self, start: targets.Start, source: leaving_targets.Source
@@ -56,6 +80,14 @@
         """Returns the targets of a service that may get new work."""
         return self._ready_by_service.get(service, [])
 
+    def ids_at(self, addresses: Iterable[str]) -> frozenset[str]:
+        """Returns the ids of the targets at these addresses."""
+        return frozenset(
+            self.target_by_address[each].id
+            for each in addresses
+            if each in self.target_by_address
+        )
+
     def has_only_leaving(self, service: str) -> bool:
         """Whether a service has targets and none that may get new work."""
         if self.ready(service):
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -1,13 +1,21 @@
 import itertools
+import random
 
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import attempt_sending
+from cactusmux_relay import ejection_reports
+from cactusmux_relay import failing_targets
 from cactusmux_relay import hand_over
 from cactusmux_relay import leaving_targets
+from cactusmux_relay import live_streams
+from cactusmux_relay import path_finder
+from cactusmux_relay import pipe_quota
 from cactusmux_relay import refused_callers
-from cactusmux_relay import stream_run
+from cactusmux_relay import stream_paths
 from cactusmux_relay import target_calls
+from cactusmux_routing import breakers
 import gevent
 import h11
 import pytest
@@ -284,7 +292,7 @@
     rig, monkeypatch
 ):
     """No connection is accepted for a while, then all are."""
-    left = [stream_run.MAX_REJECTIONS + 1]
+    left = [attempt_sending.MAX_REJECTIONS + 1]
     connect = target_calls.TargetConnections._connect
 
     def connect_late(connections, address):
@@ -369,6 +377,28 @@
     assert rig.ledger.own().tokens_by_target == {}
 
 
+@pytest.mark.parametrize('name', ['begin', 'add', 'reserve_crossings'])
+def test_stream_that_fails_before_it_is_sent_leaves_no_load(
+    rig, monkeypatch, name
+):
+    """Its targets counted as loaded for as long as the instance ran."""
+    owners = {
+        'begin': failing_targets.FailingTargets,
+        'add': live_streams.LiveStreams,
+        'reserve_crossings': path_finder.PathFinder,
+    }
+
+    def fail(*args):
+        raise ValueError('test')
+
+    monkeypatch.setattr(owners[name], name, fail)
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(target.address)
+    rig.ask(relay_rig.request('/stream/'))
+    assert target.received == []
+    assert rig.ledger.own().tokens_by_target == {}
+
+
 def test_caller_that_leaves_cuts_the_stream_at_its_target(rig):
     closed = []
 
@@ -423,7 +453,7 @@
     assert retry_after_s >= refused_callers.LEAST_RETRY_S
     target = _target(HEAD + _chunks(EVENTS) + END)
     returning = gevent.spawn(_ask, rig, prompt_id='5c1e07a2:800')
-    gevent.sleep(2 * stream_run.ROOM_WAIT_S)
+    gevent.sleep(2 * stream_paths.ROOM_WAIT_S)
     new_head, _, _ = _ask(rig, prompt_id='e4402b7d:250')
     rig.use_engines(target.address)
     head, _, complete = returning.get(timeout=5.0)
@@ -438,7 +468,7 @@
     rig.use_engines()
     target = _target(HEAD + _chunks(EVENTS) + END)
     returning = gevent.spawn(_ask, rig, prompt_id='5c1e07a2:800')
-    gevent.sleep(2 * stream_run.ROOM_WAIT_S)
+    gevent.sleep(2 * stream_paths.ROOM_WAIT_S)
     rig.use_engines(target.address)
     head, _, complete = returning.get(timeout=5.0)
     assert (head.status_code, complete) == (200, True)
@@ -519,3 +549,173 @@
     _ask(rig)
     assert len(noted) > 1
     assert sum(noted) == 0.0
+
+
+def test_rejected_sends_return_their_share_of_pipes(rig, monkeypatch):
+    """A kept share would shut the pipe to this instance for seconds."""
+    reserved = []
+    returned = []
+
+    def reserve(_finder, _exchange, path, _demand):
+        grant = (pipe_quota.Taken(('a', 'b'), float(len(reserved)), False),)
+        reserved.append(grant)
+        return grant
+
+    monkeypatch.setattr(path_finder.PathFinder, 'reserve_crossings', reserve)
+    monkeypatch.setattr(
+        path_finder.PathFinder,
+        'return_crossings',
+        lambda _finder, grant: returned.append(grant),
+    )
+    full = _target(scripted_target.answer(b'', 503, {'Not-Run': '1'}))
+    rig.use_engines(full.address)
+    _ask(rig)
+    assert reserved
+    assert returned == reserved
+
+
+def test_streams_that_were_sent_keep_their_share_of_pipes(rig, monkeypatch):
+    """Returned shares of tokens that were sent would exceed the limit."""
+    returned = []
+    monkeypatch.setattr(
+        path_finder.PathFinder,
+        'return_crossings',
+        lambda _finder, grant: returned.append(grant),
+    )
+    target = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(target.address)
+    assert _ask(rig)[2]
+    assert returned == []
+
+
+def _failing(status=500, **headers):
+    fields = {name.replace('_', '-'): text for name, text in headers.items()}
+    return _target(scripted_target.answer(b'no', status, fields))
+
+
+@pytest.mark.parametrize('status', [500, 502, 503, 599])
+def test_stream_that_a_target_fails_goes_on_elsewhere(rig, status):
+    """The failure was passed on though another path was free."""
+    bad = _failing(status)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    head, body, complete = _ask(rig)
+    assert (head.status_code, complete) == (200, True)
+    assert body == b''.join(EVENTS)
+    assert (len(bad.received), len(other.received)) == (1, 1)
+
+
+def test_stream_that_a_target_fails_takes_one_repeat(rig):
+    paid = _paid_repeats(rig.budget)
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    _, _, complete = _ask(rig)
+    assert complete
+    assert sum(paid) == 1
+
+
+def test_failed_stream_that_may_not_be_repeated_is_sent_once(rig):
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    head, body, complete = _ask(rig, '/once/')
+    assert (head.status_code, body, complete) == (500, b'no', True)
+    assert (len(bad.received), other.received) == (1, [])
+
+
+def test_last_failure_is_passed_on_after_all_attempts(rig):
+    bad = [_failing(500), _failing(502), _failing(504)]
+    rig.use_engines(*[each.address for each in bad])
+    head, body, _ = _ask(rig)
+    assert (head.status_code, body) == (502, b'no')
+    assert [len(each.received) for each in bad] == [1, 1, 0]
+
+
+def test_failure_is_passed_on_where_the_repeats_are_spent(rig):
+    rig.budget.take = lambda service: False
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    head, _, _ = _ask(rig)
+    assert head.status_code == 500
+    assert other.received == []
+
+
+def test_failure_of_the_only_target_is_passed_on_at_once(rig):
+    """Waiting for other targets would hold what can be answered now."""
+    bad = _failing()
+    rig.use_engines(bad.address)
+    begun = rig.timer.now()
+    head, _, _ = _ask(rig)
+    after_s = rig.timer.now() - begun
+    assert head.status_code == 500
+    assert len(bad.received) == 1
+    assert after_s < stream_paths.RESUME_ROOM_WAIT_S / 2
+
+
+def test_callers_own_fault_is_passed_on_and_blames_nobody(rig):
+    """A status of 400 comes from the request; it is the same elsewhere."""
+    refusing = _failing(400)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(refusing.address, other.address)
+    head, _, _ = _ask(rig)
+    assert head.status_code == 400
+    assert other.received == []
+    assert not rig.failing.ids()
+
+
+def test_target_that_failed_a_stream_gets_no_other_for_a_while(
+    rig, monkeypatch
+):
+    monkeypatch.setattr(breakers, 'BASE_EJECTION_S', breakers.MAX_EJECTION_S)
+    bad = _failing()
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(bad.address, other.address)
+    for _ in range(3):
+        _, _, complete = _ask(rig)
+        assert complete
+    assert len(bad.received) == 1
+
+
+def test_stream_is_sent_to_ejected_targets_if_no_others_are_left(
+    rig, monkeypatch
+):
+    monkeypatch.setattr(breakers, 'BASE_EJECTION_S', breakers.MAX_EJECTION_S)
+    target = _target(
+        scripted_target.answer(b'no', 500, {}), HEAD + _chunks(EVENTS) + END
+    )
+    rig.use_engines(target.address)
+    head, _, _ = _ask(rig)
+    assert head.status_code == 500
+    assert rig.failing.ids() == {'e0'}
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def test_target_that_two_others_report_gets_no_stream(rig):
+    reported = _target(HEAD + _chunks(EVENTS) + END)
+    other = _target(HEAD + _chunks(EVENTS) + END)
+    rig.use_engines(reported.address, other.address)
+    for name in ('one', 'two'):
+        told = ejection_reports.EjectionReports(
+            name, rig.book, rig.timer, rig.metric, random.Random(1)
+        )
+        told.note_failure('e0', is_ejected=True)
+        rig.ejections.take(name, told.own())
+    _, _, complete = _ask(rig)
+    assert complete
+    assert reported.received == []
+
+
+def test_failure_of_a_resumed_stream_breaks_its_answer_off(rig, monkeypatch):
+    """It has begun: an answer of its own can't follow it."""
+    monkeypatch.setattr(breakers, 'BASE_EJECTION_S', breakers.MAX_EJECTION_S)
+    first = _target(HEAD + _chunks(EVENTS[:2]))
+    bad = _failing()
+    rig.use_engines(first.address, bad.address)
+    head, body, complete = _ask(rig)
+    assert (head.status_code, complete) == (200, False)
+    assert body == b''.join(EVENTS[:2])
+    assert rig.failing.ids() == {'e1'}
--- a/packages/cactusmux-relay/tests/test_watching.py
+++ b/packages/cactusmux-relay/tests/test_watching.py
@@ -50,13 +50,15 @@
             lambda each: None,
         )
 
-    def add(self, *ids, secure_next=lambda: True):
+    def add(
+        self, *ids, secure_next=lambda: True, replace_lost=lambda each: False
+    ):
         path = tuple(
             cost_model.Stage(sample_engine.target(each), targets.NO_LAYERS)
             for each in ids
         )
         stream = live_streams.LiveStream(
-            path, 40.0, self.timer.now(), secure_next
+            path, 40.0, self.timer.now(), secure_next, replace_lost
         )
         stream.call = _Call()
         self.live.add(stream)
@@ -156,6 +158,51 @@
     assert all(each >= live_streams.HAND_OVER_PERIOD_S for each in pauses)
 
 
+def test_stream_that_fails_to_be_handed_over_keeps_no_other_waiting():
+    """The streams after it waited, and the other subscribers as well."""
+    watched = _Watched()
+
+    def fail(stream):
+        raise ValueError('test')
+
+    told = []
+    watched.down.subscribe(told.append)
+    streams = [watched.add('x', 'y', replace_lost=fail)]
+    streams += [watched.add('x', 'y') for _ in range(20)]
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert [each.call.is_cut for each in streams] == [False] + 20 * [True]
+    assert told == ['y']
+
+
+class _CountingDown(down_targets.DownTargets):
+    """Counts how often the set of targets that are down is built."""
+
+    built = 0
+
+    @property
+    def ids(self):
+        self.built += 1
+        return super().ids
+
+
+def test_check_looks_at_what_is_down_once_for_all_streams():
+    """It was built for each stream, 50 times a second."""
+    watched = _Watched()
+    down = _CountingDown(watched.timer, random.Random(1))
+    watched.live = live_streams.LiveStreams(
+        watched.timer, down, lambda each: None, lambda each: None
+    )
+    for _ in range(100):
+        watched.add('x', 'y')
+    watched.live.check()
+    assert down.built == 1
+    down.mark(sample_engine.target('z'), 'test')
+    down.built = 0
+    watched.timer.advance(1.0)
+    watched.live.check()
+    assert down.built <= 2
+
+
 def test_stream_with_unread_bytes_is_not_cut():
     """Our own loop or the caller is late, not the target."""
     watched = _Watched()
@@ -168,6 +215,160 @@
     assert stream.call.is_cut
 
 
+class _Replacing:
+    """Notes when a stream is to be replaced; an order is under way then."""
+
+    def __init__(self, timer, can_replace=True):
+        self._timer = timer
+        self._can_replace = can_replace
+        self.asked_at = []
+
+    def __call__(self, stream):
+        self.asked_at.append(self._timer.now())
+        stream.is_replacing = self._can_replace
+        return self._can_replace
+
+
+def test_stream_is_replaced_once_its_event_is_overdue():
+    """Waiting for silence took 40 ms more of the longest pause."""
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.play(stream, [0.03] * 20)
+    heard_at = watched.timer.now()
+    watched.timer.advance(0.005)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert replacing.asked_at == []
+    watched.timer.advance(0.05)
+    (asked_at,) = replacing.asked_at
+    assert 0.029 < asked_at - heard_at < 0.031
+    assert not stream.call.is_cut
+
+
+def test_stream_through_a_target_that_was_only_overtaken_waits_for_silence():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.play(stream, [0.03] * 20)
+    watched.down.mark(sample_engine.target('y'), 'test', is_refused=False)
+    watched.timer.advance(0.05)
+    watched.live.check()
+    assert replacing.asked_at == []
+    watched.timer.advance(0.02)
+    watched.live.check()
+    assert len(replacing.asked_at) == 1
+
+
+def test_stream_whose_events_arrive_is_not_replaced():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.play(stream, [0.03] * 4)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    for _ in range(10):
+        watched.play(stream, [0.02])
+        watched.live.check()
+    assert replacing.asked_at == []
+
+
+def test_stream_is_not_cut_while_an_order_is_under_way():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    for _ in range(20):
+        watched.timer.advance(live_streams.CHECK_PERIOD_S)
+        watched.live.check()
+    assert not stream.call.is_cut
+    assert len(replacing.asked_at) == 1
+
+
+def test_stream_that_can_not_be_replaced_is_resumed_as_before():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer, can_replace=False)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert len(replacing.asked_at) == 1
+    assert stream.call.is_cut
+
+
+def test_stream_replaced_on_another_path_is_left_alone():
+    watched = _Watched()
+    stream = watched.add('x', 'y', secure_next=lambda: False)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    path = tuple(
+        cost_model.Stage(sample_engine.target(each), targets.NO_LAYERS)
+        for each in ('x', 'new')
+    )
+    stream.use_path(path, 40.0, watched.timer.now())
+    stream.secure_next = lambda: True
+    for _ in range(20):
+        watched.timer.advance(live_streams.CHECK_PERIOD_S)
+        watched.live.check()
+    assert not stream.call.is_cut
+
+
+LONGEST_PAUSE_S = 0.25
+# After the probe of a target that is dark: a race, an order and the reading.
+RACE_S = 0.035
+ORDER_S = 0.02
+READING_S = 0.06
+
+
+def test_loss_of_a_dark_target_is_noticed_within_the_longest_pause():
+    """It took up to 285 ms until the next event could come."""
+    watched = _Watched()
+    suspected_at = []
+    watched.live = live_streams.LiveStreams(
+        watched.timer,
+        watched.down,
+        lambda each: suspected_at.append(watched.timer.now()),
+        lambda each: None,
+    )
+    watched.live.start()
+    for place in range(20):
+        watched.timer.advance(0.001 * place)
+        stream = watched.add('x', 'y')
+        watched.play(stream, [0.03] * 20)
+        heard_at = watched.timer.now()
+        suspected_at.clear()
+        watched.timer.advance(0.15)
+        watched.live.remove(stream)
+        noticed_s = suspected_at[0] - heard_at + down_targets.PROBE_TIMEOUT_S
+        total_s = noticed_s + RACE_S + ORDER_S + READING_S
+        assert total_s <= LONGEST_PAUSE_S
+
+
+def test_false_alarm_costs_few_probes_and_leaves_the_stream_alone(monkeypatch):
+    """Streams with pauses just above the silence are suspected often."""
+    tried = []
+
+    def connect(address, timeout_s, timer):
+        tried.append(address)
+        return connects.Connect(connects.Outcome.ACCEPTED, '', 0.0)
+
+    monkeypatch.setattr(connects, 'connect', connect)
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    watched.live = live_streams.LiveStreams(
+        watched.timer, watched.down, watched.down.probe, lambda each: None
+    )
+    watched.live.start()
+    watched.timer.advance(1.0)
+    stream = watched.add('x', replace_lost=replacing)
+    begun_at = watched.timer.now()
+    for _ in range(20):
+        watched.play(stream, [0.03] * 3)
+        watched.timer.advance(0.08)
+        gevent.sleep(0)
+    passed_s = watched.timer.now() - begun_at
+    assert tried
+    assert len(tried) <= 1 + passed_s / down_targets.PROBE_PERIOD_S
+    assert watched.down.ids == frozenset()
+    assert replacing.asked_at == []
+    assert not stream.call.is_cut
+
+
 def test_down_target_is_up_again_when_it_started_anew_or_is_gone():
     timer = timers.ManualTimers()
     down = _down_targets(timer)
@@ -347,6 +548,9 @@
     def hold(self, target, layers, number):
         raise AssertionError('no order is due')
 
+    def change_path(self, first, request_id, path):
+        raise AssertionError('no order is due')
+
     def report(self, target):
         self.asked += 1
         return result.Success(
