Split http_server into reading, answering and listening

Change: http_messages holds Request, Answerer, Handler, the header types and CallerGone; request_reading reads whole requests and refuses what breaks the protocol or a limit; http_connection runs the handler, watches the caller and writes answers; http_server listens and keeps the public names. The reader gets the function that writes an interim answer with each call: if it kept it, each connection would be a reference cycle, which only the garbage collector frees. Behaviour is meant to be the same. test_http_server names constants by their new modules; what it checks is unchanged.

--- /dev/null
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -0,0 +1,184 @@
+"""One connection of a caller: answers one request after another.
+
+While the handler runs, a second task reads on, so that a caller that leaves
+is seen at once: the handler is then ended by
+:class:`http_messages.CallerGone`.
+"""
+
+from collections.abc import Callable
+import socket as std_socket
+
+from cactusmux_base import events
+from cactusmux_base import timers
+import gevent
+from gevent import select
+from gevent import socket
+import h11
+
+from . import desired
+from . import http_messages
+from . import request_reading
+
+# Callers that send the next request early; more than this isn't read.
+MAX_EARLY_BYTES = 262144
+# Of each piece of an answer: a slow caller that takes bytes isn't cut.
+SEND_TIMEOUT_S = 10.0
+SEND_PIECE_BYTES = 65536
+# How long bytes in flight are read after an answer that ends a connection.
+LINGER_S = 0.5
+
+
+class HttpConnection(http_messages.Answerer):
+    """One caller's connection.
+
+    :param limits: asked for at each request.
+    :param is_closing: whether each further answer ends its connection.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        handler: http_messages.Handler,
+        timer: timers.TimerService,
+        limits: Callable[[], desired.Limits],
+        is_closing: Callable[[], bool],
+    ) -> None:
+        sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+        self._sock = sock
+        self._handler = handler
+        self._timer = timer
+        self._is_closing = is_closing
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().header_bytes
+        )
+        self._reader = request_reading.RequestReader(
+            sock, self._h11, timer, limits
+        )
+        self.is_busy = False
+        self._early_bytes = 0
+        self._caller_left = False
+
+    def has_unread(self) -> bool:
+        """Whether bytes of a request have arrived and aren't read yet."""
+        if self._h11.trailing_data[0]:
+            return True
+        try:
+            readable, _, _ = select.select([self._sock], [], [], 0)
+        except (OSError, ValueError):
+            return False
+        return bool(readable)
+
+    def run(self) -> None:
+        """Serves requests until the connection ends."""
+        try:
+            while self._serve_one():
+                self._h11.start_next_cycle()
+        except (OSError, h11.LocalProtocolError):
+            return
+        except http_messages.CallerGone:
+            return
+
+    def close(self) -> None:
+        """Closes the socket at once."""
+        try:
+            self._sock.close()
+        except OSError:
+            pass
+
+    def _serve_one(self) -> bool:
+        """Serves one request; tells whether the connection goes on."""
+        try:
+            request = self._reader.read(self._write)
+        except request_reading.BadRequest as bad:
+            self._refuse(bad.status)
+            return False
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint)
+            return False
+        if request is None:
+            return False
+        self.is_busy = True
+        watcher = gevent.spawn(self._watch_caller, gevent.getcurrent())
+        # What was read early for past requests is no longer waiting.
+        self._early_bytes = len(self._h11.trailing_data[0])
+        try:
+            self._handle(request)
+        finally:
+            watcher.kill()
+            self.is_busy = False
+        if self._caller_left or self._h11.our_state is not h11.DONE:
+            return False
+        return self._h11.their_state is h11.DONE
+
+    def _handle(self, request: http_messages.Request) -> None:
+        """Runs the handler; one that fails unforeseen is still answered."""
+        try:
+            self._handler(request, self)
+        except (OSError, h11.LocalProtocolError):
+            raise
+        except Exception as error:
+            events.error('handler_failed', cause=repr(error))
+            if self._h11.our_state is h11.SEND_RESPONSE:
+                self.answer(500, [], b'')
+
+    def _watch_caller(self, handler_task: gevent.Greenlet) -> None:
+        """Reads on while the handler runs, to see the caller leave."""
+        while self._early_bytes < MAX_EARLY_BYTES:
+            try:
+                self._sock.settimeout(None)
+                data = self._sock.recv(request_reading.RECEIVE_BYTES)
+            except OSError:
+                data = b''
+            if not data:
+                self._caller_left = True
+                gevent.kill(handler_task, http_messages.CallerGone)
+                return
+            self._early_bytes += len(data)
+            self._h11.receive_data(data)
+
+    def _refuse(self, status: int) -> None:
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        events.info('request_malformed', status=status)
+        self.answer(status, [(b'connection', b'close')], b'')
+        self._linger()
+
+    def _linger(self) -> None:
+        # Closing with unread bytes would reset the answer away.
+        try:
+            self._sock.shutdown(std_socket.SHUT_WR)
+            deadline = self._timer.now() + LINGER_S
+            while self._reader.receive(deadline - self._timer.now()):
+                pass
+        except OSError:
+            return
+
+    def answer(
+        self, status: int, headers: http_messages.Headers, body: bytes
+    ) -> None:
+        length = str(len(body)).encode()
+        self.start(status, [*headers, (b'content-length', length)])
+        if body:
+            self._write(h11.Data(data=body))
+        self.finish()
+
+    def start(self, status: int, headers: http_messages.Headers) -> None:
+        if self._is_closing():
+            headers = [*headers, (b'connection', b'close')]
+        self._write(h11.Response(status_code=status, headers=headers))
+
+    def send(self, data: bytes) -> None:
+        self._write(h11.Data(data=data))
+
+    def finish(self) -> None:
+        self._write(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        self._caller_left = True
+        self.close()
+
+    def _write(self, event: h11.Event) -> None:
+        data = memoryview(self._h11.send(event) or b'')
+        for start in range(0, len(data), SEND_PIECE_BYTES):
+            with gevent.Timeout(SEND_TIMEOUT_S, TimeoutError):
+                self._sock.sendall(data[start : start + SEND_PIECE_BYTES])
--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -2,7 +2,9 @@
 
 from cactusmux_base import timers
 from cactusmux_relay import desired
+from cactusmux_relay import http_connection
 from cactusmux_relay import http_server
+from cactusmux_relay import request_reading
 import gevent
 from gevent import event
 from gevent import socket
@@ -182,7 +184,7 @@
 def test_caller_is_watched_after_many_requests_sent_early(server):
     """What was read early for past requests doesn't count for later ones."""
     request = HEAD + b'Content-Length: 900\r\n\r\n' + b'x' * 900
-    rounds = http_server.MAX_EARLY_BYTES // (60 * len(request)) + 2
+    rounds = http_connection.MAX_EARLY_BYTES // (60 * len(request)) + 2
     server.wait_s = 0.001
     sock = server.connect()
     for number in range(rounds):
@@ -216,7 +218,7 @@
 
 def test_body_in_drops_ends(server, monkeypatch):
     """A byte now and then kept a connection and its task for ever."""
-    monkeypatch.setattr(http_server, 'BODY_TIMEOUT_S', 0.3)
+    monkeypatch.setattr(request_reading, 'BODY_TIMEOUT_S', 0.3)
     sock = server.connect()
     sock.sendall(HEAD + b'Content-Length: 900\r\n\r\n')
     is_closed = False
@@ -233,7 +235,7 @@
 def test_slow_caller_that_takes_bytes_is_not_cut(monkeypatch):
     """The time for a whole answer was that of a stalled one."""
     body = b'x' * 12_000_000
-    monkeypatch.setattr(http_server, 'SEND_TIMEOUT_S', 1.0)
+    monkeypatch.setattr(http_connection, 'SEND_TIMEOUT_S', 1.0)
     served = http_server.HttpServer(
         '127.0.0.1:0',
         lambda request, answerer: answerer.answer(200, [], body),
