Test that streams hear of restarted targets as parts are assembled

Cause: test_restarted_targets subscribes by itself, so no test noticed if the line that joins target book and live streams went missing.

Change: test_parts_assembly makes the parts as an instance does.

Measured: it passes, and fails with that line removed; ruff and flake8 clean.

--- /dev/null
+++ b/packages/cactusmux-relay/tests/test_parts_assembly.py
@@ -0,0 +1,65 @@
+"""The parts of an instance hear of each other as they are assembled."""
+
+import random
+
+from cactusmux_base import metrics
+from cactusmux_base import timers
+from cactusmux_fakes import plain_dialect
+from cactusmux_fakes import sample_engine
+from cactusmux_fakes import silent_orders
+from cactusmux_relay import cost_model
+from cactusmux_relay import live_streams
+from cactusmux_relay import parts_assembly
+from cactusmux_relay import relay_settings
+from cactusmux_relay import targets
+from cactusmux_relay import turns
+
+LAYERS = targets.LayerRange(0, 80)
+TARGET = sample_engine.target('whole', 'a100', 'a', LAYERS)
+SETTINGS = relay_settings.RelaySettings(
+    name='i',
+    zone='a',
+    region='r',
+    entry_address='127.0.0.1:0',
+    exchange_address='127.0.0.1:0',
+    state_prefix='state',
+    target_prefix='targets/',
+    repeat_ratio=0.2,
+    repeat_allowance=10.0,
+    repeat_window_s=10.0,
+    callers_come_s=1.0,
+    stop_within_s=2.0,
+)
+GIVEN = relay_settings.Translations(
+    store=None,
+    reader=None,
+    spelling=plain_dialect.PlainDialect(),
+    decode_state=lambda entry: None,
+    decode_target=lambda entry: None,
+    orders=silent_orders.SilentOrders(),
+)
+LINKS = parts_assembly.PartLinks(
+    instances=lambda: 1,
+    turn=lambda: turns.Turn(0, 1),
+    takes_work=lambda longest_s: True,
+    tell_soon=lambda: None,
+)
+
+
+def test_streams_hear_of_targets_that_are_restarted():
+    """Unheard, a restart holds a stream up until its target gives it up."""
+    timer = timers.ManualTimers()
+    shared = parts_assembly.make_parts(
+        SETTINGS,
+        GIVEN,
+        LINKS,
+        timer,
+        metrics.MemoryMetrics(),
+        random.Random(1),
+    ).shared
+    shared.book.replace([TARGET], {})
+    path = (cost_model.Stage(TARGET, LAYERS),)
+    stream = live_streams.LiveStream(path, 40.0, timer.now())
+    shared.live.add(stream)
+    shared.book.replace([TARGET._replace(born_ms=TARGET.born_ms + 1)], {})
+    assert shared.live.lost_ids(stream) == {TARGET.id}
