Handle streams and connections in the order of insertion

Cause: LiveStreams, HttpServer, StallWatch and the engine model walked sets of objects that hash by their address, so two processes with the same load recovered streams and closed connections in another order, and two plays of one build differed.

Change: OrderedSet in cactusmux-base, used by the four.

Result: test_streams_are_recovered_in_the_order_in_which_they_began fails before and passes now.

--- a/packages/cactusmux-entry/src/cactusmux_entry/stall_watch.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/stall_watch.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cactusmux_base import ordered_set
 from cactusmux_base import timers
 from cactusmux_platform import targets
 
@@ -34,7 +35,7 @@
 
     def __init__(self, timer: timers.TimerService) -> None:
         self._timer = timer
-        self._watched: set[WatchedStream] = set()
+        self._watched = ordered_set.OrderedSet[WatchedStream]()
         self._subscription = timer.every(SCAN_PERIOD_S, self.scan)
 
     def open(
--- a/packages/cactusmux-model/src/cactusmux_model/simulated_pool.py
+++ b/packages/cactusmux-model/src/cactusmux_model/simulated_pool.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 
+from cactusmux_base import ordered_set
 from cactusmux_relay import chain_pool
 from cactusmux_relay import desired_state
 from cactusmux_relay import placement_repair
@@ -52,7 +53,7 @@
         self.stage_by_id: dict[str, stages.Stage] = {}
         self.down: set[str] = set()
         self.pace_by_target: dict[str, float] = {}
-        self.active_runs: set[runs.Run] = set()
+        self.active_runs = ordered_set.OrderedSet[runs.Run]()
         self._loads = simpy.Resource(env, deployment.engine.loads_at_once)
         self._loading: set[str] = set()
         self._added = 0
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+from cactusmux_base import ordered_set
 from cactusmux_base import timers
 from gevent import server
 from gevent import socket
@@ -44,7 +45,9 @@
         self._handler = handler
         self._timer = timer
         self._limits = limits
-        self._connections: set[http_connection.HttpConnection] = set()
+        self._connections = ordered_set.OrderedSet[
+            http_connection.HttpConnection
+        ]()
         self._server = server.StreamServer(
             (host, int(port)), self._serve, backlog=BACKLOG
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -11,6 +11,7 @@
 import functools
 
 from cactusmux_base import events
+from cactusmux_base import ordered_set
 from cactusmux_base import timers
 
 from . import cost_model
@@ -180,7 +181,8 @@
         self._down = down
         self._suspect_down = suspect_down
         self._suspect_slow = suspect_slow
-        self._streams: set[LiveStream] = set()
+        # Ordered, so that the oldest stream is recovered first.
+        self._streams = ordered_set.OrderedSet[LiveStream]()
         self._has_restarts = False
         down.subscribe(self._on_target_down)
 
--- a/packages/cactusmux-relay/tests/test_restarted_targets.py
+++ b/packages/cactusmux-relay/tests/test_restarted_targets.py
@@ -116,3 +116,26 @@
     path = (PATH[0], cost_model.Stage(other, other.layers))
     world.stream.use_path(path, 40.0, world.timer.now())
     assert world.live.lost_ids(world.stream) == frozenset()
+
+
+def test_streams_are_recovered_in_the_order_in_which_they_began(world):
+    """The order followed memory addresses, other ones in each process."""
+    replaced = []
+
+    def replace(stream):
+        replaced.append(stream)
+        stream.is_replacing = True
+        return True
+
+    now = world.timer.now()
+    streams = [
+        live_streams.LiveStream(PATH, 40.0, now, lambda: False, replace)
+        for _ in range(50)
+    ]
+    random.Random(1).shuffle(streams)
+    for stream in streams:
+        stream.call = _Call()
+        world.live.add(stream)
+    world.restart(SECOND)
+    world.timer.advance(0.25)
+    assert replaced == streams
