--- a/packages/cactusmux-control/src/cactusmux_control/document_watch.py
+++ b/packages/cactusmux-control/src/cactusmux_control/document_watch.py
@@ -108,8 +108,8 @@
         self.has_answered = True
         for change in watched.changes:
             self._offer_change(change)
-        self._next_revision = watched.revision
-        if watched.revision < revision:
+        self._next_revision = watched.position.revision
+        if watched.position.revision < revision:
             # The store was restored, or a stale replica responded.
             self._metric.count('documents.store_went_back')
             return self.poll_once()
--- a/packages/cactusmux-control/src/cactusmux_control/lease_types.py
+++ b/packages/cactusmux-control/src/cactusmux_control/lease_types.py
@@ -29,12 +29,14 @@
     """Permission to send orders until a time of the holder's own clock.
 
     ``unfenced_from`` is the earliest time for an order to a target that
-    ignores fencing numbers.
+    ignores fencing numbers. Before ``valid_from``, a holder that doesn't know
+    yet that the store was restored may still act on its lost lease.
     """
 
     fencing: int
     valid_until: float
     unfenced_from: float
+    valid_from: float = 0.0
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -54,6 +56,17 @@
         self.name = name
 
 
+class LeaseEraEnded(failures.CactusmuxError):
+    """The store was restored; it may have lost the lease."""
+
+    reason = 'lease_era_ended'
+
+    def __init__(self, name: str, era: int) -> None:
+        super().__init__(f'lease {name!r} was granted in era {era}')
+        self.name = name
+        self.era = era
+
+
 class LeaseReleased(failures.CactusmuxError):
     """The holder released the lease."""
 
--- a/packages/cactusmux-control/src/cactusmux_control/leases.py
+++ b/packages/cactusmux-control/src/cactusmux_control/leases.py
@@ -1,7 +1,13 @@
 """Holds a named lease in the configuration store.
 
 The lease is a key bound to a store lease: the store deletes the key when the
-store lease ends. The revision that created the key is the fencing number.
+store lease ends. The position at which the key was created gives the fencing
+number.
+
+A restored store has lost leases and gives out their ids again, so a lease is
+dropped as soon as a new era of the store is known. A holder that is cut off
+doesn't know. A lease of the new era therefore gives authority only after the
+longest time for which one of an earlier era may be believed in.
 """
 
 from collections.abc import Callable
@@ -12,6 +18,7 @@
 from cactusmux_base import ids
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_platform import store_eras
 from cactusmux_platform import stores
 from gevent import lock
 import msgspec
@@ -21,6 +28,12 @@
 
 LEASE_PREFIX = 'leases/'
 ORDER_LEASE = 'orders'
+# Fencing numbers of a later era are higher than all of earlier ones, and
+# those of 8,000 eras can be sent as JSON numbers.
+REVISION_BITS = 40
+# In a new era the last holder, which knows best what it has ordered, may
+# acquire the lease before the others, for this part of the lease's time.
+LAST_HOLDER_SHARE = 0.5
 
 
 class _Claim(NamedTuple):
@@ -29,11 +42,18 @@
     lease_id: int
     value: bytes
     asked_at: float
+    era: int
 
 
 class _Held(NamedTuple):
     lease_id: int
     authority: lease_types.Authority
+    era: int
+
+
+def fencing_number(position: stores.Position) -> int:
+    """Returns the fencing number of a lease that was acquired there."""
+    return (position.era << REVISION_BITS) + position.revision
 
 
 def order_lease(region: str) -> str:
@@ -51,6 +71,7 @@
     :param holder: address of this instance, shown to operators.
     :param may_acquire: returns whether this instance is a candidate now; it
         only reduces store calls, safety doesn't depend on it.
+    :param eras: the eras of the store.
     """
 
     def __init__(
@@ -62,6 +83,7 @@
         holder: str,
         settings: lease_types.LeaseSettings = lease_types.DEFAULT_SETTINGS,
         may_acquire: Callable[[], bool] = lambda: True,
+        eras: store_eras.StoreEras | None = None,
     ) -> None:
         self._store = store
         self._timer = timer
@@ -71,6 +93,9 @@
         self._holder = holder
         self._settings = settings
         self._may_acquire = may_acquire
+        self._eras = eras or store_eras.StoreEras(timer)
+        self._eras.subscribe(self._on_new_era)
+        self._is_last_holder = False
         self._callbacks: list[AuthorityCallback] = []
         self._step_lock = lock.BoundedSemaphore(1)
         self._stopped = False
@@ -116,7 +141,8 @@
         if self._held is None or self._stopped:
             return None
         authority = self._held.authority
-        if self._timer.now() + for_s >= authority.valid_until:
+        now = self._timer.now()
+        if now < authority.valid_from or now + for_s >= authority.valid_until:
             return None
         return authority
 
@@ -132,7 +158,27 @@
         finally:
             self._step_lock.release()
 
+    def _on_new_era(self) -> None:
+        """Drops what was acquired in an earlier era, without any call.
+
+        The ids of its leases may stand for those of others by now.
+        """
+        self._is_last_holder = self._held is not None
+        self._unsettled = None
+        if self._held is not None:
+            self._drop_authority(
+                lease_types.LeaseEraEnded(self._name, self._held.era)
+            )
+
+    def _defers_to_last_holder(self) -> bool:
+        if not self._eras.current or self._is_last_holder:
+            return False
+        passed_s = self._timer.now() - self._eras.known_since
+        return passed_s < LAST_HOLDER_SHARE * self._settings.ttl_s
+
     def _acquire(self) -> None:
+        if self._defers_to_last_holder():
+            return
         if self._unsettled is None and not self._may_acquire():
             return
         match self._store.get(self._key):
@@ -157,7 +203,9 @@
         asked_at = self._timer.now()
         match self._store.grant_lease(self._settings.ttl_s):
             case result.Success(lease_id):
-                claim = _Claim(lease_id, self._new_value(), asked_at)
+                value = self._new_value()
+                era = self._eras.current
+                claim = _Claim(lease_id, value, asked_at, era)
                 self._write_claim(claim)
             case result.Failure(failure):
                 self._count_failure(failure)
@@ -169,6 +217,8 @@
         match written:
             case result.Success(entry):
                 self._gain(claim, entry.revision)
+            case result.Failure(failure) if claim.era != self._eras.current:
+                self._count_failure(failure)
             case result.Failure(stores.OutcomeUnknown() as failure):
                 self._count_failure(failure)
                 self._unsettled = claim
@@ -185,20 +235,31 @@
             case result.Failure(failure):
                 self._count_failure(failure)
 
-    def _gain(self, claim: _Claim, fencing: int) -> None:
+    def _gain(self, claim: _Claim, revision: int) -> None:
+        if claim.era != self._eras.current:
+            # Its lease may be lost; what is left of it expires.
+            return
         if self._stopped:
             self._revoke(claim.lease_id)
             return
         settings = self._settings
+        position = stores.Position(claim.era, revision)
         authority = lease_types.Authority(
-            fencing=fencing,
+            fencing=fencing_number(position),
             valid_until=claim.asked_at + settings.ttl_s - settings.margin_s,
             unfenced_from=self._timer.now()
             + settings.ttl_s
             + settings.margin_s
             + settings.delivery_s,
+            valid_from=self._valid_from(),
         )
-        self._hold(_Held(claim.lease_id, authority))
+        self._hold(_Held(claim.lease_id, authority, claim.era))
+
+    def _valid_from(self) -> float:
+        """Returns when no lease of an earlier era is believed in any more."""
+        if not self._eras.current:
+            return 0.0
+        return self._eras.known_since + self._settings.ttl_s
 
     def _renew(self, held: _Held) -> None:
         # The store extends the lease from its receipt of the renewal, which is
@@ -228,7 +289,7 @@
         if self._timer.now() >= authority.valid_until:
             return
         self._watch_expiry(authority)
-        if self._announced:
+        if self._announced or self._timer.now() < authority.valid_from:
             return
         self._announced = True
         self._metric.count('leases.gained')
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/faulty_store.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/faulty_store.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from cactusmux_base import timers
+from cactusmux_platform import store_eras
 from cactusmux_platform import stores
 from returns import result
 
@@ -44,11 +45,12 @@
 _Write = Callable[[], result.Result[Any, stores.StoreError]]
 
 
-class FaultyStore(stores.ConfigStore, stores.SnapshotReader):
+class FaultyStore(stores.TransactionalStore, stores.SnapshotReader):
     """Injects faults into an in-memory store; ``faults`` may change any time.
 
     ``rng`` decides which calls fail, so a seed reproduces them.
-    ``calls_by_kind`` counts all calls, including failed ones.
+    ``calls_by_kind`` counts all calls, including failed ones. ``eras`` is
+    told the store's era in each answer.
     """
 
     def __init__(
@@ -56,8 +58,10 @@
         store: memory_store.MemoryStore,
         timer: timers.TimerService,
         rng: random.Random,
+        eras: store_eras.StoreEras | None = None,
     ) -> None:
         self.faults = NO_FAULTS
+        self._eras = eras
         self.calls_by_kind: dict[str, int] = {}
         self._store = store
         self._timer = timer
@@ -76,6 +80,7 @@
     ) -> result.Result[stores.Entry | None, stores.StoreError]:
         if not self._begin_call('get'):
             return result.Failure(stores.StoreUnavailable('get'))
+        self._tell_era()
         if not self._reads_are_stale():
             return self._store.get(key)
         return result.Success(self._earlier_entries().get(key))
@@ -85,6 +90,7 @@
     ) -> result.Result[tuple[stores.Entry, ...], stores.StoreError]:
         if not self._begin_call('get_prefix'):
             return result.Failure(stores.StoreUnavailable('get_prefix'))
+        self._tell_era()
         if not self._reads_are_stale():
             return self._store.get_prefix(prefix)
         entry_by_key = self._earlier_entries()
@@ -94,7 +100,7 @@
     def read_prefix(
         self, prefix: str
     ) -> result.Result[stores.Snapshot, stores.StoreError]:
-        newest = self._history().revision
+        newest = self._history().position
         return self.get_prefix(prefix).map(
             lambda entries: stores.Snapshot(entries, newest)
         )
@@ -114,6 +120,14 @@
             ),
         )
 
+    def transact(
+        self, transaction: stores.Transaction
+    ) -> result.Result[int, stores.StoreError]:
+        key = transaction.conditions[0].key
+        return self._write(
+            'compare_and_swap', key, lambda: self._store.transact(transaction)
+        )
+
     def delete(
         self, key: str, expected_revision: int
     ) -> result.Result[int, stores.StoreError]:
@@ -151,7 +165,7 @@
     ) -> result.Result[stores.Watched, stores.StoreError]:
         if not self._begin_call('watch') or self.faults.watch_broken:
             return result.Failure(stores.StoreUnavailable('watch'))
-        newest = self._history().revision
+        newest = self._history().position.revision
         if self.faults.watch_compacted and after_revision < newest:
             return result.Failure(
                 stores.WatchCompacted(after_revision, newest)
@@ -162,6 +176,7 @@
         # The store may have gone down while the watch was waiting.
         if self.faults.down or self.faults.watch_broken:
             return result.Failure(stores.StoreUnavailable('watch'))
+        self._tell_era()
         if self._draw_fault(self.faults.watch_skips):
             return outcome.map(lambda watched: watched._replace(changes=()))
         return outcome.map(
@@ -175,9 +190,9 @@
         if not hidden:
             return watched
         shown = watched.changes[:-hidden]
-        return stores.Watched(
-            shown, shown[-1].revision if shown else after_revision
-        )
+        revision = shown[-1].revision if shown else after_revision
+        position = watched.position._replace(revision=revision)
+        return stores.Watched(shown, position)
 
     def _begin_call(self, call: str) -> bool:
         """Counts and delays a call; returns whether the store is up."""
@@ -196,8 +211,14 @@
         outcome = write()
         if self._draw_fault(self.faults.lost_answers):
             return result.Failure(stores.OutcomeUnknown(key))
+        self._tell_era()
         return outcome
 
+    def _tell_era(self) -> None:
+        """Tells the era of the answer that is about to be returned."""
+        if self._eras is not None:
+            self._eras.record(self._store.era, store_eras.Source.STORE)
+
     def _draw_fault(self, rate: float) -> bool:
         return rate > 0 and self._rng.random() < rate
 
--- a/packages/cactusmux-fakes/tests/test_platform_server.py
+++ b/packages/cactusmux-fakes/tests/test_platform_server.py
@@ -60,7 +60,7 @@
     gone = stores.Change('k/a', deleted + 1, None)
     assert watched.changes[0] == stores.Change('k/a', entry.revision, entry)
     assert watched.changes[-1] == gone
-    assert watched.revision == gone.revision
+    assert watched.position.revision == gone.revision
     count_by_name = dict(memory.counter_by_name)
     assert count_by_name == {
         'store.calls.grant_lease': 1,
--- a/packages/cactusmux-platform/src/cactusmux_platform/stores.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/stores.py
@@ -2,6 +2,10 @@
 
 Every successful write assigns its key a new revision from a single counter
 of the whole store. Revision 0 means that the key is absent.
+
+A store that is restored from an earlier copy begins a new era: it has lost
+what was written after the copy, and assigns the same revisions again.
+Revisions can only be compared within an era.
 """
 
 import abc
@@ -13,6 +17,22 @@
 ABSENT = 0
 
 
+class Position(NamedTuple):
+    """A point in the history of the store, ordered by era first.
+
+    :ivar era: number of times the store was restored; 0 if it doesn't say.
+    """
+
+    era: int = 0
+    revision: int = ABSENT
+
+    def __str__(self) -> str:
+        return f'{self.era}.{self.revision}'
+
+
+NOWHERE = Position()
+
+
 class Entry(NamedTuple):
     """A key with its value, the revision of its last write and its lease."""
 
@@ -31,10 +51,10 @@
 
 
 class Watched(NamedTuple):
-    """Changes in order, and the revision to watch from next."""
+    """Changes in order, and the position to watch from next."""
 
     changes: tuple[Change, ...]
-    revision: int
+    position: Position
 
 
 class StoreError(failures.CactusmuxError):
@@ -88,6 +108,17 @@
         self.lease_id = lease_id
 
 
+class EraEnded(StoreError):
+    """The store was restored since the era in which a call was prepared."""
+
+    reason = 'store_era_ended'
+
+    def __init__(self, key: str, era: int) -> None:
+        super().__init__(f'era {era} ended before the write to {key!r}')
+        self.key = key
+        self.era = era
+
+
 class WatchCompacted(StoreError):
     """The store no longer has the changes after the given revision.
 
@@ -104,21 +135,44 @@
 
 
 class Snapshot(NamedTuple):
-    """Entries under a prefix and the store's revision when they were read."""
+    """Entries under a prefix and the store's position when they were read."""
 
     entries: tuple[Entry, ...]
+    position: Position
+
+
+class Condition(NamedTuple):
+    """Requires a key to be at a revision; ``ABSENT`` if it must not exist."""
+
+    key: str
     revision: int
 
 
+class Write(NamedTuple):
+    """A value to be written in a transaction, and the lease of its key."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+class Transaction(NamedTuple):
+    """Writes and deletions that are done together if all conditions hold."""
+
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
 class SnapshotReader(abc.ABC):
-    """Reads a prefix together with the revision to watch from."""
+    """Reads a prefix together with the position to watch from."""
 
     @abc.abstractmethod
     def read_prefix(self, prefix: str) -> result.Result[Snapshot, StoreError]:
         """Returns all entries whose key starts with ``prefix``.
 
         Changes made during the read may be missing; a watch from the
-        returned revision reports them.
+        returned position reports them.
         """
 
 
@@ -182,3 +236,17 @@
         Returns no changes if there were none in that time. Fails with
         :class:`WatchCompacted` if the revision is too old.
         """
+
+
+class TransactionalStore(ConfigStore):
+    """A store that also runs transactions over several keys."""
+
+    @abc.abstractmethod
+    def transact(
+        self, transaction: Transaction
+    ) -> result.Result[int, StoreError]:
+        """Runs a transaction; returns the revision of its changes.
+
+        Fails with :class:`Conflict` for the first condition that doesn't
+        hold, or with :class:`LeaseLost`.
+        """
--- a/packages/cactusmux-relay/src/cactusmux_relay/copies.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -6,7 +6,7 @@
 takes a while over a slow link, longer still when all instances receive it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import random
 from typing import NamedTuple
 
@@ -35,10 +35,12 @@
     (b'content-type', b'application/msgpack'),
     (b'content-encoding', b'deflate'),
 ]
+# Era of the copy; builds without eras don't send it.
+ERA_HEADER = 'cactusmux-copy-era'
 
 
 class _Packed(NamedTuple):
-    revision: int
+    position: stores.Position
     body: bytes
 
 
@@ -60,17 +62,22 @@
         if mirror is None:
             answerer.answer(404, [], b'')
             return
-        answerer.answer(200, HEADERS, self._packed(prefix, mirror))
-
-    def _packed(self, prefix: str, mirror: store_mirror.StoreMirror) -> bytes:
-        """Returns the packed copy, cached until the revision changes."""
+        packed = self._packed(prefix, mirror)
+        era = str(packed.position.era).encode()
+        headers = [*HEADERS, (ERA_HEADER.encode(), era)]
+        answerer.answer(200, headers, packed.body)
+
+    def _packed(
+        self, prefix: str, mirror: store_mirror.StoreMirror
+    ) -> _Packed:
+        """Returns the packed copy, cached until the position changes."""
         known = self._packed_by_prefix.get(prefix)
-        if known is not None and known.revision == mirror.revision:
-            return known.body
+        if known is not None and known.position == mirror.position:
+            return known
         copy = mirror.copy()
-        packed = _Packed(copy.revision, copy_packing.pack(copy))
+        packed = _Packed(copy.position, copy_packing.pack(copy))
         self._packed_by_prefix[prefix] = packed
-        return packed.body
+        return packed
 
 
 class CopyPuller:
@@ -99,20 +106,20 @@
         return prefix in self._pulling
 
     def handle_peer_changes(
-        self, address: str, changed_by_prefix: dict[str, int]
+        self, address: str, changed_by_prefix: Mapping[str, stores.Position]
     ) -> None:
-        """Handles the last change revisions of the peer at ``address``."""
-        for prefix, announced_revision in changed_by_prefix.items():
+        """Handles the last change positions of the peer at ``address``."""
+        for prefix, announced in changed_by_prefix.items():
             mirror = self._mirror_by_prefix.get(prefix)
             if mirror is None:
                 continue
-            if announced_revision <= mirror.revision:
+            if announced <= mirror.position:
                 self._forget(prefix)
                 continue
             self._announcers_by_prefix.setdefault(prefix, set()).add(address)
             if prefix not in self._pulling:
                 self._pulling.add(prefix)
-                gevent.spawn(self._pull, mirror, prefix, announced_revision)
+                gevent.spawn(self._pull, mirror, prefix, announced)
 
     def _forget(self, prefix: str) -> None:
         if prefix not in self._pulling:
@@ -123,13 +130,13 @@
         self,
         mirror: store_mirror.StoreMirror,
         prefix: str,
-        announced_revision: int,
+        announced: stores.Position,
     ) -> None:
         try:
             self._timer.sleep(self.pull_delay_s(prefix))
             # Chosen among all peers that announced it, to share the load.
             announcers = self._announcers_by_prefix.pop(prefix)
-            if mirror.revision >= announced_revision:
+            if mirror.position >= announced:
                 return
             address = self._rng.choice(sorted(announcers))
             copy = self._fetch(prefix, address)
@@ -144,7 +151,10 @@
     def pull_delay_s(self, prefix: str) -> float:
         """Returns how many seconds to wait for the own watch first."""
         mirror = self._mirror_by_prefix[prefix]
-        if mirror.revision == stores.ABSENT or prefix in self._failed_prefixes:
+        if (
+            mirror.position == stores.NOWHERE
+            or prefix in self._failed_prefixes
+        ):
             return 0.0
         if not mirror.is_watching:
             return self._rng.uniform(*FOLLOWER_PULL_DELAY_S)
@@ -161,16 +171,22 @@
         finally:
             caller.close()
         match called:
-            case result.Success(http_calls.Response(200, body)):
-                return self._unpack(body, address)
+            case result.Success(http_calls.Response(200) as response):
+                return self._unpack(response, address)
             case result.Failure(failure):
                 events.info(
                     'copy_not_had', address=address, reason=failure.reason
                 )
         return None
 
-    def _unpack(self, body: bytes, address: str) -> store_mirror.Copy | None:
-        match copy_packing.unpack(body):
+    def _unpack(
+        self, response: http_calls.Response, address: str
+    ) -> store_mirror.Copy | None:
+        era = response.header(ERA_HEADER) or '0'
+        if not (era.isascii() and era.isdigit()):
+            events.warning('copy_era_unreadable', address=address, value=era)
+            return None
+        match copy_packing.unpack(response.body, int(era)):
             case result.Success(copy):
                 return copy
             case result.Failure(failure):
--- a/packages/cactusmux-relay/src/cactusmux_relay/copy_packing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copy_packing.py
@@ -4,9 +4,11 @@
 does the time for which their transfer occupies the link of a small instance.
 """
 
+from typing import NamedTuple
 import zlib
 
 from cactusmux_base import failures
+from cactusmux_platform import stores
 import msgspec
 from returns import result
 
@@ -17,8 +19,21 @@
 # Far above any mirrored prefix, and small enough for an instance's memory.
 MAX_UNPACKED_BYTES = 16_000_000
 
+
+class _PackedCopy(NamedTuple):
+    """The fields of a copy that builds without eras know.
+
+    They refuse further ones, so the era is sent beside the packed copy.
+    """
+
+    entries: tuple[stores.Entry, ...]
+    revision: int
+    last_change_revision: int
+    settles_in_s: float = 0.0
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(store_mirror.Copy)
+_decoder = msgspec.msgpack.Decoder(_PackedCopy)
 
 
 class CopyUnreadable(failures.CactusmuxError):
@@ -32,14 +47,23 @@
 
 
 def pack(copy: store_mirror.Copy) -> bytes:
-    """Returns a copy serialised as MessagePack and compressed."""
-    return zlib.compress(_encoder.encode(copy), LEVEL)
+    """Returns a copy without its era, as compressed MessagePack."""
+    packed = _PackedCopy(
+        copy.entries,
+        copy.position.revision,
+        copy.last_change.revision,
+        copy.settles_in_s,
+    )
+    return zlib.compress(_encoder.encode(packed), LEVEL)
 
 
 def unpack(
-    packed: bytes,
+    packed: bytes, era: int
 ) -> result.Result[store_mirror.Copy, CopyUnreadable]:
-    """Unpacks a copy of at most :data:`MAX_UNPACKED_BYTES`."""
+    """Unpacks a copy of at most :data:`MAX_UNPACKED_BYTES`.
+
+    :param era: era of the copy's positions.
+    """
     unpacker = zlib.decompressobj()
     try:
         data = unpacker.decompress(packed, MAX_UNPACKED_BYTES)
@@ -50,6 +74,13 @@
     if not unpacker.eof:
         return result.Failure(CopyUnreadable('cut short'))
     try:
-        return result.Success(_decoder.decode(data))
+        found = _decoder.decode(data)
     except msgspec.MsgspecError as error:
         return result.Failure(CopyUnreadable(str(error)))
+    copy = store_mirror.Copy(
+        found.entries,
+        stores.Position(era, found.revision),
+        stores.Position(era, found.last_change_revision),
+        found.settles_in_s,
+    )
+    return result.Success(copy)
--- a/packages/cactusmux-relay/src/cactusmux_relay/deltas.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/deltas.py
@@ -16,6 +16,7 @@
     :ivar revision: the sender's revision with these changes.
     :ivar settles_in_s: seconds during which missing entries may still be
         written again.
+    :ivar era: era of both revisions; builds without eras leave it out.
     """
 
     prefix: str
@@ -23,6 +24,12 @@
     revision: int
     changes: tuple[stores.Change, ...]
     settles_in_s: float = 0.0
+    era: int = 0
+
+    @property
+    def position(self) -> stores.Position:
+        """The sender's position with these changes."""
+        return stores.Position(self.era, self.revision)
 
 
 def ignore(_delta: Delta) -> None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/gauges.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gauges.py
@@ -2,6 +2,7 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_platform import store_eras
 import gevent
 
 from . import request_handling
@@ -20,12 +21,14 @@
         in_force: request_handling.ConfigurationInForce,
         registry: target_registry.TargetRegistry,
         mirror_by_prefix: dict[str, store_mirror.StoreMirror],
+        eras: store_eras.StoreEras,
         timer: timers.TimerService,
         metric: metrics.Metrics,
     ) -> None:
         self._in_force = in_force
         self._registry = registry
         self._mirror_by_prefix = mirror_by_prefix
+        self._eras = eras
         self._timer = timer
         self._metric = metric
 
@@ -44,10 +47,13 @@
         )
         leaving = len(self._registry.leaving())
         self._metric.gauge('believed.targets_leaving', leaving)
+        self._metric.gauge('store.era', self._eras.current)
+        self._metric.gauge('store.era_changes', self._eras.change_count)
         now = self._timer.now()
         for prefix, mirror in self._mirror_by_prefix.items():
             name = prefix.strip('/').replace('/', '_')
             self._metric.gauge(f'store.connected.{name}', mirror.is_connected)
+            self._metric.gauge(f'store.mirror_era.{name}', mirror.position.era)
             age_s = now - mirror.heard_at if mirror.heard_at else -1.0
             self._metric.gauge(f'store.age_seconds.{name}', age_s)
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/gossip_handler.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gossip_handler.py
@@ -48,9 +48,14 @@
             name=self._name,
             is_stopping=self._is_stopping(),
             changed_by_prefix={
-                prefix: mirror.last_change_revision
+                prefix: mirror.last_change.revision
                 for prefix, mirror in self._mirror_by_prefix.items()
             },
+            era_by_prefix={
+                prefix: mirror.last_change.era
+                for prefix, mirror in self._mirror_by_prefix.items()
+                if mirror.last_change.era
+            },
             tokens_by_target={
                 target_id: int(tokens)
                 for target_id, tokens in loads.tokens_by_target.items()
--- a/packages/cactusmux-relay/src/cactusmux_relay/instance_mirrors.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/instance_mirrors.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from cactusmux_base import timers
+from cactusmux_platform import store_eras
 
 from . import deltas
 from . import fleet
@@ -41,6 +42,7 @@
         timer: timers.TimerService,
         known: fleet.Fleet,
         availability: store_availability.StoreAvailability,
+        eras: store_eras.StoreEras,
         callbacks: MirrorCallbacks,
         change_by_prefix: Mapping[str, Callable[[], None]],
     ) -> None:
@@ -59,6 +61,8 @@
                 functools.partial(self._should_watch, prefix),
                 self._send_delta,
                 availability,
+                eras,
+                settings.restored_settle_s,
             )
             for prefix, on_change in change_by_prefix.items()
         }
--- a/packages/cactusmux-relay/src/cactusmux_relay/leaving_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/leaving_targets.py
@@ -23,6 +23,8 @@
     ANSWER = 'answer'
     REPORT = 'report'
     PEER = 'peer'
+    # Its entry in the store, before the store was restored.
+    ENTRY = 'entry'
 
 
 class LeavingTargets:
@@ -37,7 +39,7 @@
         """Number of stored starts."""
         return len(self._starts)
 
-    def note(self, start: targets.Start, source: Source) -> bool:
+    def record(self, start: targets.Start, source: Source) -> bool:
         """Records that a target is leaving; returns whether it is new."""
         if start in self._starts:
             return False
--- a/packages/cactusmux-relay/src/cactusmux_relay/membership.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -4,6 +4,7 @@
 
 from cactusmux_base import events
 from cactusmux_base import timers
+from cactusmux_platform import store_eras
 from cactusmux_platform import stores
 import gevent
 import msgspec
@@ -38,12 +39,15 @@
 
 class _Registered(NamedTuple):
     lease_id: int
-    revision: int
+    era: int
 
 
 class Registration:
     """Keeps this instance's key in the store while it accepts requests.
 
+    After the store was restored, the key is written again under a new lease:
+    at the next renewal, so that not all instances write at once.
+
     :param availability: records whether the store answers.
     """
 
@@ -53,8 +57,10 @@
         timer: timers.TimerService,
         own: Instance,
         availability: store_availability.StoreAvailability,
+        eras: store_eras.StoreEras,
     ) -> None:
         self._store = store
+        self._eras = eras
         self._timer = timer
         self._own = own
         self._availability = availability
@@ -69,7 +75,7 @@
         """Removes the key, so that peers no longer name this instance."""
         self._is_stopped = True
         registered = self._registered
-        if registered is not None:
+        if registered is not None and registered.era == self._eras.current:
             gevent.spawn(self._store.revoke_lease, registered.lease_id)
 
     def _run(self) -> None:
@@ -78,20 +84,25 @@
 
     def step(self) -> None:
         """Registers or renews, then sleeps until the next renewal is due."""
-        if self._registered is None:
+        registered = self._registered
+        if registered is None:
+            done = self._register()
+        elif registered.era != self._eras.current:
+            events.info('registration_renewed_in_era', era=self._eras.current)
             done = self._register()
         else:
-            done = self._renew(self._registered)
+            done = self._renew(registered)
         self._timer.sleep(RENEWAL_S if done else RETRY_S)
 
     def _register(self) -> bool:
         match self._store.grant_lease(LEASE_TTL_S):
             case result.Success(lease_id):
-                return self._write(lease_id, stores.ABSENT)
+                era = self._eras.current
+                return self._write(lease_id, era, stores.ABSENT)
         self._availability.record_unanswered()
         return False
 
-    def _write(self, lease_id: int, expected: int) -> bool:
+    def _write(self, lease_id: int, era: int, expected: int) -> bool:
         """Writes the key, replacing one of an earlier lease."""
         key = PREFIX + self._own.name
         value = msgspec.json.encode(self._own)
@@ -100,9 +111,9 @@
             case result.Failure(stores.Conflict(found=found)) if (
                 expected == stores.ABSENT and found is not None
             ):
-                return self._write(lease_id, found.revision)
-            case result.Success(entry):
-                self._registered = _Registered(lease_id, entry.revision)
+                return self._write(lease_id, era, found.revision)
+            case result.Success(_):
+                self._registered = _Registered(lease_id, era)
                 events.info('instance_registered', name=self._own.name)
                 if self._is_stopped:
                     self.stop()
--- a/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/mirror_checks.py
@@ -1,7 +1,7 @@
 """Finds changes that watches miss without reporting a failure.
 
 The instances take turns: each in its turn reads one small prefix. The store
-revision in the answer shows whether there is a change that no mirror has
+position in the answer shows whether there is a change that no mirror has
 seen; only then are the other prefixes read as well. Peers learn of the
 result by gossip.
 """
@@ -10,6 +10,7 @@
 import random
 
 from cactusmux_base import timers
+from cactusmux_platform import stores
 import gevent
 
 from . import instance_rank
@@ -62,15 +63,15 @@
 
     def check(self) -> None:
         """Reads the first mirror's prefix, the rest if a change was missed."""
-        revision = self._mirrors[0].reconcile()
-        if revision <= self._newest():
+        position = self._mirrors[0].reconcile()
+        if position <= self._newest():
             return
         batch_left_s = max(each.batch_left_s for each in self._mirrors)
         self._timer.sleep(batch_left_s + IN_FLIGHT_S)
-        if revision <= self._newest():
+        if position <= self._newest():
             return
         for mirror in self._mirrors[1:]:
             mirror.reconcile()
 
-    def _newest(self) -> int:
-        return max(mirror.revision for mirror in self._mirrors[1:])
+    def _newest(self) -> stores.Position:
+        return max(mirror.position for mirror in self._mirrors[1:])
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_controller.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_controller.py
@@ -14,25 +14,24 @@
 from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_control import lease_types
-from cactusmux_platform import stores
 import gevent
 from returns import result
 
 from . import chain_pool
 from . import desired_state
 from . import down_targets
+from . import held_chains
 from . import layer_orders
 from . import placement_repair
 from . import placement_search
+from . import placement_storage
 from . import request_handling
 from . import slow_targets
-from . import stored_placement
 from . import take_overs
 from . import target_registry
 from . import targets
 from . import tasks
 
-PREFIX = 'cactusmux/placement/'
 PERIOD_S = 0.25
 # The first placement waits until no new target has appeared for this time.
 STABLE_POOL_S = 1.6
@@ -58,7 +57,7 @@
 
     def __init__(
         self,
-        store: stores.ConfigStore,
+        storage: placement_storage.PlacementStorage,
         in_force: request_handling.ConfigurationInForce,
         registry: target_registry.TargetRegistry,
         orders: layer_orders.LayerOrders,
@@ -78,7 +77,7 @@
         :param on_report: called with a target as soon as its layers change.
         :param is_alone: returns whether there is no other instance.
         """
-        self._store = store
+        self._storage = storage
         self._in_force = in_force
         self._registry = registry
         self._orders = orders
@@ -91,9 +90,6 @@
         self._paces = paces
         self._is_alone = is_alone
         self._query_count = 0
-        self._placement_by_service: dict[str, placement_search.Placement] = {}
-        self._revision_by_service: dict[str, int] = {}
-        self._loaded_fencing = 0
         self._known_ids: frozenset[str] = frozenset()
         self._known_at = 0.0
         self._ordered_at_by_start: dict[tuple[str, int], float] = {}
@@ -107,7 +103,7 @@
     def _run(self) -> None:
         while True:
             self._timer.sleep(PERIOD_S)
-            tasks.run_step(PREFIX, self.step, self._timer)
+            tasks.run_step('placement', self.step, self._timer)
 
     def step(self) -> None:
         """Runs one iteration if this instance holds the lease."""
@@ -116,7 +112,7 @@
         state = self._in_force.state
         if authority is None or state is None:
             return
-        if not self._load(authority.fencing, state):
+        if not self._storage.load(authority.fencing, state.service_by_name):
             return
         for name, service in state.service_by_name.items():
             if service.engine is None:
@@ -132,31 +128,9 @@
                 del self._ordered_at_by_start[start]
         self._known_ids = ids
 
-    def _load(self, fencing: int, state: desired_state.DesiredState) -> bool:
-        """Reads the placements from the store, once per fencing number.
-
-        :returns: whether they are known.
-        """
-        if fencing == self._loaded_fencing:
-            return True
-        found: dict[str, placement_search.Placement] = {}
-        revisions: dict[str, int] = {}
-        for name in state.service_by_name:
-            match self._store.get(PREFIX + name):
-                case result.Success(entry):
-                    revisions[name] = entry.revision if entry else 0
-                    if entry is not None:
-                        found[name] = stored_placement.decode(entry)
-                case result.Failure(_):
-                    return False
-        self._placement_by_service = found
-        self._revision_by_service = revisions
-        self._loaded_fencing = fencing
-        return True
-
     def _reconcile(self, name: str, engine: desired_state.Engine) -> None:
         members = self._registry.ready(name)
-        placement = self._placement_by_service.get(name)
+        placement = self._storage.get(name)
         if placement is None or not placement.chains:
             waited_s = self._timer.now() - self._known_at
             if not members or waited_s < STABLE_POOL_S:
@@ -170,13 +144,19 @@
             pool = chain_pool.make_pool(
                 engine, members, down, self._paces.pace_by_target()
             )
-            changed = self._repair(name, pool, placement)
+            current = placement
+            if self._storage.is_outdated(name):
+                current = held_chains.adopt_held(engine, members, placement)
+            changed = self._repair(name, pool, current)
         old_chains = placement.chains if placement else ()
         if changed.chains != old_chains:
-            if not self._save(name, changed):
+            # The search pauses; the lease may have ended meanwhile.
+            if self._authority(ORDER_DELIVERY_S) is None:
+                return
+            if not self._storage.save(name, changed):
                 return
             self._log_changed(name, engine, changed)
-        self._placement_by_service[name] = changed
+        self._storage.keep(name, changed)
         self._send_orders(name, engine, changed)
 
     def _repair(
@@ -210,23 +190,6 @@
     def _pause(self) -> None:
         self._timer.sleep(SEARCH_PAUSE_S)
 
-    def _save(self, name: str, placement: placement_search.Placement) -> bool:
-        expected = self._revision_by_service.get(name, stores.ABSENT)
-        written = self._store.compare_and_swap(
-            PREFIX + name, stored_placement.encode(placement), expected
-        )
-        match written:
-            case result.Success(entry):
-                self._revision_by_service[name] = entry.revision
-                return True
-            case result.Failure(failure):
-                events.warning(
-                    'placement_not_saved', service=name, reason=failure.reason
-                )
-                # Forces a read of the stored placements at the next step.
-                self._loaded_fencing = 0
-        return False
-
     def _log_changed(
         self,
         name: str,
@@ -246,7 +209,7 @@
         events.info(
             'placement_changed',
             service=name,
-            revision=self._revision_by_service[name],
+            position=self._storage.position(name),
             rates=rates,
             stages=[len(chain) for chain in placement.chains],
             spares=len(placement.spares),
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -7,6 +7,8 @@
 from cactusmux_base import timers
 from cactusmux_control import lease_types
 from cactusmux_control import leases
+from cactusmux_platform import era_guarded_store
+from cactusmux_platform import store_eras
 import gevent
 
 from . import copies
@@ -24,6 +26,7 @@
 from . import mirror_checks
 from . import parts_assembly
 from . import placement_controller
+from . import placement_storage
 from . import recovery_topic
 from . import relay_settings
 from . import soft_exchange
@@ -89,6 +92,10 @@
             settings.cores,
         )
         self._fleet = fleet.Fleet(own, timer)
+        self._eras = bindings.eras
+        self._store = era_guarded_store.EraGuardedStore(
+            bindings.store, self._eras
+        )
         self._store_availability = store_availability.StoreAvailability(timer)
         self._mirrors = self._make_mirrors()
         self._mirror_by_prefix = self._mirrors.by_prefix
@@ -129,7 +136,7 @@
             rng,
         )
         self._registration = membership.Registration(
-            bindings.store, timer, own, self._store_availability
+            self._store, timer, own, self._store_availability, self._eras
         )
         self._exchange = soft_exchange.SoftExchange(
             settings.exchange_address,
@@ -157,19 +164,25 @@
             self._exchange, timer, settings.name, trouble.troubled_names, rng
         )
         self._lease = leases.LeaseHolder(
-            bindings.store,
+            self._store,
             timer,
             metric,
             LEASE_NAME,
             settings.name,
             LEASE_SETTINGS,
             may_acquire=self._may_acquire_lease,
+            eras=self._eras,
         )
         self._gauges = gauges.Gauges(
-            self.in_force, self._book, self._mirror_by_prefix, timer, metric
+            self.in_force,
+            self._book,
+            self._mirror_by_prefix,
+            self._eras,
+            timer,
+            metric,
         )
         self._placement_keeper = placement_controller.PlacementController(
-            bindings.store,
+            placement_storage.PlacementStorage(self._store, self._eras),
             self.in_force,
             self._book,
             parts.shared.orders,
@@ -190,6 +203,7 @@
             self._timer,
             self._fleet,
             self._store_availability,
+            self._eras,
             instance_mirrors.MirrorCallbacks(
                 is_stopping=lambda: self.is_stopping,
                 is_isolated=lambda: self._exchange.is_isolated,
@@ -302,10 +316,12 @@
             self._update_instances()
 
     def _apply_gossip(self, message: soft_exchange.GossipMessage) -> None:
+        eras = message.era_by_prefix.values()
+        self._eras.record(max(eras, default=0), store_eras.Source.PEER)
         self._gossip_handler.handle_message(message)
         self.directory.record_stopping(message.name, message.is_stopping)
         peer = self._fleet.instance_by_name.get(message.name)
         if peer is not None:
             self._copy_puller.handle_peer_changes(
-                peer.exchange_address, message.changed_by_prefix
+                peer.exchange_address, message.last_change_by_prefix
             )
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cactusmux_platform import store_eras
 from cactusmux_platform import stores
 
 from . import desired_state
@@ -10,6 +11,10 @@
 from . import layer_orders
 from . import targets
 
+# Three heartbeats of 1.2 s, after which a store also removes the entries of
+# targets that are gone.
+RESTORED_SETTLE_S = 3.6
+
 
 class RelaySettings(NamedTuple):
     """An instance's location, its addresses and its limits.
@@ -25,6 +30,8 @@
     :ivar late_callers_s: how long callers may still arrive after a graceful
         shutdown has begun.
     :ivar stop_within_s: time limit of a graceful shutdown.
+    :ivar restored_settle_s: time within which others write again what a
+        restored store lacks; until then missing entries aren't removed.
     :ivar link_mbps: bandwidth of the machine's link, 0 if unknown.
     :ivar cores: processor time that may be used, 0 if unknown.
     """
@@ -43,18 +50,21 @@
     stop_within_s: float
     link_mbps: float = 0.0
     cores: float = 0.0
+    restored_settle_s: float = RESTORED_SETTLE_S
 
 
 class Translations(NamedTuple):
     """What a deployment provides: store access, header format and decoders.
 
+    :ivar eras: the eras of ``store``, which records them.
     :ivar decode_state: decodes an entry of the desired state; ``None`` if it
         can't.
     :ivar decode_target: likewise for an entry of a target.
     :ivar orders: sends orders to targets.
     """
 
-    store: stores.ConfigStore
+    store: stores.TransactionalStore
+    eras: store_eras.StoreEras
     reader: stores.SnapshotReader
     header_dialect: dialect.Dialect
     decode_state: Callable[[stores.Entry], desired_state.DesiredState | None]
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -13,6 +13,7 @@
 
 from cactusmux_base import events
 from cactusmux_base import timers
+from cactusmux_platform import stores
 from gevent import server
 from gevent import socket
 import msgspec
@@ -46,6 +47,8 @@
     :ivar refused: keys of requests that it has just refused.
     :ivar leaving: starts of targets that announced their shutdown.
     :ivar data_by_topic: encoded data of topics, see :mod:`gossip_topics`.
+    :ivar era_by_prefix: eras of the revisions in ``changed_by_prefix``, where
+        they aren't 0; builds without eras leave it out.
     """
 
     name: str
@@ -59,6 +62,17 @@
     refused: list[int] = []
     leaving: list[targets.Start] = []
     data_by_topic: dict[str, bytes] = {}
+    era_by_prefix: dict[str, int] = {}
+
+    @property
+    def last_change_by_prefix(self) -> dict[str, stores.Position]:
+        """Position of the last change in each mirror."""
+        return {
+            prefix: stores.Position(
+                self.era_by_prefix.get(prefix, 0), revision
+            )
+            for prefix, revision in self.changed_by_prefix.items()
+        }
 
 
 class _DatagramServer(server.DatagramServer):
--- a/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/store_mirror.py
@@ -2,11 +2,14 @@
 
 The copy is kept up to date by a watch, or by the deltas that watching peers
 send. While the store doesn't answer this instance, it fetches newer copies
-from peers. The copy with the higher revision wins, wherever it comes from.
+from peers. The copy with the higher position wins, wherever it comes from.
 
-Peers are told the revision of the last change under the prefix, not the
-store revision: the store has one counter for all prefixes, so a copy with a
-higher store revision needn't have new content.
+Peers are told the position of the last change under the prefix, not that of
+the store: the store has one counter for all prefixes, so a copy with a higher
+store revision needn't have new content.
+
+After the store was restored, a copy from its new era replaces all entries,
+and nothing from an earlier era is applied any more.
 """
 
 from collections.abc import Callable, Iterable
@@ -14,11 +17,13 @@
 
 from cactusmux_base import events
 from cactusmux_base import timers
+from cactusmux_platform import store_eras
 from cactusmux_platform import stores
 import gevent
 from returns import result
 
 from . import deltas
+from . import relay_settings
 from . import store_availability
 from . import tasks
 from . import watch_batching
@@ -36,17 +41,17 @@
 
 
 class Copy(NamedTuple):
-    """All entries under a prefix at one store revision.
+    """All entries under a prefix at one position of the store.
 
-    :ivar last_change_revision: revision of the last change under the prefix,
-        at most ``revision``.
+    :ivar last_change: position of the last change under the prefix, at most
+        ``position`` and in the same era.
     :ivar settles_in_s: seconds during which missing entries may still be
         written again.
     """
 
     entries: tuple[stores.Entry, ...]
-    revision: int
-    last_change_revision: int
+    position: stores.Position
+    last_change: stores.Position
     settles_in_s: float = 0.0
 
 
@@ -66,9 +71,11 @@
         changes.
     :param on_delta: called with each delta that the own watch returned.
     :param availability: notified of each answer before it is used.
-    :ivar revision: store revision of the entries.
-    :ivar last_change_revision: revision of the last known change under the
-        prefix.
+    :param eras: the eras of the store.
+    :param restored_settle_s: time after a restore during which the store may
+        still lack, or show in an earlier form, what others write again.
+    :ivar position: position of the store at which it had these entries.
+    :ivar last_change: position of the last known change under the prefix.
     :ivar is_from_peer: whether the last change came from a peer.
     :ivar has_missed_changes: whether the own watch has missed a change
         since it last answered.
@@ -88,6 +95,8 @@
         should_watch: Callable[[], bool] = lambda: True,
         on_delta: Callable[[deltas.Delta], None] = deltas.ignore,
         availability: store_availability.StoreAvailability | None = None,
+        eras: store_eras.StoreEras | None = None,
+        restored_settle_s: float = relay_settings.RESTORED_SETTLE_S,
     ) -> None:
         self._store = store
         self._reader = reader
@@ -101,16 +110,20 @@
             availability or store_availability.StoreAvailability(timer)
         )
         self._availability.subscribe(self.end_hung_watch)
+        self._restored_settle_s = restored_settle_s
+        self._eras = eras or store_eras.StoreEras(timer)
+        self._eras.subscribe(self._on_new_era)
         self._lost_at = 0.0
         self._pending: _Pending | None = None
         self._missed_at = 0.0
         self.entry_by_key: dict[str, stores.Entry] = {}
-        self.revision = stores.ABSENT
-        self.last_change_revision = stores.ABSENT
+        self.position = stores.NOWHERE
+        self.last_change = stores.NOWHERE
         self.is_from_peer = False
         self.has_missed_changes = False
-        self._watched = stores.ABSENT
+        self._watched = stores.NOWHERE
         self._needs_read = True
+        self._was_compacted = False
         self._next_watch_at = 0.0
         self._retry_s = BACKOFF_S
         self.is_connected = False
@@ -145,8 +158,8 @@
         entries = tuple(self.entry_by_key.values())
         return Copy(
             entries,
-            self.revision,
-            self.last_change_revision,
+            self.position,
+            self.last_change,
             self._settles_in_s,
         )
 
@@ -156,17 +169,18 @@
         Keys removed before the first read leave no trace in the entries, so
         peers that still hold them couldn't tell otherwise.
         """
-        self.last_change_revision = self.revision
+        self.last_change = self.position
 
     def apply_copy(self, copy: Copy) -> bool:
         """Applies a peer's copy; returns whether it changed any entry."""
-        if copy.revision <= self.revision:
+        if copy.position <= self.position:
             return False
+        self._eras.record(copy.position.era, store_eras.Source.PEER)
         self._settle_within(copy.settles_in_s)
         if not self._replace(copy, is_from_peer=True):
             return False
         self._record_missed_change()
-        events.info('copy_taken', prefix=self._prefix, revision=copy.revision)
+        events.info('copy_taken', prefix=self._prefix, position=copy.position)
         return True
 
     def apply_delta(self, delta: deltas.Delta) -> bool:
@@ -175,14 +189,16 @@
         Returns whether the mirror now contains them; ``False`` if earlier
         changes are missing, in which case a full copy is needed.
         """
-        if delta.revision <= self.revision:
+        if delta.position <= self.position:
             return True
-        if delta.after > self.revision:
+        self._eras.record(delta.era, store_eras.Source.PEER)
+        is_same_era = delta.era == self.position.era
+        if not is_same_era or delta.after > self.position.revision:
             return False
         self._settle_within(delta.settles_in_s)
         is_changed = self._merge(delta.changes)
-        self.revision = delta.revision
-        self._watched = max(self._watched, delta.revision)
+        self.position = delta.position
+        self._watched = max(self._watched, delta.position)
         if is_changed:
             self.is_from_peer = True
             self._on_change()
@@ -210,6 +226,16 @@
             events.info('watch_ended', prefix=self._prefix, is_lost=is_lost)
             pending.task.kill(block=False)
 
+    def _on_new_era(self) -> None:
+        """Has all entries read again, and waits for what is written again."""
+        if self.position == stores.NOWHERE:
+            return
+        self._settle_within(self._restored_settle_s)
+        if self._should_watch():
+            self._needs_read = True
+            if self._pending is not None:
+                self._pending.task.kill(block=False)
+
     def _settle_within(self, seconds: float) -> None:
         """Delays treating missing entries as removed by ``seconds``."""
         self._settles_at = max(self._settles_at, self._timer.now() + seconds)
@@ -224,46 +250,54 @@
             self._timer.sleep(IDLE_POLL_S)
             return
         if not self._needs_read:
-            self._needs_read = not self._watch()
+            self._needs_read = not self._watch() or self._needs_read
             return
         asked_at = self._timer.now()
-        self._needs_read = not self._read()
+        self._needs_read = not self._read() or self._is_outdated
         if self._needs_read:
             self._back_off(asked_at)
 
+    @property
+    def _is_outdated(self) -> bool:
+        """Whether the entries are from an earlier era of the store."""
+        return self.position.era < self._eras.current and self._should_watch()
+
     def _back_off(self, asked_at: float) -> None:
         """Sleeps after a failed read, less the time that the read took."""
         passed_s = self._timer.now() - asked_at
         self._timer.sleep(max(BACKOFF_S, self._retry_s - passed_s))
         self._retry_s = min(MAX_RETRY_S, 2.0 * self._retry_s)
 
-    def reconcile(self) -> int:
+    def reconcile(self) -> stores.Position:
         """Reads all entries and applies changes that the watch has missed.
 
-        Returns the store's revision, 0 if it doesn't answer.
+        Returns the store's position, ``NOWHERE`` if it doesn't answer.
         """
         match self._reader.read_prefix(self._prefix):
             case result.Success(snapshot):
                 self._availability.record_answered()
-                if snapshot.revision < self.revision:
-                    return snapshot.revision
+                if snapshot.position < self.position:
+                    return snapshot.position
                 if self._replace(self._copy_of(snapshot)):
                     self._record_missed_change()
                     events.warning(
                         'watch_missed_change',
                         prefix=self._prefix,
-                        revision=snapshot.revision,
+                        position=snapshot.position,
                     )
-                return snapshot.revision
-        return stores.ABSENT
+                return snapshot.position
+        return stores.NOWHERE
 
     def _read(self) -> bool:
         match self._reader.read_prefix(self._prefix):
             case result.Success(snapshot):
                 self._record_answer()
-                if snapshot.revision >= self.revision:
+                if snapshot.position >= self.position:
                     self._replace(self._copy_of(snapshot))
-                return True
+                    return True
+                # Older than a peer's copy; its watch may continue from there
+                # unless the store has just said that it lacks that revision.
+                return not self._was_compacted
             case result.Failure(failure):
                 self._record_failure(failure)
         return False
@@ -275,10 +309,11 @@
                 return True
             case result.Success(changes):
                 self._record_answer()
-                self._apply(changes)
-                return True
+                self._was_compacted = False
+                return self._apply(changes)
             case result.Failure(stores.WatchCompacted()):
                 self._availability.record_answered()
+                self._was_compacted = True
                 events.info('watch_compacted', prefix=self._prefix)
                 return False
             case result.Failure(failure):
@@ -292,7 +327,10 @@
     ) -> result.Result[stores.Watched, stores.StoreError] | None:
         """Calls the store's watch; ``None`` if it was ended meanwhile."""
         task = gevent.spawn(
-            self._store.watch, self._prefix, self._watched, WATCH_TIMEOUT_S
+            self._store.watch,
+            self._prefix,
+            self._watched.revision,
+            WATCH_TIMEOUT_S,
         )
         self._pending = _Pending(task, self._timer.now())
         try:
@@ -301,29 +339,35 @@
             self._pending = None
         return None if isinstance(found, gevent.GreenletExit) else found
 
-    def _apply(self, watched: stores.Watched) -> None:
-        if watched.revision < self.revision:
+    def _apply(self, watched: stores.Watched) -> bool:
+        """Applies what a watch returned; whether the next one may follow."""
+        if watched.position.era > self.position.era:
+            # These changes don't follow from the entries of an earlier era.
+            return False
+        if watched.position < self.position:
             # A peer's newer copy was applied while the watch was waiting.
-            return
+            return True
         # A faulty watch may skip changes. If it returns none, the next watch
-        # continues from its revision, but the mirror's revision doesn't rise.
-        self._watched = watched.revision
+        # continues from its position, but the mirror's position doesn't rise.
+        self._watched = watched.position
         if not self._merge(watched.changes):
-            return
+            return True
         delta = deltas.Delta(
             self._prefix,
-            self.revision,
-            watched.revision,
+            self.position.revision,
+            watched.position.revision,
             watched.changes,
             self._settles_in_s,
+            watched.position.era,
         )
-        self.revision = watched.revision
+        self.position = watched.position
         self.is_from_peer = False
         self._on_change()
         self._on_delta(delta)
         batch_delay_s = self._batch_delay_s()
         self._next_watch_at = self._timer.now() + batch_delay_s
         self._timer.sleep(batch_delay_s)
+        return True
 
     def _merge(self, changes: Iterable[stores.Change]) -> bool:
         """Applies changes in order; returns whether any was new."""
@@ -333,9 +377,8 @@
             if known is not None and known.revision >= change.revision:
                 continue
             is_changed = True
-            self.last_change_revision = max(
-                self.last_change_revision, change.revision
-            )
+            changed_at = self.position._replace(revision=change.revision)
+            self.last_change = max(self.last_change, changed_at)
             if change.entry is None:
                 self.entry_by_key.pop(change.key, None)
             else:
@@ -343,18 +386,19 @@
         return is_changed
 
     def _copy_of(self, snapshot: stores.Snapshot) -> Copy:
-        """Returns a snapshot as a copy with the revision of its last change.
+        """Returns a snapshot as a copy with the position of its last change.
 
         A change that the own watch has missed may also be missing at peers
         that know later ones, so the whole snapshot then counts as changed.
         """
-        revision = snapshot.revision
+        position = snapshot.position
         changed = max(
             (each.revision for each in snapshot.entries), default=stores.ABSENT
         )
         if self._has_missed(snapshot):
-            changed = revision
-        return Copy(snapshot.entries, revision, min(changed, revision))
+            changed = position.revision
+        last_change = position._replace(revision=changed)
+        return Copy(snapshot.entries, position, min(last_change, position))
 
     def _has_missed(self, snapshot: stores.Snapshot) -> bool:
         """Whether a snapshot shows a change that the watch has missed."""
@@ -362,7 +406,7 @@
         if not self.entry_by_key.keys() <= found:
             return True
         return any(
-            each.revision <= self.revision
+            each.revision <= self.position.revision
             and each != self.entry_by_key.get(each.key)
             for each in snapshot.entries
         )
@@ -370,12 +414,12 @@
     def _replace(self, copy: Copy, is_from_peer: bool = False) -> bool:
         """Replaces all entries; returns whether any entry changed."""
         entry_by_key = {each.key: each for each in copy.entries}
-        is_first = self.revision == stores.ABSENT
-        self.revision = copy.revision
-        self._watched = copy.revision
-        self.last_change_revision = max(
-            self.last_change_revision, copy.last_change_revision
-        )
+        is_first = self.position == stores.NOWHERE
+        if copy.position.era > self.position.era and not is_first:
+            self._log_restored(copy.position, entry_by_key)
+        self.position = copy.position
+        self._watched = copy.position
+        self.last_change = max(self.last_change, copy.last_change)
         if entry_by_key == self.entry_by_key and not is_first:
             return False
         self.entry_by_key = entry_by_key
@@ -383,6 +427,18 @@
         self._on_change()
         return True
 
+    def _log_restored(
+        self, position: stores.Position, entry_by_key: dict[str, stores.Entry]
+    ) -> None:
+        events.warning(
+            'store_restored',
+            prefix=self._prefix,
+            old=self.position,
+            new=position,
+            lost=len(self.entry_by_key.keys() - entry_by_key.keys()),
+            gained=len(entry_by_key.keys() - self.entry_by_key.keys()),
+        )
+
     def _record_missed_change(self) -> None:
         """Records that the own watch has missed a change."""
         if not self.has_missed_changes:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stored_placement.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stored_placement.py
@@ -1,5 +1,7 @@
 """Encoding of placements in the configuration store."""
 
+from typing import NamedTuple
+
 from cactusmux_base import events
 from cactusmux_platform import stores
 import msgspec
@@ -12,28 +14,40 @@
     """The stored form of a placement.
 
     :ivar chains: target id, first layer and end layer of each stage.
+    :ivar version: rises by one with each change, 0 if it isn't known.
     """
 
     chains: list[list[tuple[str, int, int]]]
+    version: int = 0
+
+
+class VersionedPlacement(NamedTuple):
+    """A placement and its version, which never goes back."""
+
+    placement: placement_search.Placement
+    version: int
+
+
+UNPLACED = VersionedPlacement(placement_search.EMPTY, 0)
 
 
-def encode(placement: placement_search.Placement) -> bytes:
+def encode(placement: placement_search.Placement, version: int) -> bytes:
     """Returns the stored value of a placement, without its spares."""
     rows = [
         [(each.target_id, *each.layers) for each in chain]
         for chain in placement.chains
     ]
-    return msgspec.json.encode(StoredPlacement(rows))
+    return msgspec.json.encode(StoredPlacement(rows, version))
 
 
-def decode(entry: stores.Entry) -> placement_search.Placement:
+def decode(entry: stores.Entry) -> VersionedPlacement:
     """Returns a stored placement, an empty one if it can't be decoded."""
     try:
         stored = msgspec.json.decode(entry.value, type=StoredPlacement)
     except msgspec.MsgspecError:
         events.error('placement_unreadable', key=entry.key)
-        return placement_search.EMPTY
-    return placement_search.Placement(
+        return UNPLACED
+    placement = placement_search.Placement(
         tuple(
             tuple(
                 placement_search.PlacedStage(
@@ -45,3 +59,4 @@
         ),
         (),
     )
+    return VersionedPlacement(placement, stored.version)
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_registry.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_registry.py
@@ -68,7 +68,7 @@
         self, start: targets.Start, source: leaving_targets.Source
     ) -> None:
         """Excludes a target from new work until it restarts."""
-        if not self._leaving.note(start, source):
+        if not self._leaving.record(start, source):
             return
         current = self.target_by_id.get(start.target_id)
         if current is None or current.start != start or current.is_leaving:
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
@@ -1,14 +1,15 @@
 """Builds the target list from store entries and more recent reports."""
 
 from collections.abc import Callable, Iterable, Mapping
-from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_platform import stores
 
 from . import down_targets
+from . import leaving_targets
 from . import request_handling
+from . import restored_entries
 from . import store_mirror
 from . import target_registry
 from . import targets
@@ -17,13 +18,6 @@
 REVIEW_PERIOD_S = 0.5
 
 
-class _Decoded(NamedTuple):
-    """An entry and its decoded target; ``None`` if it holds no target."""
-
-    entry: stores.Entry
-    target: targets.Target | None
-
-
 EntryDecoder = Callable[[stores.Entry], targets.Target | None]
 
 
@@ -32,7 +26,8 @@
 
     While the store is unavailable, entries of healthy targets expire too. A
     target without an entry is therefore kept until the store has been
-    available again for some seconds.
+    available again for some seconds. The same goes for a store that was
+    restored; what it shows in an earlier form doesn't count either.
     """
 
     def __init__(
@@ -49,9 +44,11 @@
         self._timer = timer
         self._decode = decode
         self._mirror: store_mirror.StoreMirror | None = None
-        self._decoded_by_key: dict[str, _Decoded] = {}
+        self._decoded_by_key: dict[str, restored_entries.DecodedEntry] = {}
         self._entry_target_by_id: dict[str, targets.Target] = {}
+        self._id_by_key: dict[str, str] = {}
         self._reported_by_id: dict[str, targets.Target] = {}
+        self._restored = restored_entries.RestoredEntries()
 
     def read_from(self, mirror: store_mirror.StoreMirror) -> None:
         """Sets the mirror to read from; call before the mirror starts."""
@@ -60,32 +57,65 @@
 
     def update(self) -> None:
         """Rereads the entries; called on each change of the mirror."""
-        if self._mirror is None:
+        mirror = self._mirror
+        if mirror is None:
             return
-        target_by_id = self._read_entries(self._mirror.entry_by_key)
-        if not self._mirror.is_settled:
+        known_by_key = self._decoded_by_key
+        self._decoded_by_key = self._decode_entries(mirror.entry_by_key)
+        if self._restored.begins(mirror.position.era):
+            self._keep_leaving_targets()
+            self._restored.compare(known_by_key, self._decoded_by_key)
+        elif mirror.is_settled:
+            self._restored.settle()
+        target_by_id = self._resolve_targets()
+        if not mirror.is_settled:
             for target_id, known in self._entry_target_by_id.items():
                 target_by_id.setdefault(target_id, known)
         for target_id in self._reported_by_id.keys() - target_by_id.keys():
             del self._reported_by_id[target_id]
         self._log_changes(target_by_id)
+        self._record_gone(target_by_id)
         self._entry_target_by_id = target_by_id
         self._publish()
 
-    def _read_entries(
+    def _record_gone(self, target_by_id: Mapping[str, targets.Target]) -> None:
+        gone = [
+            key
+            for key, target_id in self._id_by_key.items()
+            if target_id not in target_by_id
+        ]
+        self._restored.record_gone(gone)
+        for key in gone:
+            del self._id_by_key[key]
+
+    def _keep_leaving_targets(self) -> None:
+        """Keeps targets leaving whose earlier entries say otherwise."""
+        for target in self._entry_target_by_id.values():
+            if target.is_leaving:
+                self._registry.record_leaving(
+                    target.start, leaving_targets.Source.ENTRY
+                )
+
+    def _decode_entries(
         self, entry_by_key: Mapping[str, stores.Entry]
-    ) -> dict[str, targets.Target]:
+    ) -> dict[str, restored_entries.DecodedEntry]:
         """Decodes the entries that have changed since the last call."""
-        known_by_key = self._decoded_by_key
-        self._decoded_by_key = {}
-        target_by_id: dict[str, targets.Target] = {}
+        decoded_by_key = {}
         for key, entry in entry_by_key.items():
-            known = known_by_key.get(key)
-            if known is None or known.entry != entry:
-                known = _Decoded(entry, self._decode(entry))
-            self._decoded_by_key[key] = known
-            if known.target is not None:
-                target_by_id[known.target.id] = known.target
+            decoded = self._decoded_by_key.get(key)
+            if decoded is None or decoded.entry != entry:
+                target = self._decode(entry)
+                decoded = restored_entries.DecodedEntry(entry, target)
+            decoded_by_key[key] = decoded
+        return decoded_by_key
+
+    def _resolve_targets(self) -> dict[str, targets.Target]:
+        target_by_id: dict[str, targets.Target] = {}
+        for key, decoded in self._decoded_by_key.items():
+            target = self._restored.resolve(key, decoded)
+            if target is not None:
+                target_by_id[target.id] = target
+                self._id_by_key[key] = target.id
         return target_by_id
 
     def record_report(self, target: targets.Target) -> None:
@@ -97,7 +127,8 @@
         mirror = self._mirror
         if mirror is None or not mirror.is_settled:
             return
-        if len(mirror.entry_by_key) < len(self._entry_target_by_id):
+        is_kept = len(mirror.entry_by_key) < len(self._entry_target_by_id)
+        if is_kept or self._restored.has_outdated:
             self.update()
 
     def _publish(self) -> None:
--- a/packages/cactusmux-relay/tests/test_coordination.py
+++ b/packages/cactusmux-relay/tests/test_coordination.py
@@ -3,15 +3,20 @@
 from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_control import lease_types
+from cactusmux_fakes import faulty_store
 from cactusmux_fakes import memory_store
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
+from cactusmux_platform import era_guarded_store
+from cactusmux_platform import store_eras
+from cactusmux_platform import stores
 from cactusmux_relay import down_targets
 from cactusmux_relay import layer_orders
 from cactusmux_relay import leaving_targets
 from cactusmux_relay import load_tracker
 from cactusmux_relay import membership
 from cactusmux_relay import placement_controller
+from cactusmux_relay import placement_storage
 from cactusmux_relay import request_handling
 from cactusmux_relay import retry_budget
 from cactusmux_relay import slow_targets
@@ -69,6 +74,7 @@
     def __init__(self, store=None, engines=None):
         self.timer = timers.ManualTimers()
         self.store = store or memory_store.MemoryStore(self.timer)
+        self.eras = store_eras.StoreEras(self.timer)
         self.engines = engines or _Engines()
         self.authority = AUTHORITY
         self.is_alone = False
@@ -78,7 +84,7 @@
         self.in_force.replace(relay_rig.make_desired_state())
         self.down = down_targets.DownTargets(self.timer, random.Random(1))
         self.keeper = placement_controller.PlacementController(
-            self.store,
+            placement_storage.PlacementStorage(self.store, self.eras),
             self.in_force,
             self.registry,
             self.engines,
@@ -164,7 +170,7 @@
         for target, first in zip(large, range(0, 80, 20), strict=True)
     ]
     stored = stored_placement.StoredPlacement([rows])
-    key = placement_controller.PREFIX + sample_engine.SERVICE
+    key = placement_storage.PREFIX + sample_engine.SERVICE
     keeping.store.compare_and_swap(key, msgspec.json.encode(stored), 0)
     keeping.settle()
     ordered = {target_id for target_id, _, _ in keeping.engines.orders}
@@ -234,7 +240,7 @@
 
 
 def test_unreadable_placement_is_computed_again(keeping):
-    key = placement_controller.PREFIX + sample_engine.SERVICE
+    key = placement_storage.PREFIX + sample_engine.SERVICE
     keeping.store.compare_and_swap(key, b'torn', 0)
     keeping.settle()
     assert keeping.engines.orders
@@ -296,7 +302,11 @@
     store = memory_store.MemoryStore(timer)
     own = membership.Instance('i', 'a', 'r', '10.0.0.1:80', '10.0.0.1:81')
     registration = membership.Registration(
-        store, timer, own, store_availability.StoreAvailability(timer)
+        store,
+        timer,
+        own,
+        store_availability.StoreAvailability(timer),
+        store_eras.StoreEras(timer),
     )
     assert registration._register()
     entries = list(store.get_prefix(membership.PREFIX).unwrap())
@@ -319,6 +329,7 @@
     def __init__(self):
         self.entry_by_key = {}
         self.is_settled = True
+        self.position = stores.NOWHERE
 
 
 def test_target_with_expired_entry_is_kept_until_the_store_is_settled():
@@ -398,7 +409,11 @@
     store = _FailingOnceStore(timer)
     own = membership.Instance('i', 'a', 'r', '10.0.0.1:80', '10.0.0.1:81')
     registration = membership.Registration(
-        store, timer, own, store_availability.StoreAvailability(timer)
+        store,
+        timer,
+        own,
+        store_availability.StoreAvailability(timer),
+        store_eras.StoreEras(timer),
     )
     registration.start()
     with gevent.Timeout(5.0):
@@ -417,3 +432,27 @@
             self.has_failed = True
             raise KeyError('unforeseen')
         return super().grant_lease(ttl_s)
+
+
+def test_registration_is_written_again_in_a_new_era():
+    timer = timers.ManualTimers()
+    memory = memory_store.MemoryStore(timer)
+    saved = memory.save()
+    eras = store_eras.StoreEras(timer)
+    store = faulty_store.FaultyStore(memory, timer, random.Random(1), eras)
+    own = membership.Instance('i', 'a', 'r', '10.0.0.1:80', '10.0.0.1:81')
+    registration = membership.Registration(
+        era_guarded_store.EraGuardedStore(store, eras),
+        timer,
+        own,
+        store_availability.StoreAvailability(timer),
+        eras,
+    )
+    registration.step()
+    memory.restore(saved)
+    store.get('any')
+    before = sum(store.calls_by_kind.values())
+    registration.step()
+    entries = list(memory.get_prefix(membership.PREFIX).unwrap())
+    assert membership.decode_instances(entries) == [own]
+    assert sum(store.calls_by_kind.values()) - before == 2
--- a/packages/cactusmux-relay/tests/test_copies.py
+++ b/packages/cactusmux-relay/tests/test_copies.py
@@ -4,6 +4,7 @@
 from cactusmux_fakes import faulty_store
 from cactusmux_fakes import memory_store
 from cactusmux_platform import http_calls
+from cactusmux_platform import stores
 from cactusmux_relay import copies
 from cactusmux_relay import http_server
 from cactusmux_relay import store_mirror
@@ -81,7 +82,7 @@
 
     def announce(self):
         self.puller.handle_peer_changes(
-            self.address, {PREFIX: self.source.last_change_revision}
+            self.address, {PREFIX: self.source.last_change}
         )
 
     def fetch(self):
@@ -121,7 +122,7 @@
     world.source.step()
     world.write('x', prefix='q/')
     world.source.reconcile()
-    assert world.source.revision > world.mirror.revision
+    assert world.source.position > world.mirror.position
     world.announce()
     world.wait_until_pulled()
     assert world.pulls == 0
@@ -304,7 +305,9 @@
         )
         puller._fetch = lambda prefix, address: fetched_from.add(address)
         for address in ('x:1', 'y:1', 'z:1'):
-            puller.handle_peer_changes(address, {PREFIX: 5})
+            puller.handle_peer_changes(
+                address, {PREFIX: stores.Position(0, 5)}
+            )
         with gevent.Timeout(WAIT_S):
             while puller.is_pulling(PREFIX):
                 gevent.sleep(0.01)
--- a/packages/cactusmux-relay/tests/test_copy_packing.py
+++ b/packages/cactusmux-relay/tests/test_copy_packing.py
@@ -22,14 +22,16 @@
     ]
     value = msgspec.json.encode({'version': 7, 'routes': routes})
     entry = stores.Entry('op/config', value, 12, 3)
-    return store_mirror.Copy((entry,), 15, 12)
+    position = stores.Position(2, 15)
+    last_change = stores.Position(2, 12)
+    return store_mirror.Copy((entry,), position, last_change)
 
 
 def test_large_copy_shrinks_to_a_fifth_and_is_read_back():
     copy = _large_copy()
     packed = copy_packing.pack(copy)
     assert len(packed) < len(copy.entries[0].value) / 5
-    assert copy_packing.unpack(packed) == result.Success(copy)
+    assert copy_packing.unpack(packed, 2) == result.Success(copy)
 
 
 @pytest.mark.parametrize(
@@ -42,11 +44,11 @@
     ],
 )
 def test_damaged_copy_is_a_failure(packed):
-    failure = copy_packing.unpack(packed).failure()
+    failure = copy_packing.unpack(packed, 0).failure()
     assert isinstance(failure, copy_packing.CopyUnreadable)
 
 
 def test_copy_that_is_too_large_unpacked_is_a_failure():
     packed = zlib.compress(bytes(copy_packing.MAX_UNPACKED_BYTES + 1), 9)
-    failure = copy_packing.unpack(packed).failure()
+    failure = copy_packing.unpack(packed, 0).failure()
     assert failure.cause == 'too large'
--- a/packages/cactusmux-relay/tests/test_followers.py
+++ b/packages/cactusmux-relay/tests/test_followers.py
@@ -131,7 +131,7 @@
     task.join()
     world.store.hangs = False
     world.watcher.step()
-    assert world.store.watched_after[-1] == world.watcher.revision
+    assert world.store.watched_after[-1] == world.watcher.position.revision
     assert world.store.calls_by_kind['get_prefix'] == reads
 
 
@@ -190,10 +190,7 @@
     world.watcher.step()
     assert world.follower.apply_delta(world.sent[0])
     assert world.follower.entry_by_key == world.watcher.entry_by_key
-    assert (
-        world.follower.last_change_revision
-        == world.watcher.last_change_revision
-    )
+    assert world.follower.last_change == world.watcher.last_change
 
 
 def test_follower_makes_no_calls_to_the_store(world):
@@ -211,7 +208,7 @@
     world.watcher.step()
     assert not world.follower.apply_delta(world.sent[1])
     assert world.follower.entry_by_key == {}
-    assert world.watcher.last_change_revision > world.follower.revision
+    assert world.watcher.last_change > world.follower.position
     world.follower.apply_copy(world.watcher.copy())
     assert world.follower.entry_by_key == world.watcher.entry_by_key
 
@@ -253,9 +250,9 @@
     world.remove('a')
     watcher = world.new_mirror(True)
     watcher.step()
-    assert watcher.last_change_revision <= world.follower.revision
+    assert watcher.last_change <= world.follower.position
     watcher.announce_all()
-    assert watcher.last_change_revision > world.follower.revision
+    assert watcher.last_change > world.follower.position
 
 
 class Followers(stateful.RuleBasedStateMachine):
@@ -268,7 +265,7 @@
         self.pending = [[], []]
         self.world.sent = []
         self.world.watcher = self.world.new_mirror(True, self._send)
-        self.newest = [0, 0]
+        self.newest = [stores.NOWHERE, stores.NOWHERE]
 
     def _send(self, delta):
         for queue in self.pending:
@@ -284,7 +281,7 @@
 
     @stateful.rule()
     def watch(self):
-        is_first = self.world.watcher.revision == 0
+        is_first = self.world.watcher.position == stores.NOWHERE
         self.world.watcher.step()
         if is_first:
             self.world.watcher.announce_all()
@@ -321,8 +318,8 @@
     @stateful.invariant()
     def revisions_never_fall(self):
         for index, mirror in enumerate(self.followers):
-            assert mirror.revision >= self.newest[index]
-            self.newest[index] = mirror.revision
+            assert mirror.position >= self.newest[index]
+            self.newest[index] = mirror.position
 
     @stateful.invariant()
     def entries_match_the_store_at_their_revision(self):
@@ -331,7 +328,7 @@
         for mirror in (*self.followers, self.world.watcher):
             entry_by_key = {}
             for change in history.changes:
-                if change.revision > mirror.revision:
+                if change.revision > mirror.position.revision:
                     break
                 if change.entry is None:
                     entry_by_key.pop(change.key, None)
@@ -344,7 +341,7 @@
         for _ in range(3):
             self.watch()
         for mirror in self.followers:
-            if self.world.watcher.last_change_revision > mirror.revision:
+            if self.world.watcher.last_change > mirror.position:
                 mirror.apply_copy(self.world.watcher.copy())
             entries = self.world.memory.get_prefix(PREFIX).unwrap()
             assert mirror.entry_by_key == {each.key: each for each in entries}
--- a/packages/cactusmux-relay/tests/test_leaving_targets.py
+++ b/packages/cactusmux-relay/tests/test_leaving_targets.py
@@ -6,6 +6,7 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
+from cactusmux_platform import stores
 from cactusmux_relay import down_targets
 from cactusmux_relay import leaving_targets
 from cactusmux_relay import request_handling
@@ -220,7 +221,7 @@
 def test_replaced_start_is_dropped():
     leaving = leaving_targets.LeavingTargets()
     target = sample_engine.target('x')
-    leaving.note(target.start, RESPONSE)
+    leaving.record(target.start, RESPONSE)
     leaving.prune({'x': target})
     assert leaving.tracked_count == 1
     leaving.prune({'x': _with_start_time(target, 2)})
@@ -230,9 +231,9 @@
 def test_starts_without_an_entry_are_bounded():
     leaving = leaving_targets.LeavingTargets()
     here = sample_engine.target('here')
-    leaving.note(here.start, RESPONSE)
+    leaving.record(here.start, RESPONSE)
     for number in range(leaving_targets.MAX_ABSENT_STARTS + 50):
-        leaving.note(targets.Start(f'g{number}', 1), RESPONSE)
+        leaving.record(targets.Start(f'g{number}', 1), RESPONSE)
     leaving.prune({'here': here})
     assert leaving.tracked_count == leaving_targets.MAX_ABSENT_STARTS + 1
     assert leaving.with_leaving_flag(here).is_leaving
@@ -245,6 +246,7 @@
     def __init__(self):
         self.entry_by_key = {}
         self.is_settled = True
+        self.position = stores.NOWHERE
 
 
 class OutagesAndRestarts(stateful.RuleBasedStateMachine):
--- a/packages/cactusmux-relay/tests/test_mirror_checks.py
+++ b/packages/cactusmux-relay/tests/test_mirror_checks.py
@@ -1,6 +1,7 @@
 import random
 
 from cactusmux_base import timers
+from cactusmux_platform import stores
 from cactusmux_relay import copies
 from cactusmux_relay import instance_rank
 from cactusmux_relay import mirror_checks
@@ -34,9 +35,9 @@
 
 
 class _Mirror:
-    """Records the times of its checks; its revision never changes."""
+    """Records the times of its checks; its position never changes."""
 
-    revision = 1
+    position = stores.Position(0, 1)
 
     def __init__(self, clock):
         self._clock = clock
@@ -44,7 +45,7 @@
 
     def reconcile(self):
         self.checked_at.append(self._clock.now())
-        return self.revision
+        return self.position
 
 
 def _check_times(place, instances, rng, end):
--- a/packages/cactusmux-relay/tests/test_parts_assembly.py
+++ b/packages/cactusmux-relay/tests/test_parts_assembly.py
@@ -32,6 +32,7 @@
 )
 BINDINGS = relay_settings.Translations(
     store=None,
+    eras=None,
     reader=None,
     header_dialect=plain_dialect.PlainDialect(),
     decode_state=lambda entry: None,
--- a/packages/cactusmux-relay/tests/test_store_mirror.py
+++ b/packages/cactusmux-relay/tests/test_store_mirror.py
@@ -3,6 +3,7 @@
 from cactusmux_base import timers
 from cactusmux_fakes import faulty_store
 from cactusmux_fakes import memory_store
+from cactusmux_platform import stores
 from cactusmux_relay import instance_rank
 from cactusmux_relay import mirror_checks
 from cactusmux_relay import store_mirror
@@ -135,7 +136,7 @@
     world.write('a', b'1')
     world.mirror.step()
     assert world.values() == {}
-    world.mirror.revision = 0
+    world.mirror.position = stores.NOWHERE
     checks = mirror_checks.MirrorChecks(
         [sample, world.mirror],
         lambda: instance_rank.InstanceRank(0, 1),
@@ -174,17 +175,17 @@
     other.reconcile()
     assert not world.mirror.apply_copy(other.copy())
     assert world.changes == before
-    assert world.mirror.revision == other.revision
+    assert world.mirror.position == other.position
 
 
 def test_check_without_findings_announces_no_change(world):
     world.write('a', b'1')
     world.mirror.step()
-    before = world.mirror.last_change_revision
+    before = world.mirror.last_change
     world.write('x', b'1', 'q/')
     world.mirror.reconcile()
-    assert world.mirror.revision > before
-    assert world.mirror.last_change_revision == before
+    assert world.mirror.position > before
+    assert world.mirror.last_change == before
 
 
 def test_reading_the_same_again_is_no_change(world):
@@ -206,7 +207,7 @@
     other.step()
     world.store.faults = faulty_store.Faults(watch_skips=1.0)
     world.mirror.step()
-    assert other.last_change_revision > world.mirror.revision
+    assert other.last_change > world.mirror.position
     assert world.mirror.apply_copy(other.copy())
     assert world.values() == {'p/a': b'1'}
 
@@ -227,7 +228,7 @@
     assert world.values() == {'p/b': b'2'}
     world.write('x', b'1', 'q/')
     other.reconcile()
-    assert other.last_change_revision > world.mirror.revision
+    assert other.last_change > world.mirror.position
     assert world.mirror.apply_copy(other.copy())
     assert world.values() == {'p/a': b'1', 'p/b': b'2'}
 
@@ -256,7 +257,7 @@
     world.store.faults = faulty_store.Faults(watch_compacted=True)
     other.step()
     other.step()
-    assert other.last_change_revision > world.mirror.revision
+    assert other.last_change > world.mirror.position
     assert world.mirror.apply_copy(other.copy())
     assert world.values() == {'p/a': b'1'}
 
@@ -352,7 +353,7 @@
         super().__init__()
         self.world = _World()
         self.mirrors = [self.world.mirror, self.world.new_mirror()]
-        self.newest = [0, 0]
+        self.newest = [stores.NOWHERE, stores.NOWHERE]
 
     @stateful.rule(key=strategies.sampled_from('ab'))
     def write(self, key):
@@ -389,13 +390,13 @@
     @stateful.invariant()
     def revisions_never_fall(self):
         for index, mirror in enumerate(self.mirrors):
-            assert mirror.revision >= self.newest[index]
-            self.newest[index] = mirror.revision
+            assert mirror.position >= self.newest[index]
+            self.newest[index] = mirror.position
 
     @stateful.invariant()
     def announced_change_is_not_ahead_of_the_copy(self):
         for mirror in self.mirrors:
-            assert mirror.last_change_revision <= mirror.revision
+            assert mirror.last_change <= mirror.position
 
     def teardown(self):
         self.world.store.faults = faulty_store.NO_FAULTS
--- a/tests/adapter/kv_server.py
+++ b/tests/adapter/kv_server.py
@@ -47,7 +47,8 @@
         body = msgspec.json.decode(request.body or b'{}')
         status, answer = self._call(path, query, body)
         data = msgspec.json.encode(answer)
-        answerer.answer(status, JSON_HEADERS, data)
+        era = (b'store-era', str(self.memory.era).encode())
+        answerer.answer(status, [*JSON_HEADERS, era], data)
 
     def _call(self, path, query, body):
         name, _, argument = path.strip('/').partition('/')
@@ -60,7 +61,7 @@
             return 200, {
                 'items': items,
                 'more_pages': False,
-                'current_rev': snapshot.revision,
+                'current_rev': snapshot.position.revision,
             }
         if name == 'kv-watch':
             return self._watch(query)
@@ -77,11 +78,14 @@
         return (200 if isinstance(done, result.Success) else 404), {}
 
     def _watch(self, query):
-        watched = self.memory.watch(
+        waited = self.memory.watch(
             query['path_prefix'],
             int(query['after']),
             int(query['wait_ms']) / MS_PER_S,
-        ).unwrap()
+        )
+        if isinstance(waited, result.Failure):
+            return 410, {}
+        watched = waited.unwrap()
         events = []
         for change in watched.changes:
             if change.entry is not None:
@@ -89,28 +93,34 @@
                 continue
             deletion = {'key': change.key, 'revision': change.revision}
             events.append({**deletion, 'tombstone': True})
-        return 200, {'events': events, 'current_rev': watched.revision}
+        return 200, {
+            'events': events,
+            'current_rev': watched.position.revision,
+        }
 
     def _transact(self, body):
-        (expected,) = body['expected']
-        if body['deletes']:
-            done = self.memory.delete(expected['key'], expected['revision'])
-        else:
-            (write,) = body['writes']
-            done = self.memory.compare_and_swap(
-                write['key'],
-                base64.b64decode(write['value']),
-                expected['revision'],
-                write.get('lease', 0),
+        conditions = tuple(
+            stores.Condition(each['key'], each['revision'])
+            for each in body['expected']
+        )
+        writes = tuple(
+            stores.Write(
+                each['key'],
+                base64.b64decode(each['value']),
+                each.get('lease', 0),
             )
-        match done:
-            case result.Success(stores.Entry() as entry):
-                return 200, {'revision': entry.revision}
+            for each in body['writes']
+        )
+        transaction = stores.Transaction(
+            conditions, writes, tuple(body['deletes'])
+        )
+        match self.memory.transact(transaction):
             case result.Success(revision):
                 return 200, {'revision': revision}
-            case result.Failure(stores.Conflict() as conflict):
-                found = [conflict.found] if conflict.found else []
-                return 412, {'items': [_item(each) for each in found]}
+            case result.Failure(stores.Conflict()):
+                found = [self.memory.get(each.key) for each in conditions]
+                present = [each.unwrap() for each in found if each.unwrap()]
+                return 412, {'items': [_item(each) for each in present]}
         return 404, {}
 
 
--- a/tests/adapter/test_kv_store.py
+++ b/tests/adapter/test_kv_store.py
@@ -5,8 +5,10 @@
 
 from adapter import engines
 from adapter import kv_store
+from cactusmux_base import timers
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
+from cactusmux_platform import store_eras
 from cactusmux_platform import stores
 from cactusmux_relay import cost_model
 from cactusmux_relay import layer_orders
@@ -53,7 +55,8 @@
 
 def _store(*answers):
     server = _Server(*answers)
-    return kv_store.KvStore(server.target.address), server
+    eras = store_eras.StoreEras(timers.GeventTimers())
+    return kv_store.KvStore(server.target.address, eras), server
 
 
 def test_get():
@@ -76,7 +79,7 @@
         'my/leader',
         'my/second',
     ]
-    assert snapshot.revision == 530
+    assert snapshot.position.revision == 530
     assert server.requests[1][1] == (
         '/kv-range?path_prefix=my%2F&after=my%2Fleader'
     )
@@ -133,7 +136,7 @@
         (503, {}),
     )
     watched = store.watch('my/', 411, 20.0).unwrap()
-    assert watched.revision == 413
+    assert watched.position.revision == 413
     assert watched.changes == (
         stores.Change('my/leader', 412, ENTRY),
         stores.Change('my/old', 413, None),
@@ -339,3 +342,70 @@
     store, _ = _store((200, {'events': [{'tombstone': True}]}))
     watched = store.watch('my/', 5, 0.1)
     assert isinstance(watched.failure(), stores.StoreUnavailable)
+
+
+class _EraServer:
+    """Answers 404 with the given eras in turn; ``None`` for no header."""
+
+    def __init__(self, *eras):
+        self.eras = list(eras)
+        self.target = scripted_target.ScriptedTarget(self._script)
+
+    def _script(self, sock, _request):
+        era = self.eras.pop(0)
+        headers = JSON if era is None else {**JSON, 'Store-Era': era}
+        sock.sendall(scripted_target.answer(b'{}', 404, headers))
+        return True
+
+
+def test_era_of_each_answer_is_recorded():
+    server = _EraServer(None, '0', '1', '2', '1', 'x', '-3', '3')
+    eras = store_eras.StoreEras(timers.GeventTimers())
+    store = kv_store.KvStore(server.target.address, eras)
+    known = []
+    while server.eras:
+        assert store.get('k') == result.Success(None)
+        known.append(eras.current)
+    assert known == [0, 0, 1, 2, 2, 2, 2, 3]
+    assert eras.change_count == 3
+
+
+def test_pages_of_two_eras_are_not_joined():
+    answers = [('1', True), ('2', False)]
+
+    def script(sock, _request):
+        era, more = answers.pop(0)
+        body = {'items': [ITEM], 'more_pages': more, 'current_rev': 530}
+        data = msgspec.json.encode(body)
+        headers = {**JSON, 'Store-Era': era}
+        sock.sendall(scripted_target.answer(data, 200, headers))
+        return True
+
+    server = scripted_target.ScriptedTarget(script)
+    eras = store_eras.StoreEras(timers.GeventTimers())
+    store = kv_store.KvStore(server.address, eras)
+    failure = store.read_prefix('my/').failure()
+    assert isinstance(failure, stores.StoreUnavailable)
+    assert eras.current == 2
+
+
+def test_transaction_with_several_conditions():
+    marker = {**ITEM, 'key': 'my/marker', 'revision': 9}
+    store, server = _store(
+        (200, {'revision': 413}), (412, {'items': [marker]})
+    )
+    transaction = stores.Transaction(
+        (stores.Condition('my/leader', 0), stores.Condition('my/marker', 0)),
+        (stores.Write('my/leader', b'node-0', 5),),
+    )
+    assert store.transact(transaction) == result.Success(413)
+    conflict = store.transact(transaction).failure()
+    assert (conflict.key, conflict.found.revision) == ('my/marker', 9)
+    assert server.requests[0][2] == {
+        'expected': [
+            {'key': 'my/leader', 'revision': 0},
+            {'key': 'my/marker', 'revision': 0},
+        ],
+        'writes': [{'key': 'my/leader', 'value': VALUE, 'lease': 5}],
+        'deletes': [],
+    }
--- a/tests/adapter/test_session.py
+++ b/tests/adapter/test_session.py
@@ -2,6 +2,7 @@
 
 import functools
 import random
+import time
 
 from adapter import documents
 from adapter import engines
@@ -11,6 +12,9 @@
 from cactusmux_base import metrics
 from cactusmux_base import timers
 from cactusmux_fakes import scripted_target
+from cactusmux_platform import store_eras
+from cactusmux_relay import membership
+from cactusmux_relay import placement_storage
 from cactusmux_relay import relay_instance
 from cactusmux_relay import relay_settings
 import gevent
@@ -23,6 +27,11 @@
 
 LOOPBACK = '127.0.0.1'
 WAIT_S = 20.0
+# Time for orders that are under way when a store is restored.
+RESTORE_AFTER_S = 2.0
+# Instances renew their registration each 1.2 s, and agree within as long.
+RESTORED_WITHIN_S = 3.0
+HEARTBEAT_AFTER_REQUESTS = 60
 CONFIG = {
     'version': 3,
     'routes': [
@@ -165,6 +174,10 @@
         self.store.put('op/config', CONFIG)
         self.register_portal(1790228837515)
         self.store.put('servers/i-torn', 'no server')
+        self.write_entries()
+
+    def write_entries(self):
+        """Writes the present entries of the model servers."""
         for index, engine in enumerate(self.engines):
             self.store.put(f'servers/i-{index}', engine.entry('drafters'))
 
@@ -182,7 +195,8 @@
         )
 
     def start(self, name):
-        store = kv_store.KvStore(self.store.address)
+        eras = store_eras.StoreEras(timers.GeventTimers())
+        store = kv_store.KvStore(self.store.address, eras)
         settings = relay_settings.RelaySettings(
             name=name,
             zone='a',
@@ -199,6 +213,7 @@
         )
         given = relay_settings.Translations(
             store=store,
+            eras=eras,
             reader=store,
             header_dialect=headers.HeaderDialect(),
             decode_state=documents.decode_state,
@@ -433,3 +448,78 @@
     lost, taken_over = (each.split(',')[1] for each in (sent, changed))
     assert lost.partition('=')[2] == taken_over.partition('=')[2]
     assert lost != taken_over
+
+
+def _agree(world, era):
+    """Whether all mirrors of all instances equal the restored store."""
+    for instance, _ in world.instances:
+        for prefix, mirror in instance._mirror_by_prefix.items():
+            found = world.store.memory.get_prefix(prefix).unwrap()
+            if mirror.position.era != era:
+                return False
+            if mirror.entry_by_key != {each.key: each for each in found}:
+                return False
+    return True
+
+
+def _serves(settings):
+    return b'200 ' in _ask(settings, '/drafts/x')[:20]
+
+
+def _registered_names(world):
+    found = world.store.memory.get_prefix(membership.PREFIX).unwrap()
+    return {each.name for each in membership.decode_instances(list(found))}
+
+
+def test_requests_are_served_while_the_store_is_restored(world):
+    """What the instances wrote is written again; no layers are moved."""
+    world.configure()
+    saved = world.store.memory.save()
+    names = {'front-a-1', 'front-a-2', 'front-a-3'}
+    for name in sorted(names):
+        world.start(name)
+    instances = [instance for instance, _ in world.instances]
+    _until(lambda: all(each.is_ready for each in instances))
+    _until(_layers_are_there(world))
+    gevent.sleep(RESTORE_AFTER_S)
+    world.write_entries()
+    for _, settings in world.instances:
+        _until(lambda given=settings: _serves(given))
+    _until(lambda: _registered_names(world) == names)
+    orders = [each.orders for each in world.engines]
+
+    world.store.memory.restore(saved)
+    statuses = []
+    begun = time.monotonic()
+    while time.monotonic() - begun < RESTORED_WITHIN_S:
+        if len(statuses) == HEARTBEAT_AFTER_REQUESTS:
+            world.write_entries()
+        for _, settings in world.instances:
+            statuses.append(_ask(settings, '/drafts/x')[9:12])
+            statuses.append(_ask(settings, '/plain/x')[9:12])
+        gevent.sleep(0.05)
+    assert set(statuses) == {b'200'}
+    assert _registered_names(world) == names
+    _until(lambda: _agree(world, 1))
+    _until(
+        lambda: world.store.memory.get_prefix(
+            placement_storage.PREFIX
+        ).unwrap()
+    )
+    assert [each.orders for each in world.engines] == orders
+
+
+def test_configuration_of_a_restored_store_does_not_go_back(world):
+    world.configure()
+    saved = world.store.memory.save()
+    instance, settings = world.start('front-a-1')
+    _until(lambda: instance.is_ready)
+    world.store.put('op/config', {**CONFIG, 'version': 9, 'tenants': []})
+    _until(lambda: _is_denied(settings))
+    world.store.memory.restore(saved)
+    _until(lambda: _agree(world, 1))
+    for _ in range(5):
+        assert _is_denied(settings)
+        gevent.sleep(0.05)
+    world.store.put('op/config', {**CONFIG, 'version': 10})
+    _until(lambda: not _is_denied(settings))
