Let new requests wait for room by their objective, before returning callers

Ruled out: withheld pipes (0 in these logs), pauses (57 of 377 searches without a path).

Change: a new request waits for half of its objective, in the order of arrival; callers that were refused search while no new one waits; resumed streams always search. path_queue decides it. `cactusmux causes` counts late, refused and lost requests of a log by their first cause.

--- a/packages/cactusmux-relay/src/cactusmux_relay/failover_reservation.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/failover_reservation.py
@@ -13,6 +13,7 @@
 from . import outcomes
 from . import path_choice
 from . import path_finder
+from . import path_queue
 from . import pipe_quota
 from . import retry_budget
 
@@ -47,11 +48,19 @@
         if not self._budget.has_left(service, self.repeats_kept):
             return self.log_kept(outcomes.Refusal.REPEATS_SPENT)
         choice = self._finder.choose(
-            self._exchange, self._demand, avoided, 0.0, True
+            self._exchange,
+            self._demand,
+            avoided,
+            0.0,
+            path_queue.Rank.RESUMED,
         )
         if choice.path is None and avoided:
             choice = self._finder.choose(
-                self._exchange, self._demand, set(), 0.0, True
+                self._exchange,
+                self._demand,
+                set(),
+                0.0,
+                path_queue.Rank.RESUMED,
             )
         if choice.path is None:
             return self.log_kept(outcomes.Refusal.NO_ROOM)
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -15,6 +15,7 @@
 from . import load_tracker
 from . import outcomes
 from . import path_choice
+from . import path_queue
 from . import pipe_quota
 from . import slow_targets
 from . import target_registry
@@ -75,6 +76,7 @@
         self._rng = rng
         self._quota = quota or pipe_quota.PipeQuota(timer, metric, rng)
         self._excluded_until_by_id: dict[str, float] = {}
+        self._queue_by_service: dict[str, path_queue.PathQueue] = {}
 
     def choose(
         self,
@@ -82,7 +84,7 @@
         demand: path_choice.Demand,
         avoided: set[str],
         wait_s: float,
-        is_resumed: bool = False,
+        rank: path_queue.Rank = path_queue.Rank.NEW,
     ) -> path_choice.Choice:
         """Returns a path with free capacity, waiting up to ``wait_s``.
 
@@ -93,45 +95,54 @@
         until = min(
             self._timer.now() + wait_s, exchange.ends_at - RESPONSE_MARGIN_S
         )
-        choice = path_choice.Choice(None, 0.0, 0, 0.0)
-        is_resumed = is_resumed or exchange.facts.last_event_id is not None
-        while True:
-            left_s = until - self._timer.now()
-            is_last = left_s <= max(0.0, self.backoff_wait_s(exchange.service))
-            pipe_limit = path_choice.PIPE_LIMIT
-            if is_last:
-                pipe_limit = path_choice.LAST_RESORT_PIPE_LIMIT
-            choice = self._search_with_fallbacks(
-                exchange, demand, avoided, pipe_limit, is_resumed
-            )
-            if choice.path is not None:
-                return choice
-            if is_last:
-                self._log_no_path(exchange, demand, choice)
-                return choice
-            self._timer.sleep(PATH_POLL_S)
+        if exchange.facts.last_event_id is not None:
+            rank = path_queue.Rank.RESUMED
+        is_resumed = rank is path_queue.Rank.RESUMED
+        queue = self._queue_by_service.setdefault(
+            exchange.service.name, path_queue.PathQueue()
+        )
+        number = queue.join(rank)
+        try:
+            while True:
+                left_s = until - self._timer.now()
+                backoff_s = self.backoff_wait_s(exchange.service)
+                is_last = left_s <= max(0.0, backoff_s)
+                if is_last or queue.may_search(number):
+                    choice = self._search_with_fallbacks(
+                        exchange, demand, avoided, is_last, is_resumed
+                    )
+                    if choice.path is not None:
+                        return choice
+                    if is_last:
+                        self._log_no_path(exchange, demand, choice)
+                        return choice
+                self._timer.sleep(PATH_POLL_S)
+        finally:
+            queue.leave(number)
 
     def _search_with_fallbacks(
         self,
         exchange: context.Exchange,
         demand: path_choice.Demand,
         avoided: set[str],
-        pipe_limit: float,
+        is_last: bool,
         is_resumed: bool,
     ) -> path_choice.Choice:
         """Searches; drops limits, then soft exclusions if there is no path."""
+        pipe_limit = path_choice.PIPE_LIMIT
+        if is_last:
+            pipe_limit = path_choice.LAST_RESORT_PIPE_LIMIT
         excluded = self._excluded() | avoided
         soft = self._softly_excluded() - excluded
         limited = frozenset() if is_resumed else self._at_limit()
         limited = limited - soft - excluded
         # No other task runs between the searches: one sum of loads is enough.
         load = self._tracker.all_loads(self._paces.pace_by_target())
-        is_usual = pipe_limit <= path_choice.PIPE_LIMIT
-        if is_usual and not soft and not limited:
+        if not is_last and not soft and not limited:
             return self._search(exchange, demand, load, excluded, pipe_limit)
         without = excluded | soft | limited
         choice = path_choice.Choice(None, 0.0, 0, 0.0)
-        if self._quota.is_active and not is_usual:
+        if self._quota.is_active and is_last:
             # Prefer a path within the usual limit over one that exceeds it.
             choice = self._search(
                 exchange, demand, load, without, path_choice.PIPE_LIMIT
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_paths.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_paths.py
@@ -8,11 +8,12 @@
 from . import failover_reservation
 from . import outcomes
 from . import path_choice
+from . import path_queue
 from . import stream_parts
 from . import stream_refusal
 from . import stream_state
 
-# How long a new request waits for a path with free capacity.
+# How long a request waits that a target has rejected.
 PATH_WAIT_S = 0.05
 # The same for a caller that was rejected before: it is late in any case.
 RETURNING_PATH_WAIT_S = 1.0
@@ -124,7 +125,18 @@
             return RESUME_PATH_WAIT_S
         if state.is_returning:
             return RETURNING_PATH_WAIT_S
-        return PATH_WAIT_S
+        exchange = state.exchange
+        passed_s = self._parts.timer.now() - exchange.request.received_at
+        return path_queue.new_request_wait_s(
+            exchange.route.objective_s, passed_s
+        )
+
+    def _rank(self) -> path_queue.Rank:
+        if self._state.runs:
+            return path_queue.Rank.RESUMED
+        if self._state.is_returning:
+            return path_queue.Rank.RETURNING
+        return path_queue.Rank.NEW
 
     def _charge_retry(self, found: FoundPath) -> FoundPath | None:
         """Charges a retry for a path; searches again after a wait for it."""
@@ -185,7 +197,7 @@
     ) -> FoundPath | None:
         state = self._state
         choice = self._parts.finder.choose(
-            state.exchange, demand, state.avoided, wait_s, state.runs > 0
+            state.exchange, demand, state.avoided, wait_s, self._rank()
         )
         if choice.path is None:
             return None
--- a/packages/cactusmux/src/cactusmux/commands.py
+++ b/packages/cactusmux/src/cactusmux/commands.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns import result
 
+from . import cause_table
 from . import configuration_report
 from . import experiment
 from . import log_explanation
@@ -130,6 +131,20 @@
             return
         _print_answer(instance, 'GET', f'/explain/{_quote(request_id)}')
 
+    def causes(
+        self, log: str, first_ms: float = 500.0, pause_ms: float = 200.0
+    ) -> None:
+        """Counts late, refused and lost requests in LOG by their cause.
+
+        LOG is a file of lines that instances logged. A stream is late if its
+        first event took longer than FIRST_MS, or a pause than PAUSE_MS. Two
+        ids of each cause are shown, for explain.
+        """
+        lines = log_explanation.parse(_read_lines(log))
+        limits = cause_table.Limits(float(first_ms), float(pause_ms))
+        found = cause_table.count_causes(lines, limits)
+        print('\n'.join(cause_table.format_causes(found)) or 'none')
+
     def experiment(
         self,
         file: str,
@@ -163,9 +178,8 @@
 
 
 def _tell_from_log(request_id: str, file: str) -> None:
-    text = _read(file).decode('utf-8', 'replace')
     explanation = log_explanation.explain_request(
-        request_id, log_explanation.parse(text.splitlines())
+        request_id, log_explanation.parse(_read_lines(file))
     )
     if not explanation:
         raise CommandFailed(f'{file}: no line of request {request_id!r}')
@@ -177,6 +191,10 @@
     return _checked(settings_check.check_settings(text), file)
 
 
+def _read_lines(file: str) -> list[str]:
+    return _read(file).decode('utf-8', 'replace').splitlines()
+
+
 def _read(file: str) -> bytes:
     try:
         return pathlib.Path(file).read_bytes()
