Try: let a strong chain of a full pool get targets of a weaker one

Change: chain_trades repairs the broken chain with targets of another one if both together gain 3 %, in a pool that uses more than it is rated at.

--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -193,6 +193,7 @@
             self._roster.record_report,
             self._down,
             parts.shared.paces,
+            parts.shared.ledger,
             lambda: self._instance_count() <= 1,
         )
 
--- a/packages/cactusmux-relay/tests/test_placement_repair.py
+++ b/packages/cactusmux-relay/tests/test_placement_repair.py
@@ -196,3 +196,70 @@
 TestLosses.settings = settings(
     max_examples=15, stateful_step_count=8, deadline=None, derandomize=True
 )
+
+
+# Tokens in use beyond any pool's capacity.
+FULL = 1e9
+
+
+class _Losses:
+    """Two strong chains of large cards and a weak one that holds one, too."""
+
+    def __init__(self):
+        self.members = [
+            sample_engine.target(f'{name}{number}', card, 'a')
+            for name, cards in (
+                ('a', ('a100',) * 4),
+                ('b', ('a100',) + ('l4',) * 7),
+            )
+            for number, card in enumerate(cards)
+        ]
+        by_id = {each.id: each for each in self.members}
+        strong = [by_id[f'a{number}'] for number in range(4)]
+        weak = [each for each in self.members if each.id[0] == 'b']
+        self.placement = placement_search.Placement(
+            tuple(
+                placement_search.assign_layers(ENGINE, chain, room)
+                for chain, room in ((strong, 100_000.0), (weak, 20_000.0))
+            ),
+            (),
+        )
+
+    def repaired(self, lost, used_tokens=FULL):
+        left = [each for each in self.members if each.id != lost]
+        pool = _pool(left)._replace(used_tokens=used_tokens)
+        return _rates(pool, placement_repair.repair(pool, self.placement))
+
+
+def test_strong_chain_gets_the_large_card_of_a_weak_one():
+    """It served a fraction until the lost card was back and loaded."""
+    losses = _Losses()
+    before = _rates(_pool(losses.members), losses.placement)
+    assert before[0] > 5.0 * before[1]
+    assert max(losses.repaired('a1')) >= 0.9 * before[0]
+
+
+def test_no_target_is_given_away_in_a_pool_that_is_not_full():
+    """It would cut the streams of the weak chain for capacity not needed."""
+    losses = _Losses()
+    before = _rates(_pool(losses.members), losses.placement)
+    assert before[1] in losses.repaired('a1', 0.0)
+
+
+def test_weak_chain_gets_no_card_of_a_strong_one():
+    losses = _Losses()
+    before = _rates(_pool(losses.members), losses.placement)
+    assert max(losses.repaired('b0')) == max(before)
+
+
+def test_no_target_is_in_two_chains_after_a_trade():
+    losses = _Losses()
+    left = [each for each in losses.members if each.id != 'a1']
+    pool = _pool(left)._replace(used_tokens=FULL)
+    repaired = placement_repair.repair(pool, losses.placement)
+    assert repaired.chains[0] != losses.placement.chains[0]
+    ids = [
+        each.target_id for chain in repaired.chains for each in chain
+    ] + list(repaired.spares)
+    assert len(ids) == len(set(ids))
+    assert set(ids) <= {each.id for each in left}
