--- a/packages/cactusmux-relay/src/cactusmux_relay/chain_pool.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/chain_pool.py
@@ -10,7 +10,6 @@
 from . import chains
 from . import cost_model
 from . import desired_state
-from . import path_choice
 from . import placement_search
 from . import targets
 
@@ -22,14 +21,12 @@
     :ivar returning: ids of targets that are down but may recover.
     :ivar pace_by_target: slowdown factors of slow targets; 2 is twice as
         slow.
-    :ivar used_tokens: tokens that running requests hold in KV caches.
     """
 
     engine: desired_state.Engine
     usable: dict[str, targets.Target]
     returning: frozenset[str]
     pace_by_target: Mapping[str, float]
-    used_tokens: float = 0.0
 
 
 def make_pool(
@@ -56,28 +53,6 @@
     return chains.path_rate(pool.engine, tuple(stages), pool.pace_by_target)
 
 
-def count_used_tokens(pool: Pool, load: path_choice.Load) -> float:
-    """Returns the tokens that running requests hold in KV caches.
-
-    A target counts its requests' tokens for the layers that it holds.
-    """
-    held = sum(
-        load.tokens_by_target.get(each.id, 0.0) * each.layers.size
-        for each in pool.usable.values()
-    )
-    return held / pool.engine.layers
-
-
-def is_full(pool: Pool, kept: Iterable[placement_search.Chain]) -> bool:
-    """Whether more is in use than the chains are rated at."""
-    room = sum(
-        min_cache_tokens(pool, chain)
-        for chain in kept
-        if chain_rate(pool, chain) > 0
-    )
-    return pool.used_tokens > chains.RATED_CACHE_FILL * room
-
-
 def usable_targets(
     pool: Pool, chain: placement_search.Chain
 ) -> list[targets.Target]:
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_controller.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_controller.py
@@ -22,7 +22,6 @@
 from . import down_targets
 from . import held_chains
 from . import layer_orders
-from . import load_tracker
 from . import placement_repair
 from . import placement_search
 from . import placement_storage
@@ -69,7 +68,6 @@
         on_report: Callable[[targets.Target], None],
         down: down_targets.DownTargets,
         paces: slow_targets.SlowTargets,
-        tracker: load_tracker.LoadTracker,
         is_alone: Callable[[], bool],
     ) -> None:
         """Initializes the control loop.
@@ -90,7 +88,6 @@
         self._on_report = on_report
         self._down = down
         self._paces = paces
-        self._tracker = tracker
         self._is_alone = is_alone
         self._query_count = 0
         self._known_ids: frozenset[str] = frozenset()
@@ -144,7 +141,9 @@
         else:
             self._query_paces(members)
             down = self._down.confirmed_ids(self._is_alone())
-            pool = self._make_pool(engine, members, down)
+            pool = chain_pool.make_pool(
+                engine, members, down, self._paces.pace_by_target()
+            )
             current = placement
             if self._storage.is_outdated(name):
                 current = held_chains.adopt_held(engine, members, placement)
@@ -179,19 +178,6 @@
         self._repaired_state_by_service[name] = (*state[:2], repaired.chains)
         return repaired
 
-    def _make_pool(
-        self,
-        engine: desired_state.Engine,
-        members: list[targets.Target],
-        down: frozenset[str],
-    ) -> chain_pool.Pool:
-        paces = self._paces.pace_by_target()
-        pool = chain_pool.make_pool(engine, members, down, paces)
-        load = self._tracker.all_loads(paces)
-        return pool._replace(
-            used_tokens=chain_pool.count_used_tokens(pool, load)
-        )
-
     def _query_paces(self, members: list[targets.Target]) -> None:
         """Asks some of the targets for their pace, round robin."""
         share = math.ceil(len(members) * PERIOD_S / PACE_QUERY_PERIOD_S)
--- a/packages/cactusmux-relay/src/cactusmux_relay/placement_repair.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/placement_repair.py
@@ -4,14 +4,13 @@
 requests, so it is repaired in the quickest way that leaves a good request
 rate: spares take over the missing layers, or the chain is rebuilt from its
 usable targets and the spares. If most chains are broken, one chain is built
-from the rest of them. A strong chain may get targets of a weaker one. In an
-intact chain, spares replace slow or weak targets. Healthy targets keep their
-layers if possible, because giving up layers cuts the streams that use them.
+from the rest of them. In an intact chain, spares replace slow or weak
+targets. Healthy targets keep their layers if possible, because giving up
+layers cuts the streams that use them.
 """
 
 from . import chain_pool
 from . import chain_repair
-from . import chain_trades
 from . import placement_search
 from . import take_overs
 from . import targets
@@ -37,11 +36,8 @@
         if target_id not in used
     ]
     kept: list[placement_search.Chain] = []
-    # The broken chains before their repair, by their index in ``kept``.
-    broken_by_index: dict[int, placement_search.Chain] = {}
     for chain in placement.chains:
-        is_broken = any(each.target_id not in pool.usable for each in chain)
-        if is_broken:
+        if any(each.target_id not in pool.usable for each in chain):
             repaired = _repair_chain(pool, chain, free)
         else:
             repaired = take_overs.replace_slow(pool, chain, free)
@@ -55,10 +51,7 @@
             if each.id not in taken
         ]
         free = [each for each in free if each.id not in taken] + own
-        if is_broken:
-            broken_by_index[len(kept)] = chain
         kept.append(repaired)
-    chain_trades.trade(pool, kept, free, broken_by_index, _repair_chain)
     _merge_broken(pool, kept, free)
     take_overs.merge_weakest(pool, kept, free)
     for _ in range(MAX_TAKE_OVERS):
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -193,7 +193,6 @@
             self._roster.record_report,
             self._down,
             parts.shared.paces,
-            parts.shared.ledger,
             lambda: self._instance_count() <= 1,
         )
 
--- a/packages/cactusmux-relay/tests/test_coordination.py
+++ b/packages/cactusmux-relay/tests/test_coordination.py
@@ -95,7 +95,6 @@
             self._note,
             self.down,
             slow_targets.SlowTargets(self.engines, self.timer),
-            load_tracker.LoadTracker(self.timer),
             lambda: self.is_alone,
         )
         self._publish()
