--- a/packages/cactusmux-fakes/src/cactusmux_fakes/failing_fleet.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/failing_fleet.py
@@ -55,8 +55,8 @@
     layers: int
 
 
-# The model targets of wadi-watch-grown; each holds as many layers as leave
-# memory for the KV cache.
+# 93 targets in three zones; each holds as many layers as leave memory for the
+# KV cache.
 LAYOUTS = (
     Layout('a100', {'a': 3, 'b': 2, 'c': 4}, 27),
     Layout('v100', {'a': 14, 'b': 24, 'c': 10}, 7),
--- a/packages/cactusmux-relay/src/cactusmux_relay/membership.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -88,7 +88,7 @@
         if registered is None:
             done = self._register()
         elif registered.era != self._eras.current:
-            events.info('registration_renewed_in_era', era=self._eras.current)
+            events.info('registration_written_again', era=self._eras.current)
             done = self._register()
         else:
             done = self._renew(registered)
