Log the parts of a prompt and how far a broken stream had got

path_chosen and stream_broken have the ids of the shared parts; stream_broken has the time since the response head and the number of events; a counter says how often a target broke off before its first event. No decision depends on any of it yet.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -12,6 +12,7 @@
     b'prompt',
     b'answer',
     b'prompt-id',
+    b'shared-parts',
 )
 
 
@@ -38,6 +39,11 @@
                 for each in request.headers
                 if each[0] not in FRAMING_HEADERS + REQUEST_FACT_HEADERS
             ],
+            shared_parts=tuple(
+                each
+                for each in (request.header(b'shared-parts') or '').split(',')
+                if each
+            ),
         )
 
     def target_headers(
--- a/packages/cactusmux-relay/src/cactusmux_relay/attempt_sender.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/attempt_sender.py
@@ -121,6 +121,7 @@
 
     def _forward(self, streaming: outcomes.StreamingResponse) -> None:
         head, call = streaming
+        self._attempt.live.response_at = self._parts.timer.now()
         try:
             self._state.forwarder.forward(head, call, self._record_event)
             stream_log.log_served(self._parts, self._state, self._attempt.live)
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -34,6 +34,8 @@
     :ivar hinted_answer_tokens: the caller's estimate, ``None`` without one.
     :ivar last_event_id: id of the event after which a stream resumes.
     :ivar passed_headers: headers that are passed to the target unchanged.
+    :ivar shared_parts: ids of the parts of the prompt that other requests may
+        share, in order; the last part, the request's own, is left out.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     hinted_answer_tokens: float | None
     last_event_id: int | None
     passed_headers: http_server.Headers
+    shared_parts: tuple[str, ...] = ()
 
 
 class TargetRequestFacts(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -61,6 +61,8 @@
         both are reserved.
     :param replace_lost: begins to replace the lost stages; returns whether
         an order is in progress, and must not block.
+    :ivar response_at: when the head of the response arrived, which a target
+        sends when it begins to write; ``None`` before it.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.path = path
         self.was_interrupted = False
         self.call: target_calls.TargetCall | None = None
+        self.response_at: float | None = None
         self.last_event_at = now
         self.first_event_at = now
         self.smoothed_pause_s = 0.0
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_attempt.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_attempt.py
@@ -20,6 +20,7 @@
 
     :param reserve_next: reserves another path before the attempt is
         interrupted.
+    :ivar live: the state of the attempt.
     """
 
     def __init__(
@@ -35,7 +36,7 @@
         self._attempt_load = attempt_load.AttemptLoad(
             parts.ledger, state.demand.tokens
         )
-        self._live = live_streams.LiveStream(
+        self.live = live_streams.LiveStream(
             found.path,
             found.pause_ms,
             parts.timer.now(),
@@ -68,13 +69,13 @@
         self._attempt_load.set_targets(stage.target.id for stage in path)
         health_recorder = self._start_health_recorder()
         cleanup.callback(health_recorder.end)
-        self._live.subscribe_path(health_recorder.use_path)
+        self.live.subscribe_path(health_recorder.use_path)
         parts.ledger.record_crossings(path, demand.tokens)
         crossings = parts.finder.reserve_crossings(
             self._state.exchange, path, demand
         )
-        parts.live.add(self._live)
-        cleanup.callback(parts.live.remove, self._live)
+        parts.live.add(self.live)
+        cleanup.callback(parts.live.remove, self.live)
         pace = stream_latency.StreamLatency(
             parts.limits,
             self._state.exchange,
@@ -82,9 +83,9 @@
             self._found.pause_ms,
             parts.timer.now(),
         )
-        self._live.subscribe_path(pace.use_path)
+        self.live.subscribe_path(pace.use_path)
         return attempt_sender.Attempt(
-            path, self._live, health_recorder, pace, crossings
+            path, self.live, health_recorder, pace, crossings
         )
 
     def _start_health_recorder(self) -> failing_targets.AttemptHealthRecorder:
@@ -96,7 +97,7 @@
             stream_state.expected_duration_s(
                 state.exchange, state.demand, self._found.pause_ms
             ),
-            lambda: self._parts.live.lost_ids(self._live),
+            lambda: self._parts.live.lost_ids(self.live),
         )
 
     def _replacements(self) -> attempt_replacements.AttemptReplacements:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_log.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_log.py
@@ -29,6 +29,7 @@
         returning=state.is_returning,
         after_event=state.forwarder.last_id,
         left_ms=_ms(left_s),
+        parts=_shared_parts(state),
     )
 
 
@@ -65,10 +66,20 @@
     parts: stream_parts.StreamParts,
     state: stream_state.StreamState,
     path: cost_model.Path,
+    live: live_streams.LiveStream,
     broken: event_forwarding.StreamBroken,
 ) -> None:
-    """Logs and counts a stream that broke off after it was sent."""
+    """Logs and counts a stream that broke off after it was sent.
+
+    How far the target had got tells requests that waited or were being
+    written from those that it had just begun to write.
+    """
     parts.metric.count('relay.stream_broken')
+    written_ms = None
+    if live.response_at is not None:
+        written_ms = _ms(parts.timer.now() - live.response_at)
+        if not live.event_count:
+            parts.metric.count('relay.stream_broken_before_first_event')
     events.info(
         'stream_broken',
         id=state.exchange.facts.request_id,
@@ -76,9 +87,16 @@
         detail=broken.detail,
         last_event=state.forwarder.last_id,
         runs=state.runs,
+        written_ms=written_ms,
+        events=live.event_count,
+        parts=_shared_parts(state),
     )
 
 
+def _shared_parts(state: stream_state.StreamState) -> str:
+    return ','.join(state.exchange.facts.shared_parts)
+
+
 def _ids(path: cost_model.Path) -> str:
     return ','.join(stage.target.id for stage in path)
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_run.py
@@ -41,24 +41,27 @@
     def _run_attempts(self) -> None:
         while True:
             found = self._paths.find_next()
+            attempt = self._make_attempt(found)
             try:
-                self._attempt(found)
+                attempt.run()
                 return
             except attempt_sender.StreamRejected:
                 pass
             except event_forwarding.StreamBroken as broken:
                 stream_log.log_broken(
-                    self._parts, self._state, found.path, broken
+                    self._parts, self._state, found.path, attempt.live, broken
                 )
             if not self._state.may_resume(self._state.runs):
                 stream_refusal.end_with_refusal(
                     self._parts, self._state, outcomes.Refusal.TARGET_FAILED
                 )
 
-    def _attempt(self, found: stream_paths.FoundPath) -> None:
+    def _make_attempt(
+        self, found: stream_paths.FoundPath
+    ) -> stream_attempt.StreamAttempt:
         reserve_next = functools.partial(
             self._paths.reserve_next, self._state.runs
         )
-        stream_attempt.StreamAttempt(
+        return stream_attempt.StreamAttempt(
             self._parts, self._state, found, reserve_next
-        ).run()
+        )
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -41,6 +41,26 @@
     assert facts.key == 'k1'
 
 
+@pytest.mark.parametrize(
+    'value, expected',
+    [
+        (b'5c1e07a2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        (
+            b'5C1E07A2:800, 91bd3f06 :410,e4402b7d:250',
+            ('5c1e07a2', '91bd3f06'),
+        ),
+        (b'e4402b7d:250', ()),
+        (b'5c1e07a2,,:7,e4402b7d', ('5c1e07a2',)),
+        (b'', ()),
+    ],
+)
+def test_shared_parts_are_all_parts_but_the_last_one(value, expected):
+    facts = _facts((b'x-cactusmux-prompt-prefix', value))
+    assert facts.shared_parts == expected
+    sent = dict(DIALECT.target_headers(facts, _sending()))
+    assert sent[b'x-cactusmux-prompt-prefix'] == value
+
+
 @pytest.mark.parametrize(
     'name, value',
     [
