Store the quarantined parts, so that an end of all instances forgets none

Found by reading: what instances know of a part is exchanged by gossip and gone when all of them are killed at one moment.

The lease holder writes the ends that quarantine a part to one key of the store, when the set of parts changes or every two minutes while requests come; each instance reads it once after its start and after a restore.

Seven tests, among them one for an instance that starts after the end of all others, and one for a restored store; without the module there is nothing to read and the first fails.

--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -27,6 +27,7 @@
 from . import parts_assembly
 from . import placement_controller
 from . import placement_storage
+from . import quarantine_storage
 from . import quarantine_topic
 from . import recovery_topic
 from . import relay_settings
@@ -177,6 +178,13 @@
             may_acquire=self._may_acquire_lease,
             eras=self._eras,
         )
+        self._quarantine_storage = quarantine_storage.QuarantineStorage(
+            self._store,
+            parts.shared.quarantine,
+            self._lease.authority,
+            timer,
+            self._eras,
+        )
         self._gauges = gauges.Gauges(
             self.in_force,
             self._book,
@@ -241,6 +249,7 @@
         self._gauges.start()
         self._trouble.start()
         self._placement_keeper.start()
+        self._quarantine_storage.start()
 
     @property
     def is_stopping(self) -> bool:
