Don't pass on a lost stream as an empty, complete one

What callers could see: a target that ended after the head of an answer with neither length nor chunks, before its first event, gave the caller a complete answer without content; the stream wasn't resumed.

Cause: such an answer ends with its connection, and only an end within an event counted as broken. An attempt without any event, before which the caller has none, is now broken if only the closed connection ended it.

--- a/packages/cactusmux-relay/src/cactusmux_relay/event_forwarding.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/event_forwarding.py
@@ -54,13 +54,18 @@
         :param on_event: called for each event, also for those that the
             caller already has.
         """
+        has_events = self.last_id is not None
         for event in _events(call):
+            has_events = True
             on_event()
             if not self._is_next(event):
                 continue
             self._begin(head)
             self._answerer.send(event.data)
             self._record_forwarded()
+        if head.ends_with_connection and not has_events:
+            # Nothing else tells an answer without events from a lost one.
+            raise StreamBroken('connection closed before the first event')
         self._begin(head)
         self._answerer.finish()
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -80,6 +80,14 @@
                 return value.decode('latin-1')
         return None
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has neither a length nor chunks."""
+        return (
+            self.header(b'content-length') is None
+            and self.header(b'transfer-encoding') is None
+        )
+
 
 class OutgoingRequest(NamedTuple):
     """A request as it is sent to a target, with all its headers."""
