--- a/packages/cactusmux/src/cactusmux/log_explanation.py
+++ b/packages/cactusmux/src/cactusmux/log_explanation.py
@@ -100,22 +100,23 @@
     request_lines: list[LogLine], lines: list[LogLine]
 ) -> list[LogLine]:
     """Returns lines about the request's targets and the instance's state."""
-    names: set[str] = set()
-    for line in request_lines:
-        for key in ('path', 'target', 'at_fault'):
-            names.update(line.value_by_key.get(key, '').split(','))
-    names.discard('')
+    names = _values_of(request_lines, ('path', 'target', 'at_fault'))
+    parts = _values_of(request_lines, ('part',))
     found = []
     seen = set()
     for line in lines:
         since_s = _difference(line.at_s, request_lines[0].at_s)
         until_s = _difference(line.at_s, request_lines[-1].at_s)
-        if since_s < -BEFORE_S or until_s > AFTER_S:
+        # A part may have been quarantined long before the request.
+        is_of_part = line.value_by_key.get('part') in parts
+        is_before = since_s < -BEFORE_S and not is_of_part
+        if is_before or until_s > AFTER_S:
             continue
         if 'id' in line.value_by_key:
             continue
-        of_target = line.value_by_key.get('target') in names
-        if not of_target and line.event not in _STATE_EVENTS:
+        is_of_target = line.value_by_key.get('target') in names
+        is_related = is_of_part or is_of_target
+        if not is_related and line.event not in _STATE_EVENTS:
             continue
         content = (line.event, tuple(sorted(line.value_by_key.items())))
         if content not in seen:
@@ -124,6 +125,16 @@
     return sorted(found, key=lambda each: each.at_s)
 
 
+def _values_of(lines: list[LogLine], keys: tuple[str, ...]) -> set[str]:
+    """Returns all values of the given fields, lists split."""
+    values: set[str] = set()
+    for line in lines:
+        for key in keys:
+            values.update(line.value_by_key.get(key, '').split(','))
+    values.discard('')
+    return values
+
+
 def _explain_cause(request_lines: list[LogLine]) -> str:
     last = request_lines[-1]
     reason = last.value_by_key.get('reason', '')
--- a/packages/cactusmux/tests/test_log_explanation.py
+++ b/packages/cactusmux/tests/test_log_explanation.py
@@ -38,3 +38,28 @@
 
 def test_unknown_request_has_no_explanation():
     assert _explain('r3') == []
+
+
+QUARANTINE_LOG = """
+W0503 10:00:00.000000 1 events.py:34] event=part_quarantined service=drafts \
+part=91bd3f06 crashes=3 targets="t1,t2,t3" ages_ms="[900, 400, 0]"
+W0503 10:00:01.000000 1 events.py:34] event=part_quarantined service=drafts \
+part=other crashes=3 targets="t4,t5,t6" ages_ms="[900, 400, 0]"
+I0503 10:02:00.000000 1 events.py:29] event=request_quarantined id=r1 \
+service=drafts part=91bd3f06 crashes=3 ages_ms="[120900, 120400, 120000]"
+I0503 10:02:00.000100 1 events.py:29] event=request_refused id=r1 \
+reason=quarantined has_run=False status=503 version=7
+"""
+
+
+def test_refusal_for_a_quarantined_part_is_explained_by_its_evidence():
+    explanation = log_explanation.explain_request(
+        'r1', log_explanation.parse(QUARANTINE_LOG.splitlines())
+    )
+    text = '\n'.join(explanation)
+    assert '-120.000 s  part_quarantined' in text
+    assert 'targets=t1,t2,t3' in text
+    assert 't4' not in text
+    assert explanation[-1] == (
+        'cause: a part of its prompt has ended several targets'
+    )
