--- a/packages/cactusmux-relay/tests/test_stream_gate.py
+++ b/packages/cactusmux-relay/tests/test_stream_gate.py
@@ -5,6 +5,7 @@
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_fakes import caller_response
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
@@ -22,7 +23,6 @@
 from cactusmux_relay import stream_gate
 from cactusmux_relay import target_registry
 from cactusmux_relay import targets
-import h11
 import pytest
 from returns import result
 
@@ -258,13 +258,7 @@
 
 
 def _status(received):
-    connection = h11.Connection(h11.CLIENT)
-    connection.send(
-        h11.Request(method='GET', target='/', headers=[('host', 'h')])
-    )
-    connection.send(h11.EndOfMessage())
-    connection.receive_data(received)
-    head = connection.next_event()
+    head = caller_response.parse(received).head
     return head.status_code, dict(head.headers)
 
 
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -1,6 +1,7 @@
 import itertools
 import random
 
+from cactusmux_fakes import caller_response
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
 from cactusmux_fakes import scripted_target
@@ -17,7 +18,6 @@
 from cactusmux_relay import target_calls
 from cactusmux_routing import breakers
 import gevent
-import h11
 import pytest
 
 HEAD = scripted_target.stream_head({'Signature': 'first'})
@@ -62,33 +62,8 @@
     return target
 
 
-def _parse_response(received):
-    """Returns the head, the body, and whether the response is complete."""
-    connection = h11.Connection(h11.CLIENT)
-    connection.send(
-        h11.Request(method='GET', target='/', headers=[('host', 'h')])
-    )
-    connection.send(h11.EndOfMessage())
-    connection.receive_data(received)
-    connection.receive_data(b'')
-    head, body = None, b''
-    while True:
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError:
-            return head, body, False
-        if isinstance(event, h11.Response):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return head, body, True
-        else:
-            return head, body, False
-
-
 def _ask(rig, path='/stream/', **headers):
-    return _parse_response(rig.ask(relay_rig.request(path, **headers)))
+    return caller_response.parse(rig.ask(relay_rig.request(path, **headers)))
 
 
 def test_complete_stream_is_forwarded_with_its_signature(rig):
--- a/packages/cactusmux-relay/tests/test_unframed_answers.py
+++ b/packages/cactusmux-relay/tests/test_unframed_answers.py
@@ -6,11 +6,11 @@
 
 import struct
 
+from cactusmux_fakes import caller_response
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
 import gevent
 from gevent import socket
-import h11
 import pytest
 
 HEAD = b'HTTP/1.1 200 OK\r\nSignature: first\r\n\r\n'
@@ -44,25 +44,8 @@
 def _ask(rig, path):
     """Returns the status, the body, and whether the response is complete."""
     received = rig.ask(relay_rig.request(path))
-    connection = h11.Connection(h11.CLIENT)
-    connection.send(
-        h11.Request(method='GET', target='/', headers=[('host', 'h')])
-    )
-    connection.send(h11.EndOfMessage())
-    connection.receive_data(received)
-    connection.receive_data(b'')
-    status, body = None, b''
-    while True:
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError:
-            return status, body, False
-        if isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        else:
-            return status, body, isinstance(event, h11.EndOfMessage)
+    head, body, is_complete = caller_response.parse(received)
+    return head.status_code, body, is_complete
 
 
 def test_stream_that_ends_with_its_connection_is_complete(rig):
