--- a/packages/cactusmux-relay/tests/test_part_evidence.py
+++ b/packages/cactusmux-relay/tests/test_part_evidence.py
@@ -186,6 +186,7 @@
         assert kept <= part_evidence.MAX_PARTS_PER_CRASH
 
 
+@hypothesis.settings(deadline=None, derandomize=True)
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
