Call a part fatal, and name what may be in its place an alternative

Guilty and rival were pictures; the conclusion from the evidence is split into what was concluded before and what is new.

--- a/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
@@ -6,10 +6,10 @@
 
 When a target ends, all requests that it had just begun to write on are
 suspect, and so are all parts that they share with others. Most of them are
-sound: targets end for many reasons, and sound requests stand beside a guilty
+sound: targets end for many reasons, and sound requests stand beside a fatal
 one. So a part is cleared as soon as any request with it has been served, and
 is quarantined when several targets have ended under it and none was served
-in between. Ends that a guilty part explains count for no other part. Parts
+in between. Ends that a fatal part explains count for no other part. Parts
 under which the same targets ended are told apart by requests that have only
 one of them.
 
@@ -70,7 +70,8 @@
         self._requested_at_by_key: dict[prompt_parts.PartKey, float] = {}
         # Conclusions, drawn anew after each change of the evidence.
         self._crashes_by_key: dict[prompt_parts.PartKey, list[Crash]] = {}
-        self._rivals_by_key: dict[
+        # The quarantined parts, each with those that may be fatal instead.
+        self._alternatives_by_key: dict[
             prompt_parts.PartKey, frozenset[prompt_parts.PartKey]
         ] = {}
 
@@ -92,7 +93,7 @@
     @property
     def quarantined(self) -> frozenset[prompt_parts.PartKey]:
         """The parts for which some requests are refused."""
-        return frozenset(self._rivals_by_key)
+        return frozenset(self._alternatives_by_key)
 
     def crashes(self, key: prompt_parts.PartKey) -> list[Crash]:
         """Returns the ends that count against a part, oldest first."""
@@ -160,7 +161,7 @@
 
     def record_request(self, key: prompt_parts.PartKey, at: float) -> None:
         """Records a request for a quarantined part, which prolongs it."""
-        if key in self._rivals_by_key:
+        if key in self._alternatives_by_key:
             known = self._requested_at_by_key.get(key, NEVER)
             self._requested_at_by_key[key] = max(known, at)
 
@@ -169,12 +170,14 @@
     ) -> prompt_parts.PartKey | None:
         """Returns the part for which a request is to be refused, if any.
 
-        If others of its parts may be guilty in its place, all have to be in
+        If others of its parts may be fatal in its place, all have to be in
         the request.
         """
         for key in requester.keys:
-            rivals = self._rivals_by_key.get(key)
-            if rivals is None or not rivals.issubset(requester.keys):
+            alternatives = self._alternatives_by_key.get(key)
+            if alternatives is None or not alternatives.issubset(
+                requester.keys
+            ):
                 continue
             organisations = {
                 each.organisation_by_key[key]
@@ -207,36 +210,46 @@
     def _conclude(self, now: float) -> None:
         """Draws the conclusions from all evidence.
 
-        A part that was found guilty before is considered first, then the
+        A part that was found fatal before is considered first, then the
         one with most ends. What it explains doesn't count for the others.
         """
         uncleared = self._uncleared()
-        guilty: dict[prompt_parts.PartKey, list[Crash]] = {}
+        fatal: dict[prompt_parts.PartKey, list[Crash]] = {}
         while True:
             explained = {
-                each.start for found in guilty.values() for each in found
+                each.start for found in fatal.values() for each in found
             }
             crashes_by_key = _without(uncleared, explained)
-            rivals_by_key = self._find_rivals(crashes_by_key, now)
-            certain = [key for key in rivals_by_key if not rivals_by_key[key]]
+            alternatives_by_key = self._find_alternatives(crashes_by_key, now)
+            certain = [
+                key
+                for key, alternatives in alternatives_by_key.items()
+                if not alternatives
+            ]
             if not certain:
                 break
             key = max(
                 certain,
                 key=lambda each: (
-                    not self._rivals_by_key.get(each, True),
+                    self._was_fatal(each),
                     len(crashes_by_key[each]),
                 ),
             )
-            guilty[key] = crashes_by_key[key]
-        self._crashes_by_key = {**crashes_by_key, **guilty}
-        self._rivals_by_key = {
-            **rivals_by_key,
-            **dict.fromkeys(guilty, frozenset[prompt_parts.PartKey]()),
+            fatal[key] = crashes_by_key[key]
+        self._crashes_by_key = {**crashes_by_key, **fatal}
+        self._alternatives_by_key = {
+            **alternatives_by_key,
+            **dict.fromkeys(fatal, frozenset[prompt_parts.PartKey]()),
         }
-        for key in self._requested_at_by_key.keys() - self._rivals_by_key:
+        for key in (
+            self._requested_at_by_key.keys() - self._alternatives_by_key
+        ):
             del self._requested_at_by_key[key]
 
+    def _was_fatal(self, key: prompt_parts.PartKey) -> bool:
+        """Whether the last conclusion left no alternative to a part."""
+        return self._alternatives_by_key.get(key) == frozenset()
+
     def _uncleared(self) -> dict[prompt_parts.PartKey, list[Crash]]:
         """Returns the ends since each part was last served."""
         found: dict[prompt_parts.PartKey, list[Crash]] = {}
@@ -256,7 +269,7 @@
             return count >= MIN_CRASHES_OF_PROVEN
         return count >= MIN_CRASHES
 
-    def _find_rivals(
+    def _find_alternatives(
         self,
         crashes_by_key: Mapping[prompt_parts.PartKey, list[Crash]],
         now: float,
@@ -287,7 +300,7 @@
             oldest = min(
                 self._crash_by_start.values(),
                 key=lambda each: (
-                    not self._rivals_by_key.keys().isdisjoint(
+                    not self._alternatives_by_key.keys().isdisjoint(
                         each.organisation_by_key
                     ),
                     each.at,
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine_gate.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine_gate.py
@@ -32,7 +32,7 @@
     def await_clearance(self) -> None:
         """Delays the repeat of a request under which a target has ended.
 
-        Peers then have the time to say that its parts are sound or guilty. It
+        Peers then have the time to say that its parts are sound or fatal. It
         isn't repeated if other targets have ended under them, too.
         """
         requester = self._state.requester
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine_topic.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine_topic.py
@@ -1,7 +1,7 @@
 """Shares the evidence on parts of prompts among instances by gossip.
 
 Each instance sees few of the ends of targets, so that none could tell a
-guilty part by itself. Evidence is forwarded with its age, and so reaches all
+fatal part by itself. Evidence is forwarded with its age, and so reaches all
 instances in a few datagrams, also those that have just started or can't
 reach the store.
 """
