Log whether a quarantined part was proven, not a bare clock reading

part_quarantined had the monotonic time of the last success, which nobody can read outside the process, or -inf. It has is_proven now, as parts_suspected does. A field of the fleet's play that nothing read goes.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/fatal_parts_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/fatal_parts_play.py
@@ -58,7 +58,6 @@
 
     def __init__(self, fleet: 'FatalPartsPlay', name: str) -> None:
         self.name = name
-        self.hears = True
         self.quarantine = quarantine.Quarantine(
             fleet.timer, metrics.MemoryMetrics(), self._request_send
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
@@ -202,7 +202,7 @@
                 sorted({each.organisation_by_key[key] for each in crashes})
             ),
             ages_ms=self._ages_ms(key),
-            served_at=self.evidence.served_at(key),
+            is_proven=self.evidence.is_proven(key, self._timer.now()),
         )
 
     def _log_released(self, key: prompt_parts.PartKey) -> None:
