Read the rate limits that targets name, and log them

Change: the adapter reads Server-Limit into a typed value; RateLimits keeps the latest word of each start of a target, and logs when a limit begins, changes, ends or can't be read. A response ends a limit only if its request was sent after the limit was last named. No decision depends on it yet.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -69,6 +69,7 @@
         self, head: target_calls.ResponseHead
     ) -> dialect.ResponseFacts:
         retry_after = head.header(b'retry-after')
+        rate_limit = head.header(b'rate-limit')
         return dialect.ResponseFacts(
             request_id=head.header(b'request-id'),
             is_signed=head.header(b'signature') is not None,
@@ -77,6 +78,9 @@
             is_encoded=head.header(b'content-encoding') is not None,
             retry_after_s=float(retry_after) if retry_after else None,
             is_leaving=head.header(b'leaving') is not None,
+            rate_limit=dialect.RateLimitReading(
+                float(rate_limit) if rate_limit else None
+            ),
         )
 
     def caller_headers(
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -16,6 +16,7 @@
 from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
 from cactusmux_relay import quarantine
+from cactusmux_relay import rate_limits
 from cactusmux_relay import refusal_gossip
 from cactusmux_relay import refused_callers
 from cactusmux_relay import request_handling
@@ -137,8 +138,14 @@
             timer, lambda: ledger.instances
         )
         connections = target_calls.TargetConnections(timer)
+        self.rates = rate_limits.RateLimits(self.book, timer, self.metric)
         sender = sending.Sender(
-            connections, relay_dialect, timer, target_backoffs, self.book
+            connections,
+            relay_dialect,
+            timer,
+            target_backoffs,
+            self.book,
+            self.rates,
         )
         self.health = breakers.Breakers(
             timer, rng, self.metric, lambda lost: True
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -68,6 +68,21 @@
     last_event_id: int | None
 
 
+class RateLimitReading(NamedTuple):
+    """What a response says of its target's rate limit.
+
+    :ivar per_s: requests a second that the target accepts from all instances
+        together, finite and not negative; ``None`` if it names no limit.
+    :ivar unreadable: a value that can't be read, empty if there is none.
+    """
+
+    per_s: float | None = None
+    unreadable: str = ''
+
+
+NO_RATE_LIMIT = RateLimitReading()
+
+
 class ResponseFacts(NamedTuple):
     """What the headers of a target's response say.
 
@@ -80,6 +95,7 @@
     :ivar retry_after_s: how long the target, which rejected the request,
         gets no further requests from this instance; ``None`` if not given.
     :ivar is_leaving: the target is leaving and gets no new work.
+    :ivar rate_limit: the rate limit that the target names.
     """
 
     request_id: str | None
@@ -89,6 +105,7 @@
     is_encoded: bool
     is_leaving: bool
     retry_after_s: float | None = None
+    rate_limit: RateLimitReading = NO_RATE_LIMIT
 
 
 class Dialect(abc.ABC):
--- a/packages/cactusmux-relay/src/cactusmux_relay/handler_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/handler_assembly.py
@@ -19,6 +19,7 @@
 from . import pipe_quota
 from . import plain_relay
 from . import quarantine
+from . import rate_limits
 from . import refusal_gossip
 from . import refused_callers
 from . import request_handling
@@ -65,6 +66,7 @@
     quota: pipe_quota.PipeQuota
     limits: target_paces.TargetPaces
     quarantine: quarantine.Quarantine
+    rates: rate_limits.RateLimits
 
 
 def build_request_handler(
@@ -79,6 +81,7 @@
         shared.timer,
         shared.held,
         shared.book,
+        shared.rates,
     )
     return request_handling.RequestHandler(
         shared.in_force,
--- a/packages/cactusmux-relay/src/cactusmux_relay/parts_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/parts_assembly.py
@@ -19,6 +19,7 @@
 from . import load_tracker
 from . import pipe_quota
 from . import quarantine
+from . import rate_limits
 from . import refusal_gossip
 from . import refused_callers
 from . import relay_settings
@@ -113,6 +114,7 @@
         quarantine=quarantine.Quarantine(
             timer, metric, callbacks.send_gossip_soon
         ),
+        rates=rate_limits.RateLimits(registry, timer, metric),
     )
     roster = target_roster.TargetRoster(
         registry, down, in_force, timer, bindings.decode_target
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -245,6 +245,7 @@
         self._shared.live.start()
         self._failing.start()
         self._shared.quarantine.start()
+        self._shared.rates.start()
         self._lease.start()
         self._gauges.start()
         self._trouble.start()
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -9,6 +9,7 @@
 from . import leaving_targets
 from . import live_streams
 from . import outcomes
+from . import rate_limits
 from . import target_calls
 from . import target_registry
 from . import targets
@@ -31,12 +32,14 @@
         timer: timers.TimerService,
         target_backoffs: backoffs.Backoffs,
         registry: target_registry.TargetRegistry,
+        rates: rate_limits.RateLimits,
     ) -> None:
         self._connections = connections
         self._header_dialect = header_dialect
         self._timer = timer
         self._backoffs = target_backoffs
         self._registry = registry
+        self._rates = rates
 
     def send(
         self,
@@ -54,6 +57,7 @@
         """
         request = self._outgoing(exchange, target, path, last_event_id)
         new_connection = not exchange.route.is_idempotent
+        sent_at = self._timer.now()
         try:
             call = self._connections.call(
                 target.address, request, new_connection
@@ -66,7 +70,7 @@
         if live is not None:
             live.call = call
         try:
-            outcome = self._read(exchange, target, call)
+            outcome = self._read(exchange, target, call, sent_at)
             streaming = isinstance(outcome, outcomes.StreamingResponse)
             return outcome
         except target_calls.AnswerBroken as broken:
@@ -111,6 +115,7 @@
         exchange: context.Exchange,
         target: targets.Target,
         call: target_calls.TargetCall,
+        sent_at: float,
     ) -> outcomes.SendOutcome:
         head = call.read_head()
         facts = self._header_dialect.response_facts(head)
@@ -122,6 +127,7 @@
             return outcomes.MaybeRun(
                 target.address, 'response to another request id'
             )
+        self._rates.record_response(target, facts.rate_limit, sent_at)
         if facts.is_leaving:
             source = leaving_targets.Source.ANSWER
             self._registry.record_leaving(target.start, source)
--- a/packages/cactusmux-relay/tests/test_backoff_machine.py
+++ b/packages/cactusmux-relay/tests/test_backoff_machine.py
@@ -28,6 +28,7 @@
 from cactusmux_relay import path_finder
 from cactusmux_relay import plain_relay
 from cactusmux_relay import quarantine
+from cactusmux_relay import rate_limits
 from cactusmux_relay import refused_callers
 from cactusmux_relay import retry_budget
 from cactusmux_relay import sending
@@ -167,7 +168,12 @@
         self.backoff = backoffs.Backoffs(self.registry, timer, metric)
         spelling = plain_dialect.PlainDialect()
         sender = sending.Sender(
-            self.targets, spelling, timer, self.backoff, self.registry
+            self.targets,
+            spelling,
+            timer,
+            self.backoff,
+            self.registry,
+            rate_limits.RateLimits(self.registry, timer, metric),
         )
         ledger = load_tracker.LoadTracker(timer)
         budget = retry_budget.RetryBudget(timer, 1.0, 1e6, 10.0)
--- a/packages/cactusmux-relay/tests/test_slow_start_assembly.py
+++ b/packages/cactusmux-relay/tests/test_slow_start_assembly.py
@@ -18,6 +18,7 @@
 from cactusmux_relay import load_tracker
 from cactusmux_relay import pipe_quota
 from cactusmux_relay import quarantine
+from cactusmux_relay import rate_limits
 from cactusmux_relay import recoveries
 from cactusmux_relay import refusal_gossip
 from cactusmux_relay import refused_callers
@@ -104,6 +105,7 @@
                 quota=pipe_quota.PipeQuota(timer, metric, rng),
                 limits=self.paces,
                 quarantine=quarantine.Quarantine(timer, metric),
+                rates=rate_limits.RateLimits(self.book, timer, metric),
             )
         )
         self.health = made[0]
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -202,6 +202,43 @@
         ]
 
 
+def _rate_limit(*values):
+    found = tuple((b'server-limit', each) for each in values)
+    head = target_calls.ResponseHead(200, (ID, *found))
+    return DIALECT.response_facts(head).rate_limit
+
+
+@pytest.mark.parametrize(
+    'values, per_s',
+    [
+        ((), None),
+        ((b'7.9',), 7.9),
+        ((b'1',), 1.0),
+        ((b'0',), 0.0),
+        ((b' 8 ', b'8.0'), 8.0),
+    ],
+)
+def test_rate_limit_of_a_target_is_read(values, per_s):
+    assert _rate_limit(*values) == dialect.RateLimitReading(per_s)
+
+
+@pytest.mark.parametrize(
+    'values',
+    [(b'',), (b'-1',), (b'nan',), (b'1e309',), (b'many',), (b'8', b'9')],
+)
+def test_unreadable_rate_limit_is_reported_and_not_taken_for_none(values):
+    reading = _rate_limit(*values)
+    assert reading.per_s is None
+    assert reading.unreadable
+
+
+@hypothesis.given(strategies.binary(max_size=80))
+def test_any_rate_limit_is_read_or_reported(value):
+    reading = _rate_limit(value)
+    assert (reading.per_s is None) == bool(reading.unreadable)
+    assert reading.per_s is None or 0 <= reading.per_s < float('inf')
+
+
 def test_caller_gets_the_seal_but_no_connection_headers():
     head = target_calls.ResponseHead(
         200,
