Move the share bucket and the instance count to modules of their own

Cause: a rate limit of a target needs what the quota of links between zones and the retry budget have: a share whose unused credit expires, and a count of instances whose fall takes effect a window later. Change: both stand in share_bucket and instance_count; pipe_quota and retry_budget use them. No decision changes.

--- a/packages/cactusmux-relay/src/cactusmux_relay/pipe_quota.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/pipe_quota.py
@@ -22,6 +22,7 @@
 from . import cost_model
 from . import desired_state
 from . import path_choice
+from . import share_bucket
 from . import soft_exchange
 
 # Time that a link needs to carry the unused credit of all instances under one
@@ -50,49 +51,53 @@
 Reservations = tuple[PipeReservation, ...]
 
 
-class _ShareBucket:
-    """One instance's share of a link under one limit, as a bucket.
+class _PipeShare:
+    """One instance's share of a link under one limit.
 
-    The level is in seconds of the link's capacity, so that requests of models
-    with different token sizes can be added. It is negative while there is
-    debt.
+    The level of its bucket is in seconds of the link's capacity, so that
+    requests of models with different token sizes can be added.
     """
 
-    def __init__(self, limit: float, usual_request_s: float) -> None:
+    def __init__(
+        self,
+        limit: float,
+        usual_request_s: float,
+        now: float,
+        instances: int,
+        rng: random.Random,
+    ) -> None:
+        """Starts at a random point of the cycle of an unused share."""
         self._limit = limit
         self._usual_request_s = usual_request_s
-        self.level_s = 0.0
-        self._at = 0.0
+        level_s = rng.uniform(-usual_request_s, UNUSED_CREDIT_S / instances)
+        self._bucket = share_bucket.ShareBucket(now, level_s)
 
-    def start(self, now: float, instances: int, rng: random.Random) -> None:
-        """Starts at a random point of the cycle of an unused share."""
-        self._at = now
-        self.level_s = rng.uniform(
-            -self._usual_request_s, UNUSED_CREDIT_S / instances
-        )
+    @property
+    def has_credit(self) -> bool:
+        """Whether a request may cross under this limit."""
+        return self._bucket.has_credit
 
     def update(self, now: float, instances: int) -> None:
         """Updates the level to the current time; unused credit expires."""
         max_credit_s = UNUSED_CREDIT_S / instances
-        self.level_s += (now - self._at) * self._limit / instances
-        self._at = now
-        if self.level_s > max_credit_s:
-            cycle_s = self._usual_request_s + max_credit_s
-            cycles = math.ceil((self.level_s - max_credit_s) / cycle_s)
-            self.level_s -= cycles * cycle_s
+        self._bucket.update(
+            now,
+            self._limit / instances,
+            max_credit_s,
+            self._usual_request_s + max_credit_s,
+        )
 
     def charge(self, pipe_s: float) -> None:
         """Adds the time that a request takes of the link to the debt."""
-        self.level_s = min(self.level_s, 0.0) - pipe_s
+        self._bucket.charge_all(pipe_s)
 
     def refund(self, pipe_s: float) -> None:
         """Refunds a debt; unused credit expires from now on as usual."""
-        if self.level_s < 0.0:
-            self.level_s = min(self.level_s + pipe_s, 0.0)
+        self._bucket.refund(pipe_s)
 
     def wait_s(self, instances: int) -> float:
         """Returns the time until the debt is paid off, in seconds."""
-        return max(0.0, -self.level_s) * instances / self._limit
+        return self._bucket.wait_s(self._limit / instances)
 
 
 class _PipeShares(NamedTuple):
@@ -101,10 +106,10 @@
     :ivar last: for requests that would be rejected otherwise.
     """
 
-    usual: _ShareBucket
-    last: _ShareBucket
+    usual: _PipeShare
+    last: _PipeShare
 
-    def of(self, is_last: bool) -> _ShareBucket:
+    def of(self, is_last: bool) -> _PipeShare:
         """Returns the share that a reservation is charged to."""
         return self.last if is_last else self.usual
 
@@ -166,9 +171,9 @@
         if not self.is_limited(engine):
             return True
         shares = self._shares(engine, pipe)
-        if shares.usual.level_s >= 0.0:
+        if shares.usual.has_credit:
             return True
-        return limit > path_choice.PIPE_LIMIT and shares.last.level_s >= 0.0
+        return limit > path_choice.PIPE_LIMIT and shares.last.has_credit
 
     def reserve(
         self,
@@ -212,7 +217,7 @@
         pipe_s: float,
     ) -> PipeReservation:
         shares = self._shares(engine, pipe)
-        is_last = shares.usual.level_s < 0.0
+        is_last = not shares.usual.has_credit
         shares.of(is_last).charge(pipe_s)
         return PipeReservation(pipe, pipe_s, is_last)
 
@@ -246,15 +251,22 @@
             usual = engine.usual_prompt + engine.usual_answer
             usual_request_s = usual / engine.pipe_tokens_per_s
             shares = _PipeShares(
-                _ShareBucket(path_choice.PIPE_LIMIT, usual_request_s),
-                _ShareBucket(LAST_RESORT_SHARE, usual_request_s),
+                self._new_share(path_choice.PIPE_LIMIT, usual_request_s),
+                self._new_share(LAST_RESORT_SHARE, usual_request_s),
             )
-            for each in shares:
-                each.start(self._timer.now(), self._instances, self._rng)
             self._shares_by_pipe[pipe] = shares
         self._update(shares)
         return shares
 
+    def _new_share(self, limit: float, usual_request_s: float) -> _PipeShare:
+        return _PipeShare(
+            limit,
+            usual_request_s,
+            self._timer.now(),
+            self._instances,
+            self._rng,
+        )
+
     def _update(self, shares: _PipeShares) -> None:
         now = self._timer.now()
         for each in shares:
--- a/packages/cactusmux-relay/src/cactusmux_relay/retry_budget.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/retry_budget.py
@@ -6,22 +6,16 @@
 """
 
 import collections
-from typing import NamedTuple
 
 from cactusmux_base import timers
 
+from . import instance_count
+
 # Fraction of the configured limits that is used. The rest covers retries that
 # instances made before they restarted and lost their counts.
 SAFETY_FACTOR = 0.85
 
 
-class _EarlierCount(NamedTuple):
-    """An earlier, larger instance count and when it stops counting."""
-
-    until: float
-    instances: int
-
-
 class RetryBudget:
     """Counts requests and retries by service over a sliding window.
 
@@ -41,27 +35,14 @@
         self._ratio = ratio * SAFETY_FACTOR
         self._allowance = allowance * SAFETY_FACTOR
         self._window_s = window_s
-        # Unknown before the first instance list; until then this instance has
-        # no share of the allowance.
-        self._instances = 0
-        self._earlier_counts: collections.deque[_EarlierCount] = (
-            collections.deque()
-        )
+        # Until the first list, there is no share of the allowance.
+        self._instances = instance_count.InstanceCount(timer, window_s)
         self._request_times: dict[str, collections.deque[float]] = {}
         self._retry_times: dict[str, collections.deque[float]] = {}
 
     def set_instances(self, count: int) -> None:
-        """Sets the number of instances that share the allowance.
-
-        A smaller count takes effect one window later: the list may lack
-        instances that are alive, and removed instances may have used their
-        share.
-        """
-        now = self._timer.now()
-        if count < self._instances:
-            until = now + self._window_s
-            self._earlier_counts.append(_EarlierCount(until, self._instances))
-        self._instances = max(1, count)
+        """Sets the number of instances that share the allowance."""
+        self._instances.set(count)
 
     def record_request(self, service: str) -> None:
         """Counts a request by a caller."""
@@ -77,7 +58,7 @@
         requests = self._recent_times(self._request_times, service)
         retries = self._recent_times(self._retry_times, service)
         allowed = self._ratio * len(requests)
-        instances = self._effective_instances()
+        instances = self._instances.value
         if instances:
             allowed += self._allowance / instances
         return len(retries) + 1 <= allowed * (1.0 - kept)
@@ -96,13 +77,6 @@
         if retries:
             retries.pop()
 
-    def _effective_instances(self) -> int:
-        now = self._timer.now()
-        while self._earlier_counts and self._earlier_counts[0].until <= now:
-            self._earlier_counts.popleft()
-        counts = [each.instances for each in self._earlier_counts]
-        return max([self._instances, *counts])
-
     def _recent_times(
         self, times_by_service: dict[str, collections.deque[float]], name: str
     ) -> collections.deque[float]:
