Log which requests are the same, and how long a target ran one that broke

Change: target_chosen has request=, a hash of service, organisation, method, path, prompt and body; target_failed has after_ms. No decision uses them.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
@@ -336,7 +336,7 @@
         request_id, '', None, None, '', 0.0, 0.0, None, None, []
     )
     return context.Exchange(
-        request=None,  # type: ignore[arg-type]
+        request=http_server.Request('POST', '/unsafe/', (), b'', now),
         facts=facts,
         answerer=http_server.Answerer,  # type: ignore[arg-type]
         route=route._replace(objective_s=OBJECTIVE_S),
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -21,6 +21,7 @@
 from . import outcomes
 from . import path_queue
 from . import plain_latency
+from . import request_identity
 from . import retry_budget
 from . import send_limits
 from . import sending
@@ -251,10 +252,12 @@
             'target_chosen',
             id=exchange.facts.request_id,
             route=exchange.route.name,
+            request=request_identity.identify(exchange),
             target=target.id,
             busy=self._tracker.all_requests(target.id),
             wait_ms=round(wait_s * MS_PER_S),
         )
+        sent_at = self._timer.now()
         self._tracker.add((target.id,), 0.0)
         self._health.record_started(target.address)
         pace = plain_latency.PlainLatency(self._limits, target, self._timer)
@@ -266,7 +269,7 @@
                 outcome = self._sender.send(exchange, target)
         finally:
             self._tracker.remove((target.id,), 0.0)
-        self._record_outcome(exchange, target, outcome)
+        self._record_outcome(exchange, target, outcome, sent_at)
         pace.record_outcome(outcome, exchange.route.objective_s, wait_s)
         return outcome
 
@@ -275,27 +278,33 @@
         exchange: context.Exchange,
         target: targets.Target,
         outcome: outcomes.SendOutcome,
+        sent_at: float,
     ) -> None:
+        after_s = self._timer.now() - sent_at
         match outcome:
             case outcomes.CompleteResponse(head, _):
                 if head.status in outcomes.FAILURE_STATUSES:
                     self._health.record_failure(target.address)
-                    self._log_failure(
-                        exchange, target, f'status_{head.status}'
-                    )
+                    detail = f'status_{head.status}'
+                    self._log_failure(exchange, target, detail, after_s)
                 else:
                     self._health.record_success(target.address)
             case outcomes.NotRun(is_held=True):
-                self._log_failure(exchange, target, 'rate_limited')
+                self._log_failure(exchange, target, 'rate_limited', after_s)
             case outcomes.NotRun(_, status) as not_run:
                 self._health.record_failure(target.address, not_run.is_refused)
-                self._log_failure(exchange, target, f'not_run_{status}')
+                detail = f'not_run_{status}'
+                self._log_failure(exchange, target, detail, after_s)
             case outcomes.MaybeRun(_, detail):
                 self._health.record_failure(target.address)
-                self._log_failure(exchange, target, detail)
+                self._log_failure(exchange, target, detail, after_s)
 
     def _log_failure(
-        self, exchange: context.Exchange, target: targets.Target, detail: str
+        self,
+        exchange: context.Exchange,
+        target: targets.Target,
+        detail: str,
+        after_s: float,
     ) -> None:
         self._metric.count('relay.target_failed')
         events.info(
@@ -304,4 +313,5 @@
             target=target.id,
             address=target.address,
             detail=detail,
+            after_ms=round(after_s * MS_PER_S),
         )
