Don't let the time at which a part was served move on by forwarding

In a play of 8 instances without any request a served time moved on by 0.76 s in half a minute; once it passes the ends of targets, it clears a fatal part that nobody has served. Change: a time that is up to 50 ms later than the known one is taken for the same.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/fatal_parts_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/fatal_parts_play.py
@@ -108,6 +108,7 @@
         for index in range(size):
             self.add_instance(f'instance-{index:03}')
         self._born_ms = 0
+        self._may_start = True
         self._start_by_id: dict[str, targets.Start] = {}
         for index in range(target_count):
             self._start_target(f't{index:03}')
@@ -152,6 +153,19 @@
         for target_id in self.rng.sample(ids, int(share * len(ids))):
             self._end(target_id)
 
+    def served_at(self, part: str) -> list[float]:
+        """Returns when each instance believes a part was last served."""
+        key = prompt_parts.PartKey(SERVICE, part)
+        return [
+            each.quarantine.evidence.served_at(key)
+            for each in self.member_by_name.values()
+        ]
+
+    def stop_targets(self) -> None:
+        """Ends all targets; they don't start again."""
+        self.end_targets(1.0)
+        self._may_start = False
+
     def _arrive(self, rate: float, parts: tuple[str, ...]) -> None:
         self.every(rate, *parts)
         name = self.rng.choice(list(self.member_by_name))
@@ -234,5 +248,7 @@
         )
 
     def _start_target(self, target_id: str) -> None:
+        if not self._may_start:
+            return
         self._born_ms += 1
         self._start_by_id[target_id] = targets.Start(target_id, self._born_ms)
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
@@ -23,6 +23,8 @@
 MAX_CRASHES_TO_REPEAT = 1
 # Retry-After of refused requests: a quarantine holds for minutes.
 RETRY_AFTER_S = 60.0
+# Error of times that peers tell by their age: the way of the message.
+AGE_ERROR_S = 0.05
 MS_PER_S = 1000.0
 
 
@@ -146,7 +148,14 @@
             self._request_send()
 
     def merge_served(self, key: prompt_parts.PartKey, at: float) -> None:
-        """Adds the time at which a peer has served a part."""
+        """Adds the time at which a peer has served a part.
+
+        Each message adds its own time to what it forwards. A time that is
+        hardly later is the known one, which has been around.
+        """
+        known_at = self.evidence.served_at(key)
+        if at - known_at <= AGE_ERROR_S:
+            at = known_at
         if self.evidence.record_served((key,), at):
             self._report_changes()
             self._request_send()
--- a/packages/cactusmux-relay/tests/test_quarantine_fleet.py
+++ b/packages/cactusmux-relay/tests/test_quarantine_fleet.py
@@ -101,3 +101,13 @@
         play.play(0.5)
         for member in play.member_by_name.values():
             assert len(member.topic.own()) < 6000
+
+
+def test_time_at_which_a_part_was_served_does_not_move_by_forwarding():
+    play = fatal_parts_play.FatalPartsPlay(8, TARGETS, 6)
+    play.every(20.0, 'busy')
+    play.play(9.0)
+    served_at = max(play.served_at('busy'))
+    play.stop_targets()
+    play.play(60.0)
+    assert max(play.served_at('busy')) <= served_at + 0.05
