--- a/packages/cactusmux-relay/tests/test_quarantine_fleet.py
+++ b/packages/cactusmux-relay/tests/test_quarantine_fleet.py
@@ -111,3 +111,15 @@
     play.stop_targets()
     play.play(60.0)
     assert max(play.served_at('busy')) <= served_at + 0.05
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_targets_that_end_together_quarantine_no_busy_part(seed):
+    play = fatal_parts_play.FatalPartsPlay(8, TARGETS, seed)
+    play.every(100.0, 'busy')
+    play.play(9.0)
+    play.end_targets(1.0)
+    play.play(fatal_parts_play.DOWN_S + 0.1)
+    outcome = play.play(5.0)
+    assert outcome.asked > 100
+    assert outcome.refused == 0
--- a/tests/adapter/session_world.py
+++ b/tests/adapter/session_world.py
@@ -250,7 +250,7 @@
     return [each.partition(':')[0] for each in prompt.split(',')]
 
 
-def ask(settings, path, key='k1', request_id='9c41', prompt=''):
+def ask(settings, path, key='k1', request_id='9c41', prompt='', body='hi'):
     """Sends one request; returns all bytes of the answer.
 
     :param prompt: value of the header with the parts of the prompt.
@@ -265,11 +265,11 @@
         'X-Cactusmux-Token-Counts: 774,210',
         'X-Cactusmux-Deadline-Milliseconds: 3000',
         'Connection: close',
-        'Content-Length: 2',
+        f'Content-Length: {len(body)}',
     ]
     if prompt:
         lines.append(f'X-Cactusmux-Prompt-Prefix: {prompt}')
-    sock.sendall('\r\n'.join([*lines, '', 'hi']).encode())
+    sock.sendall('\r\n'.join([*lines, '', body]).encode())
     received = b''
     while data := sock.recv(65536):
         received += data
