Count the ends of targets that come together as one

What callers saw: after a failure of the pool, as when a zone loses power, all requests with a busy part were refused, 503 quarantined, for as long as they came. Cause: the evidence takes each end under a part for an independent one; a busy part has a request at every target at any moment, and none is left to clear it. Change: an end counts beside an earlier one only if its request was sent after that one. A fatal request ends targets one after the other, each after it was sent there. The time of sending goes with the evidence by gossip, as a field at the end of a report; builds before ignore it, and theirs count as before. The bound of served parts now has a test, too.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/fatal_parts_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/fatal_parts_play.py
@@ -52,6 +52,11 @@
     requester: prompt_parts.Requester
     begun_at: float
 
+    @property
+    def sent_at(self) -> float:
+        """When the request was sent, in monotonic seconds."""
+        return self.begun_at - FIRST_TOKEN_S
+
 
 class _Member:
     """One instance."""
@@ -241,7 +246,7 @@
         for running in self._running_by_id.pop(target_id, []):
             if now - running.begun_at <= START_WINDOW_S:
                 running.member.quarantine.record_crash(
-                    running.requester, 'r', start
+                    running.requester, 'r', start, running.sent_at
                 )
         self.timer.after(
             DOWN_S, functools.partial(self._start_target, target_id)
--- a/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
@@ -13,10 +13,14 @@
 under which the same targets ended are told apart by requests that have only
 one of them.
 
+A fatal request ends targets one after the other, each after it was sent
+there. Targets that end at one moment, as when a zone loses power, ended for
+another reason, whatever they had begun: such ends count once.
+
 There is no network here and no clock: callers give the time.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from . import prompt_parts
@@ -52,12 +56,35 @@
     :ivar organisation_by_key: the parts of the requests that it had begun to
         write on, and whose request it was.
     :ivar cleared: those of the parts that were served after it.
+    :ivar sent_at_by_key: when the requests were sent to it, in monotonic
+        seconds, the latest one for each part; the builds before don't say.
     """
 
     start: targets.Start
     at: float
     organisation_by_key: Mapping[prompt_parts.PartKey, str]
     cleared: frozenset[prompt_parts.PartKey] = frozenset()
+    sent_at_by_key: Mapping[prompt_parts.PartKey, float] = {}
+
+    def sent_at(self, key: prompt_parts.PartKey) -> float:
+        """Returns when a request with a part was sent to the target."""
+        return self.sent_at_by_key.get(key, self.at)
+
+
+def independent_crashes(
+    key: prompt_parts.PartKey, crashes: Sequence[Crash]
+) -> list[Crash]:
+    """Returns those ends under a part that don't come together.
+
+    Each request was sent after the end before it.
+
+    :param crashes: oldest first.
+    """
+    found: list[Crash] = []
+    for crash in crashes:
+        if not found or crash.sent_at(key) >= found[-1].at:
+            found.append(crash)
+    return found
 
 
 class PartEvidence:
@@ -97,7 +124,7 @@
 
     def crashes(self, key: prompt_parts.PartKey) -> list[Crash]:
         """Returns the ends that count against a part, oldest first."""
-        return self._crashes_by_key.get(key, [])
+        return independent_crashes(key, self._crashes_by_key.get(key, []))
 
     def served_at(self, key: prompt_parts.PartKey) -> float:
         """Returns when a part was last served, ``NEVER`` if not known."""
@@ -148,12 +175,17 @@
                 organisation_by_key.setdefault(key, organisation)
         if len(organisation_by_key) == count_before:
             return False
+        sent_at_by_key = dict(known.sent_at_by_key if known else {})
+        for key, sent_at in crash.sent_at_by_key.items():
+            known_at = sent_at_by_key.get(key, sent_at)
+            sent_at_by_key[key] = max(known_at, sent_at)
         at = min(known.at, crash.at) if known else crash.at
         self._crash_by_start[crash.start] = Crash(
             crash.start,
             at,
             organisation_by_key,
             known.cleared if known else frozenset(),
+            sent_at_by_key,
         )
         self._conclude(now)
         self._drop_excess()
@@ -263,8 +295,12 @@
         return found
 
     def _are_enough(
-        self, key: prompt_parts.PartKey, count: int, now: float
+        self,
+        key: prompt_parts.PartKey,
+        crashes: Sequence[Crash],
+        now: float,
     ) -> bool:
+        count = len(independent_crashes(key, crashes))
         if self.is_proven(key, now):
             return count >= MIN_CRASHES_OF_PROVEN
         return count >= MIN_CRASHES
@@ -291,7 +327,7 @@
                 and not self.is_proven(other, now)
             )
             for key, crashes in crashes_by_key.items()
-            if self._are_enough(key, len(crashes), now)
+            if self._are_enough(key, crashes, now)
         }
 
     def _drop_excess(self) -> None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
@@ -114,17 +114,23 @@
         requester: prompt_parts.Requester,
         request_id: str,
         start: targets.Start,
+        sent_at: float | None = None,
     ) -> None:
-        """Records that a target ended after it began to write a request."""
+        """Records that a target ended after it began to write a request.
+
+        :param sent_at: when the request was sent to it, in monotonic seconds;
+            ``None`` if it isn't known.
+        """
         now = self._timer.now()
+        if sent_at is None:
+            sent_at = now
         keys = sorted(requester.keys, key=self._suspicion_order)
+        keys = keys[: part_evidence.MAX_PARTS_PER_CRASH]
         crash = part_evidence.Crash(
             start,
             now,
-            dict.fromkeys(
-                keys[: part_evidence.MAX_PARTS_PER_CRASH],
-                requester.organisation,
-            ),
+            dict.fromkeys(keys, requester.organisation),
+            sent_at_by_key=dict.fromkeys(keys, sent_at),
         )
         if not self.evidence.record_crash(crash, now):
             return
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine_topic.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine_topic.py
@@ -32,12 +32,15 @@
     """A target that ended just after it had begun to write.
 
     :ivar organisation_by_part: the parts of the requests, all to one service.
+    :ivar sent_age_ms_by_part: how long ago the requests were sent; builds
+        before leave it out.
     """
 
     start: targets.Start
     age_ms: int
     service: str
     organisation_by_part: dict[str, str]
+    sent_age_ms_by_part: dict[str, int] = {}
 
 
 class PartReport(msgspec.Struct, array_like=True, frozen=True):
@@ -151,6 +154,10 @@
             key.part: organisation
             for key, organisation in crash.organisation_by_key.items()
         },
+        {
+            key.part: _age_ms(sent_at, now)
+            for key, sent_at in crash.sent_at_by_key.items()
+        },
     )
 
 
@@ -162,6 +169,10 @@
             prompt_parts.PartKey(report.service, part): organisation
             for part, organisation in report.organisation_by_part.items()
         },
+        sent_at_by_key={
+            prompt_parts.PartKey(report.service, part): _time(age_ms, now)
+            for part, age_ms in report.sent_age_ms_by_part.items()
+        },
     )
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
@@ -38,6 +38,7 @@
     request_id: str
     target: targets.Target
     at: float
+    sent_at: float
 
 
 class WatchedAttempt:
@@ -49,8 +50,10 @@
         requester: prompt_parts.Requester,
         request_id: str,
         live: live_streams.LiveStream,
+        sent_at: float,
     ) -> None:
         self._crashes = crashes
+        self.sent_at = sent_at
         self.requester = requester
         self.request_id = request_id
         self.live = live
@@ -130,7 +133,9 @@
         live: live_streams.LiveStream,
     ) -> WatchedAttempt:
         """Starts to watch an attempt until its ``end`` is called."""
-        attempt = WatchedAttempt(self, requester, request_id, live)
+        attempt = WatchedAttempt(
+            self, requester, request_id, live, self._timer.now()
+        )
         if requester.keys:
             self._attempts.add(attempt)
         return attempt
@@ -162,7 +167,11 @@
         if not attempt.has_just_begun or not attempt.requester.keys:
             return
         suspicion = _Suspicion(
-            attempt.requester, attempt.request_id, target, self._timer.now()
+            attempt.requester,
+            attempt.request_id,
+            target,
+            self._timer.now(),
+            attempt.sent_at,
         )
         self._suspicions.append(suspicion)
         self._review()
@@ -182,7 +191,10 @@
         for each in self._suspicions:
             if self._has_ended(each.target):
                 self._quarantine.record_crash(
-                    each.requester, each.request_id, each.target.start
+                    each.requester,
+                    each.request_id,
+                    each.target.start,
+                    each.sent_at,
                 )
             elif now - each.at < SUSPICION_S:
                 left.append(each)
--- a/packages/cactusmux-relay/tests/test_part_evidence.py
+++ b/packages/cactusmux-relay/tests/test_part_evidence.py
@@ -209,3 +209,47 @@
             ends_by_part[part] = count
         for key in case.evidence.quarantined:
             assert ends_by_part[key.part] >= part_evidence.MIN_CRASHES
+
+
+def test_ends_that_come_together_count_once(case):
+    """A part is served; then a zone loses power within 0.12 s."""
+    case.serve('busy')
+    begun_at = case.now + 1.0
+    for number in range(12):
+        case.evidence.record_crash(
+            part_evidence.Crash(
+                targets.Start(f'z{number}', 1),
+                begun_at + 0.01 * number,
+                {_key('busy'): OWN},
+                sent_at_by_key={_key('busy'): begun_at - 0.1},
+            ),
+            begun_at + 1.0,
+        )
+    assert len(case.evidence.crashes(_key('busy'))) == 1
+    assert not case.refuses('busy')
+
+
+@pytest.mark.parametrize('is_reversed', [False, True])
+def test_ends_of_targets_one_after_the_other_count_each(is_reversed):
+    evidence = part_evidence.PartEvidence()
+    key = _key('fatal')
+    crashes = [
+        part_evidence.Crash(
+            targets.Start(f't{number}', 1),
+            10.0 + number,
+            {key: OWN},
+            sent_at_by_key={key: 9.9 + number},
+        )
+        for number in range(part_evidence.MIN_CRASHES)
+    ]
+    for crash in reversed(crashes) if is_reversed else crashes:
+        evidence.record_crash(crash, 20.0)
+    assert evidence.find_quarantined(_requester('fatal')) == key
+
+
+def test_number_of_served_parts_that_are_kept_is_bounded(case):
+    case.serve('first')
+    for number in range(part_evidence.MAX_SERVED_PARTS):
+        case.serve(f'other-{number}')
+    assert case.evidence.served_at(_key('first')) == part_evidence.NEVER
+    assert case.evidence.served_at(_key('other-0')) > part_evidence.NEVER
