Quarantine plain requests under which targets end

What callers saw: 502, and 503 for all requests of a service whose three targets had ended, again each time that they came back: 13 and 14 servers under one request. Cause: a fault of the input is taken for a fault of the server that meets it. The quarantine knew this for parts of prompts; a plain request has none, and its targets end before the head of an answer, which left no suspicion. The relay took the next target within 1 ms, and the caller's retry another instance. Change: the request itself is a subject of the evidence, by a hash of service, organisation, method, path, prompt and body. A target that breaks off is probed at once; if it refuses connections, or has started anew, its end counts against what it ran there. Three ends one after the other, with none served in between: refused at all instances, 503 not run. A repeat waits 0.5 s after an end, unless the request was served in the last minute; none after a second one. Streams without shared parts are judged the same way. Gossip and store carry it as a part with an id that no prompt has. Why it works: sound requests differ in content or are served, which clears them; only what ends each target it reaches is left.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
@@ -36,6 +36,7 @@
 from gevent import lock
 from gevent import pool
 
+from . import idle_crashes
 from . import play_timers
 from . import relay_rig
 
@@ -179,6 +180,7 @@
             'a',
             target_backoffs,
             limits,
+            crashes=idle_crashes.build_crashes(self.book, timer, self.metric),
         )
 
 
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/rate_limit_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/rate_limit_play.py
@@ -30,6 +30,7 @@
 from cactusmux_routing import breakers
 from gevent import pool
 
+from . import idle_crashes
 from . import plain_dialect
 from . import play_timers
 from . import relay_rig
@@ -172,6 +173,7 @@
             'a',
             target_backoffs,
             rates=self.rates,
+            crashes=idle_crashes.build_crashes(registry, timer, self.metric),
         )
 
 
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -190,6 +190,9 @@
                 rng=rng,
             )
         )
+        crashes = target_crashes.TargetCrashes(
+            self.quarantine, self.down, self.book, timer
+        )
         handler = request_handling.RequestHandler(
             self.in_force,
             relay_dialect,
@@ -206,6 +209,7 @@
                 target_backoffs,
                 limits,
                 self.rates,
+                crashes=crashes,
             ),
             stream_run.StreamParts(
                 refused=self.refused,
@@ -221,9 +225,7 @@
                 metric=self.metric,
                 failing=self.failing,
                 quarantine=self.quarantine,
-                crashes=target_crashes.TargetCrashes(
-                    self.quarantine, self.down, self.book, timer
-                ),
+                crashes=crashes,
                 limits=limits,
                 gate=stream_gate.UrgencyGate(
                     self.book,
--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -175,7 +175,14 @@
         self._probed_at_by_id[target.id] = now
         gevent.spawn(self._run_probe, target)
 
-    def _run_probe(self, target: targets.Target) -> None:
+    def probe_now(self, target: targets.Target) -> connection_probes.Outcome:
+        """Checks whether a target is down; blocks for one attempt."""
+        if target.id in self._refused_ids & self._target_by_id.keys():
+            return connection_probes.Outcome.REFUSED
+        self._probed_at_by_id[target.id] = self._timer.now()
+        return self._run_probe(target)
+
+    def _run_probe(self, target: targets.Target) -> connection_probes.Outcome:
         result = self._connect(target, PROBE_TIMEOUT_S)
         if result.outcome is connection_probes.Outcome.REFUSED:
             self.mark(target, result.cause)
@@ -183,6 +190,7 @@
             if not self._suspect_by_id:
                 gevent.spawn(self._race_suspects)
             self._suspect_by_id[target.id] = target
+        return result.outcome
 
     def _race_suspects(self) -> None:
         """Determines which of the suspected targets are down."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/handler_assembly.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/handler_assembly.py
@@ -83,11 +83,14 @@
         shared.book,
         shared.rates,
     )
+    crashes = target_crashes.TargetCrashes(
+        shared.quarantine, shared.down, shared.book, shared.timer
+    )
     return request_handling.RequestHandler(
         shared.in_force,
         shared.header_dialect,
-        _plain_relay(shared, sender),
-        _stream_parts(shared, sender),
+        _plain_relay(shared, sender, crashes),
+        _stream_parts(shared, sender, crashes),
         shared.budget,
         shared.timer,
         shared.metric,
@@ -97,7 +100,9 @@
 
 
 def _plain_relay(
-    shared: SharedParts, sender: sending.Sender
+    shared: SharedParts,
+    sender: sending.Sender,
+    crashes: target_crashes.TargetCrashes,
 ) -> plain_relay.PlainRelay:
     health = breakers.Breakers(
         shared.timer, shared.rng, shared.metric, lambda lost: True
@@ -116,6 +121,7 @@
         shared.held,
         shared.limits,
         shared.rates,
+        crashes=crashes,
     )
 
 
@@ -133,7 +139,9 @@
 
 
 def _stream_parts(
-    shared: SharedParts, sender: sending.Sender
+    shared: SharedParts,
+    sender: sending.Sender,
+    crashes: target_crashes.TargetCrashes,
 ) -> stream_run.StreamParts:
     finder = path_finder.PathFinder(
         shared.book,
@@ -163,9 +171,7 @@
         metric=shared.metric,
         failing=shared.failing,
         quarantine=shared.quarantine,
-        crashes=target_crashes.TargetCrashes(
-            shared.quarantine, shared.down, shared.book, shared.timer
-        ),
+        crashes=crashes,
         limits=shared.limits,
         gate=stream_gate.UrgencyGate(
             shared.book,
--- a/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
@@ -44,10 +44,15 @@
 
 
 class MaybeRun(NamedTuple):
-    """The request was sent, but there is no valid response."""
+    """The request was sent, but there is no valid response.
+
+    :ivar is_broken_off: whether the target may have ended; not if it is
+        silent, or its response isn't valid.
+    """
 
     address: str
     detail: str
+    is_broken_off: bool = False
 
 
 class CompleteResponse(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
@@ -1,4 +1,4 @@
-"""Decides which parts of prompts end the targets that write on them.
+"""Decides which parts of prompts, or requests, end the targets that run them.
 
 A request whose content ends every target that begins to write on it (a
 "query of death") takes a model's targets away one after the other, as each
@@ -24,9 +24,10 @@
 from typing import NamedTuple
 
 from . import prompt_parts
+from . import served_keys
 from . import targets
 
-NEVER = float('-inf')
+NEVER = served_keys.NEVER
 # Ends after which a part is quarantined: two may coincide with a sound part,
 # as when a request and its repeat meet a failure of many targets.
 MIN_CRASHES = 3
@@ -42,8 +43,6 @@
 MAX_CRASHES = 64
 # Parts that are kept for each end.
 MAX_PARTS_PER_CRASH = 32
-# Parts that were served; beyond that the ones served longest ago are dropped.
-MAX_SERVED_PARTS = 2048
 # A part of one organisation's requests is quarantined for that organisation
 # alone, until requests of others have ended targets, too.
 MIN_ORGANISATIONS = 2
@@ -92,7 +91,7 @@
 
     def __init__(self) -> None:
         self._crash_by_start: dict[targets.Start, Crash] = {}
-        self._served_at_by_key: dict[prompt_parts.PartKey, float] = {}
+        self._served = served_keys.ServedKeys()
         self._cleared_at_by_key: dict[prompt_parts.PartKey, float] = {}
         self._requested_at_by_key: dict[prompt_parts.PartKey, float] = {}
         # Conclusions, drawn anew after each change of the evidence.
@@ -128,7 +127,7 @@
 
     def served_at(self, key: prompt_parts.PartKey) -> float:
         """Returns when a part was last served, ``NEVER`` if not known."""
-        return self._served_at_by_key.get(key, NEVER)
+        return self._served.at(key)
 
     def is_proven(self, key: prompt_parts.PartKey, now: float) -> bool:
         """Whether a part has been served a short time ago."""
@@ -142,10 +141,7 @@
         :returns: whether this has cleared a part of a suspicion.
         """
         for key in keys:
-            served_at = self._served_at_by_key.pop(key, at)
-            self._served_at_by_key[key] = max(at, served_at)
-        while len(self._served_at_by_key) > MAX_SERVED_PARTS:
-            del self._served_at_by_key[next(iter(self._served_at_by_key))]
+            self._served.record(key, at)
         suspected = self._crashes_by_key.keys() & set(keys)
         for key in suspected:
             self._clear(key, at)
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -4,7 +4,8 @@
 short. Some targets may be slow, failing or silent. A request goes to the
 least busy target. An idempotent one is retried on another target after a
 failure or after half of its remaining time; any other is sent once, unless a
-target states that it did not run it.
+target states that it did not run it. A request under which targets end isn't
+sent from one to the next (:mod:`plain_gate`).
 """
 
 import random
@@ -20,11 +21,14 @@
 from . import load_tracker
 from . import outcomes
 from . import path_queue
+from . import plain_gate
 from . import plain_latency
+from . import quarantine
 from . import request_identity
 from . import retry_budget
 from . import send_limits
 from . import sending
+from . import target_crashes
 from . import target_limits
 from . import target_registry
 from . import targets
@@ -53,7 +57,10 @@
         target_backoffs: backoffs.Backoffs,
         limits: target_limits.TargetLimits | None = None,
         rates: send_limits.SendLimits | None = None,
+        *,
+        crashes: target_crashes.TargetCrashes,
     ) -> None:
+        self._crashes = crashes
         self._registry = registry
         self._tracker = tracker
         self._sender = sender
@@ -79,7 +86,12 @@
         last_failure: outcomes.CompleteResponse | None = None
         service = exchange.service.name
         self._rates.record_request(service)
+        gate = plain_gate.PlainGate(self._crashes, self._timer, exchange)
         while True:
+            if gate.is_quarantined():
+                raise self._final_failure(
+                    exchange, last_failure, runs, outcomes.Refusal.QUARANTINED
+                )
             target = self._choose(service, tried) or self._await_turn(
                 exchange, tried
             )
@@ -97,7 +109,7 @@
                 )
             tried.add(target.id)
             may_retry = self._may_retry(exchange, runs + 1, tried)
-            outcome = self._send(exchange, target, may_retry)
+            outcome = self._send(exchange, target, may_retry, gate)
             if isinstance(outcome, outcomes.CompleteResponse):
                 if outcome.head.status not in outcomes.FAILURE_STATUSES:
                     return outcome
@@ -114,6 +126,11 @@
                     runs,
                     outcomes.Refusal.TARGET_FAILED,
                 )
+            if runs and not gate.await_clearance():
+                refusal = outcomes.Refusal.TARGET_FAILED
+                raise self._final_failure(
+                    exchange, last_failure, runs, refusal
+                )
             if rejections >= MAX_REJECTIONS:
                 raise self._final_failure(
                     exchange, last_failure, runs, outcomes.Refusal.REJECTED
@@ -146,6 +163,9 @@
             return context.PassFailureOn(last_failure)
         if runs:
             return context.RequestRefused(refusal, True)
+        if refusal is outcomes.Refusal.QUARANTINED:
+            retry_after_s = quarantine.RETRY_AFTER_S
+            return context.RequestRefused(refusal, False, retry_after_s)
         retry_after_s = self._retry_after_s(exchange.service.name)
         return context.RequestRefused(refusal, False, retry_after_s)
 
@@ -245,6 +265,7 @@
         exchange: context.Exchange,
         target: targets.Target,
         may_retry: bool,
+        gate: plain_gate.PlainGate,
     ) -> outcomes.SendOutcome:
         left_s = exchange.ends_at - self._timer.now()
         wait_s = left_s / 2 if may_retry else left_s
@@ -271,6 +292,7 @@
             self._tracker.remove((target.id,), 0.0)
         self._record_outcome(exchange, target, outcome, sent_at)
         pace.record_outcome(outcome, exchange.route.objective_s, wait_s)
+        gate.record_outcome(target, outcome, sent_at)
         return outcome
 
     def _record_outcome(
--- a/packages/cactusmux-relay/src/cactusmux_relay/prompt_parts.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/prompt_parts.py
@@ -1,9 +1,14 @@
-"""Identifies the parts of prompts that requests of a service share."""
+"""Identifies what the requests of a service may have in common.
+
+These are the parts of prompts that requests share, and the request itself,
+which its caller may send again.
+"""
 
 import hashlib
 from typing import NamedTuple
 
 from . import context
+from . import request_identity
 
 # Longer ids are replaced by a hash, so that callers can't fill messages.
 MAX_ID_LENGTH = 32
@@ -11,36 +16,68 @@
 
 
 class PartKey(NamedTuple):
-    """A part of a prompt, as sent to one service."""
+    """A part of a prompt, or a whole request, as sent to one service.
+
+    :ivar part: id of the part, or of the request by its content.
+    """
 
     service: str
     part: str
 
+    @property
+    def is_request(self) -> bool:
+        """Whether it stands for a whole request."""
+        return self.part.startswith(request_identity.PREFIX)
+
 
 class Requester(NamedTuple):
     """What a request is judged by.
 
     :ivar organisation: name of the caller's organisation, empty without one.
-    :ivar keys: the parts that it may share with other requests.
+    :ivar parts: the parts that it may share with other requests.
+    :ivar request: the request itself; ``None`` if it is judged by its parts.
     """
 
     organisation: str
-    keys: tuple[PartKey, ...]
+    parts: tuple[PartKey, ...]
+    request: PartKey | None = None
+
+    @property
+    def keys(self) -> tuple[PartKey, ...]:
+        """The parts and, if it is judged itself, the request."""
+        if self.request is None:
+            return self.parts
+        return (*self.parts, self.request)
 
 
 def requester_of(exchange: context.Exchange) -> Requester:
-    """Returns the organisation and the shared parts of a request."""
-    organisation = exchange.organisation
-    service = exchange.service.name
+    """Returns what a stream is judged by.
+
+    These are the shared parts of its prompt; the whole request without them.
+    """
     ids = dict.fromkeys(exchange.facts.shared_parts)
+    if not ids:
+        return plain_requester_of(exchange)
+    service = exchange.service.name
     return Requester(
-        organisation.name if organisation else '',
+        _organisation_of(exchange),
         tuple(PartKey(service, _short(each)) for each in ids),
     )
 
 
+def plain_requester_of(exchange: context.Exchange) -> Requester:
+    """Returns what a plain request is judged by: the whole request."""
+    key = PartKey(exchange.service.name, request_identity.identify(exchange))
+    return Requester(_organisation_of(exchange), (), key)
+
+
+def _organisation_of(exchange: context.Exchange) -> str:
+    return exchange.organisation.name if exchange.organisation else ''
+
+
 def _short(part: str) -> str:
-    if len(part) <= MAX_ID_LENGTH:
+    is_ambiguous = part.startswith(request_identity.PREFIX)
+    if len(part) <= MAX_ID_LENGTH and not is_ambiguous:
         return part
     digest = hashlib.blake2b(part.encode(), digest_size=HASH_BYTES)
     return digest.hexdigest()
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
@@ -5,7 +5,7 @@
 decision itself is in :mod:`part_evidence`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cactusmux_base import events
 from cactusmux_base import metrics
@@ -82,10 +82,15 @@
 
     def is_suspect(self, requester: prompt_parts.Requester) -> bool:
         """Whether a request has parts that aren't known to be sound."""
+        return self._are_unproven(requester.parts)
+
+    def is_unproven(self, requester: prompt_parts.Requester) -> bool:
+        """Whether a request, or a part of it, isn't known to be sound."""
+        return self._are_unproven(requester.keys)
+
+    def _are_unproven(self, keys: Iterable[prompt_parts.PartKey]) -> bool:
         now = self._timer.now()
-        return any(
-            not self.evidence.is_proven(each, now) for each in requester.keys
-        )
+        return any(not self.evidence.is_proven(each, now) for each in keys)
 
     def repeat_delay_s(self, requester: prompt_parts.Requester) -> float:
         """Returns how long a repeat of a request has to wait."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -76,7 +76,9 @@
             streaming = isinstance(outcome, outcomes.StreamingResponse)
             return outcome
         except target_calls.AnswerBroken as broken:
-            return outcomes.MaybeRun(target.address, broken.detail)
+            return outcomes.MaybeRun(
+                target.address, broken.detail, is_broken_off=True
+            )
         finally:
             if not streaming:
                 call.close()
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
@@ -3,7 +3,9 @@
 A stream that breaks off just after its target began to write is suspect. It
 is evidence only once the target is known to have ended: it refuses
 connections, two instances find it down, or it has started anew. A reset
-connection alone is none, nor is the end of a target that was leaving.
+connection alone is none, nor is the end of a target that was leaving. For a
+plain request the same holds at any time: a target that ran it may end before
+it has begun to answer.
 """
 
 from typing import NamedTuple
@@ -11,6 +13,7 @@
 from cactusmux_base import ordered_set
 from cactusmux_base import timers
 
+from . import connection_probes
 from . import down_targets
 from . import live_streams
 from . import prompt_parts
@@ -107,7 +110,10 @@
 
 
 class TargetCrashes:
-    """Watches attempts, and waits for signs that their targets have ended."""
+    """Watches attempts, and waits for signs that their targets have ended.
+
+    :ivar quarantine: what is told of the ends.
+    """
 
     def __init__(
         self,
@@ -116,7 +122,7 @@
         registry: target_registry.TargetRegistry,
         timer: timers.TimerService,
     ) -> None:
-        self._quarantine = parts
+        self.quarantine = parts
         self._down = down
         self._registry = registry
         self._timer = timer
@@ -146,22 +152,45 @@
 
     def is_suspect(self, requester: prompt_parts.Requester) -> bool:
         """Whether a request has parts that aren't known to be sound."""
-        return self._quarantine.is_suspect(requester)
+        return self.quarantine.is_suspect(requester)
 
     def record_served(self, requester: prompt_parts.Requester) -> None:
         """Clears the parts of a request that was served."""
-        self._quarantine.record_served(requester)
+        self.quarantine.record_served(requester)
 
     def repeat_delay_s(self, requester: prompt_parts.Requester) -> float:
         """Returns how long a repeat has to wait for signs and for peers."""
-        delay_s = self._quarantine.repeat_delay_s(requester)
+        delay_s = self.quarantine.repeat_delay_s(requester)
         now = self._timer.now()
         for each in self._suspicions:
             is_shared = not set(each.requester.keys).isdisjoint(requester.keys)
-            if is_shared and self._quarantine.is_suspect(requester):
+            if is_shared and self.quarantine.is_unproven(requester):
                 delay_s = max(delay_s, each.at + PROBE_WAIT_S - now)
         return delay_s
 
+    def check_end(
+        self,
+        requester: prompt_parts.Requester,
+        request_id: str,
+        target: targets.Target,
+        sent_at: float,
+    ) -> None:
+        """Suspects a plain request, unless its target accepts connections.
+
+        Blocks for the time of one probe.
+
+        :param sent_at: monotonic time at which the request was sent.
+        """
+        outcome = self._down.probe_now(target)
+        if outcome is connection_probes.Outcome.ACCEPTED:
+            return
+        self._suspicions.append(
+            _Suspicion(
+                requester, request_id, target, self._timer.now(), sent_at
+            )
+        )
+        self._review()
+
     def suspect(self, attempt: WatchedAttempt, target: targets.Target) -> None:
         """Waits for a sign that a target has ended under an attempt."""
         if not attempt.has_just_begun or not attempt.requester.keys:
@@ -190,7 +219,7 @@
         left = []
         for each in self._suspicions:
             if self._has_ended(each.target):
-                self._quarantine.record_crash(
+                self.quarantine.record_crash(
                     each.requester,
                     each.request_id,
                     each.target.start,
@@ -221,5 +250,5 @@
         for attempt in list(self._attempts):
             if attempt.live.response_at is not None:
                 continue
-            if self._quarantine.find(attempt.requester) is not None:
+            if self.quarantine.find(attempt.requester) is not None:
                 self._timer.after(0.0, attempt.abort)
--- a/packages/cactusmux-relay/tests/test_backoff_machine.py
+++ b/packages/cactusmux-relay/tests/test_backoff_machine.py
@@ -8,6 +8,7 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_fakes import idle_crashes
 from cactusmux_fakes import plain_dialect
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import sample_engine
@@ -16,6 +17,7 @@
 from cactusmux_fakes import single_limiter
 from cactusmux_relay import backoff_orders
 from cactusmux_relay import backoffs
+from cactusmux_relay import connection_probes
 from cactusmux_relay import context
 from cactusmux_relay import desired_state
 from cactusmux_relay import dialect
@@ -133,6 +135,9 @@
     def probe(self, target):
         pass
 
+    def probe_now(self, target):
+        return connection_probes.Outcome.ACCEPTED
+
 
 class _Caller(http_server.Answerer):
     def answer(self, status, headers, body):
@@ -191,6 +196,9 @@
             rng,
             'a',
             self.backoff,
+            crashes=idle_crashes.build_crashes(
+                self.registry, timer, metric, down
+            ),
         )
         paces = slow_targets.SlowTargets(silent_orders.SilentOrders(), timer)
         reports = ejection_reports.EjectionReports(
--- a/packages/cactusmux-relay/tests/test_part_evidence.py
+++ b/packages/cactusmux-relay/tests/test_part_evidence.py
@@ -2,6 +2,7 @@
 
 from cactusmux_relay import part_evidence
 from cactusmux_relay import prompt_parts
+from cactusmux_relay import served_keys
 from cactusmux_relay import targets
 import hypothesis
 from hypothesis import strategies
@@ -166,7 +167,7 @@
     for _ in range(part_evidence.MIN_CRASHES):
         start = case.crash('sound')
         case.serve('sound')
-    for number in range(2 * part_evidence.MAX_SERVED_PARTS):
+    for number in range(2 * served_keys.MAX_SERVED_PARTS):
         case.serve(f'part-{number}')
     case.crash('sound', 'further', start=start)
     case.evidence.prune(case.now)
@@ -249,7 +250,7 @@
 
 def test_number_of_served_parts_that_are_kept_is_bounded(case):
     case.serve('first')
-    for number in range(part_evidence.MAX_SERVED_PARTS):
+    for number in range(served_keys.MAX_SERVED_PARTS):
         case.serve(f'other-{number}')
     assert case.evidence.served_at(_key('first')) == part_evidence.NEVER
     assert case.evidence.served_at(_key('other-0')) > part_evidence.NEVER
--- a/packages/cactusmux/src/cactusmux/log_explanation.py
+++ b/packages/cactusmux/src/cactusmux/log_explanation.py
@@ -55,7 +55,7 @@
     'target_failed': 'the target failed and no further attempt was allowed',
     'timed_out': "the caller's or the route's time was over",
     'repeats_spent': 'the budget of repeats was spent',
-    'quarantined': 'a part of its prompt has ended several targets',
+    'quarantined': 'it, or a part of its prompt, has ended several targets',
     'rate_limited': 'the targets that could take it have named rate limits',
 }
 
--- a/packages/cactusmux/tests/test_log_explanation.py
+++ b/packages/cactusmux/tests/test_log_explanation.py
@@ -61,7 +61,7 @@
     assert 'targets=t1,t2,t3' in text
     assert 't4' not in text
     assert explanation[-1] == (
-        'cause: a part of its prompt has ended several targets'
+        'cause: it, or a part of its prompt, has ended several targets'
     )
 
 
