Refuse at once what can't get a turn behind the requests that wait

Cause: each waiting request took the instance's next turn for its own, so that requests waited for up to half of their objective for turns that others took. Change: the wait counts the requests ahead, by the turns a second of this instance; streams and plain requests alike.

--- a/packages/cactusmux-relay/src/cactusmux_relay/first_stages.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/first_stages.py
@@ -35,12 +35,18 @@
         """Returns ids of the targets at which no path may begin now."""
         return self._rates.held_ids(service)
 
-    def wait_s(self, service: str) -> float:
-        """Returns for how many seconds no path may begin here."""
+    def wait_s(self, service: str, ahead: int) -> float:
+        """Returns for how many seconds a request can't begin a path here.
+
+        :param ahead: number of waiting requests that come before it.
+        """
         if not self._rates.held_ids(service):
             return 0.0
-        waits_s = [self._rates.wait_s(each) for each in self._usable(service)]
-        return min(waits_s, default=0.0)
+        usable = self._usable(service)
+        wait_s = min(map(self._rates.wait_s, usable), default=0.0)
+        if not wait_s:
+            return 0.0
+        return wait_s + ahead / self._rates.turns_per_s(usable)
 
     def next_turn_s(self, service: str) -> float:
         """Returns when a path may begin at some instance, in seconds.
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -120,7 +120,9 @@
                 left_s = until - self._timer.now()
                 blocked_s = max(
                     self.backoff_wait_s(exchange.service),
-                    self.first_stages.wait_s(exchange.service.name),
+                    self.first_stages.wait_s(
+                        exchange.service.name, queue.ahead_of(number)
+                    ),
                 )
                 is_last = left_s <= max(0.0, blocked_s)
                 if is_last or queue.may_search(number):
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_queue.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_queue.py
@@ -62,6 +62,15 @@
         for waiting in self._waiting_by_rank.values():
             waiting.pop(number, None)
 
+    def ahead_of(self, number: int) -> int:
+        """Returns how many waiting requests come before this one."""
+        count = 0
+        for waiting in self._waiting_by_rank.values():
+            if number in waiting:
+                return count + sum(each < number for each in waiting)
+            count += len(waiting)
+        return count
+
     def may_search(self, number: int) -> bool:
         """Whether a request is among the first ones.
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -8,6 +8,7 @@
 sent from one to the next (:mod:`plain_gate`).
 """
 
+import math
 import random
 
 from cactusmux_base import events
@@ -73,6 +74,7 @@
         self._backoffs = target_backoffs
         self._limits = limits or target_limits.UnlimitedTargets()
         self._rates = rates or send_limits.UnlimitedSends()
+        self._turn_queue_by_service: dict[str, path_queue.PathQueue] = {}
 
     def serve(self, exchange: context.Exchange) -> outcomes.CompleteResponse:
         """Returns the response.
@@ -188,19 +190,37 @@
         Returns ``None``, at once, if that would be too late for the caller.
         """
         service = exchange.service.name
-        until = exchange.request.received_at + path_queue.new_request_wait_s(
-            exchange.route.objective_s, 0.0
+        if not self._held_targets(service, tried):
+            return None
+        queue = self._turn_queue_by_service.setdefault(
+            service, path_queue.PathQueue()
         )
-        while True:
-            held = self._held_targets(service, tried)
-            wait_s = min(map(self._rates.wait_s, held), default=float('inf'))
-            wait_s = max(wait_s, MIN_TURN_WAIT_S)
-            if self._timer.now() + wait_s > until:
-                return None
-            self._timer.sleep(wait_s)
-            target = self._choose(service, tried)
-            if target is not None:
-                return target
+        number = queue.join(path_queue.Rank.NEW)
+        try:
+            while True:
+                wait_s = self._turn_wait_s(
+                    service, tried, queue.ahead_of(number)
+                )
+                passed_s = self._timer.now() - exchange.request.received_at
+                if wait_s > path_queue.new_request_wait_s(
+                    exchange.route.objective_s, passed_s
+                ):
+                    return None
+                self._timer.sleep(wait_s)
+                target = self._choose(service, tried)
+                if target is not None:
+                    return target
+        finally:
+            queue.leave(number)
+
+    def _turn_wait_s(self, service: str, tried: set[str], ahead: int) -> float:
+        """Returns when a waiting request may be sent; infinite if never."""
+        held = self._held_targets(service, tried)
+        if not held:
+            return math.inf
+        wait_s = min(map(self._rates.wait_s, held))
+        wait_s += ahead / self._rates.turns_per_s(held)
+        return max(wait_s, MIN_TURN_WAIT_S)
 
     def _refusal_without_target(
         self, exchange: context.Exchange, tried: set[str]
--- a/packages/cactusmux-relay/src/cactusmux_relay/rate_limiter.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/rate_limiter.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Callable, Iterable
+import math
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
@@ -94,6 +95,15 @@
         debt_s = bucket.wait_s(per_s / self._active_instances(target))
         return max(debt_s, self._announcing_s(target))
 
+    def turns_per_s(self, limited: Iterable[targets.Target]) -> float:
+        total_per_s = 0.0
+        for target in limited:
+            per_s = self.limits.per_s(target.start)
+            if per_s is None:
+                return math.inf
+            total_per_s += per_s / self._active_instances(target)
+        return total_per_s
+
     def next_turn_s(self, limited: Iterable[targets.Target]) -> float:
         rates = [self.limits.per_s(each.start) for each in limited]
         named = [each for each in rates if each is not None]
--- a/packages/cactusmux-relay/src/cactusmux_relay/send_limits.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/send_limits.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Iterable
+import math
 
 from . import targets
 
@@ -24,6 +25,13 @@
         0 if it may now.
         """
 
+    @abc.abstractmethod
+    def turns_per_s(self, limited: Iterable[targets.Target]) -> float:
+        """Returns how many requests a second this instance may send to these.
+
+        Infinite if one of them has no limit.
+        """
+
     @abc.abstractmethod
     def next_turn_s(self, limited: Iterable[targets.Target]) -> float:
         """Returns in how many seconds some instance may send to one of these.
@@ -48,6 +56,9 @@
     def wait_s(self, target: targets.Target) -> float:
         return 0.0
 
+    def turns_per_s(self, limited: Iterable[targets.Target]) -> float:
+        return math.inf
+
     def next_turn_s(self, limited: Iterable[targets.Target]) -> float:
         return 0.0
 
--- a/packages/cactusmux-relay/tests/test_rate_limit_fleet.py
+++ b/packages/cactusmux-relay/tests/test_rate_limit_fleet.py
@@ -1,5 +1,7 @@
 """A fleet before targets that name a rate limit: how many requests arrive."""
 
+import statistics
+
 from cactusmux_fakes import rate_limit_play
 import pytest
 
@@ -102,6 +104,15 @@
     assert max(play.refused_after_s) <= 0.5 * rate_limit_play.OBJECTIVE_S
 
 
+def test_callers_without_a_turn_do_not_wait_for_those_of_others():
+    play = _start(2, 1, 100.0)
+    _limit(play, ['s0'], 10.0)
+    play.run(10.0)
+    play.stop()
+    # Each instance has a turn in 0.2 s and 50 requests a second.
+    assert statistics.median(play.refused_after_s) == 0.0
+
+
 def test_limit_that_is_no_longer_named_ends_everywhere():
     play = _start(8, 1, 60.0)
     _limit(play, ['s0'], 2.0)
