Add a failing test: a stream ends servers before they answer

A stream with a sound shared part, sent again by its caller, ends all of the 12 servers that it is sent to: it is judged by its shared part alone, and a server that ends before the head of its answer leaves no suspicion.

--- a/tests/adapter/session_world.py
+++ b/tests/adapter/session_world.py
@@ -70,10 +70,12 @@
 
     :ivar fatal_part: part of a prompt on which it ends when it begins to
         write, ``None`` if there is none.
+    :ivar fatal_path: path of requests on which it ends before it answers.
     """
 
     def __init__(self, card):
         self.fatal_part = None
+        self.fatal_path = None
         self.has_ended = False
         self.layers = {'from': 0, 'target': 0, 'version': 1}
         self.card = card
@@ -108,6 +110,10 @@
             sock.sendall(scripted_target.answer(body, 200, said))
             return True
         self.streams.append(request)
+        if request.path == self.fatal_path:
+            self.has_ended = True
+            self.target.stop()
+            return False
         seal = {
             'X-Cactusmux-Response-Seal': 'seal',
             'X-Cactusmux-Request-Id': request.value_by_header[
--- a/tests/adapter/test_fatal_parts.py
+++ b/tests/adapter/test_fatal_parts.py
@@ -43,12 +43,12 @@
     return sum(each.layers['target'] > 0 for each in world.engines)
 
 
-def _status(settings, *shared, number=0):
+def _status(settings, *shared, number=0, path='/drafts/x', own=None):
     """Returns the status of a request with these parts and one of its own."""
-    parts = [*shared, f'{number:08x}']
+    parts = [*shared, own or f'{number:08x}']
     received = session_world.ask(
         settings,
-        '/drafts/x',
+        path,
         request_id=f'{number:016x}',
         prompt=','.join(f'{each}:40' for each in parts),
     )
@@ -74,3 +74,21 @@
     assert statuses[-1] == b'503'
     for number, (_, settings) in enumerate(world.instances, FATAL_REQUESTS):
         assert _status(settings, SUBJECT, number=number) == b'200'
+
+
+def test_stream_that_ends_servers_before_they_answer_is_not_sent_on(world):
+    for engine in world.engines:
+        engine.fatal_path = '/drafts/fatal'
+    instances = itertools.cycle(world.instances)
+    for number in range(FATAL_REQUESTS):
+        _, settings = next(instances)
+        _status(settings, SUBJECT, number=100 + number)
+        status = _status(
+            settings, SUBJECT, number=number, path='/drafts/fatal', own='0f'
+        )
+        gevent.sleep(REQUEST_PERIOD_S)
+    ended = [each for each in world.engines if each.has_ended]
+    assert len(ended) <= MAX_ENDED
+    assert status == b'503'
+    for number, (_, settings) in enumerate(world.instances, 200):
+        assert _status(settings, SUBJECT, number=number) == b'200'
