Judge streams by the whole request, too, also before they are answered

Cause: the same as before, at model targets: a stream was judged by the parts that it shares with others, and sound parts are cleared by others at once; and a target that ended before the head of its answer left no suspicion. Change: each request is a subject by itself beside the parts of its prompt. A stream that has no head yet at the end of its target counts against the request alone. Requests are no alternatives of each other. A repeat's delay goes by the parts as before. Only a success clears a plain request, not a failure that a target answers. An end is dated when the request broke off, not when a probe has shown it. One check of test_quarantine_streams said that an end before the head leaves no suspicion at all, which is the fault; it now says that it leaves none of the parts.

--- a/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
@@ -11,7 +11,7 @@
 is quarantined when several targets have ended under it and none was served
 in between. Ends that a fatal part explains count for no other part. Parts
 under which the same targets ended are told apart by requests that have only
-one of them.
+one of them. No request is another one: each is judged by itself.
 
 A fatal request ends targets one after the other, each after it was sent
 there. Targets that end at one moment, as when a zone loses power, ended for
@@ -319,6 +319,7 @@
                 other
                 for other in crashes[0].organisation_by_key
                 if other != key
+                and not (key.is_request and other.is_request)
                 and starts_by_key[key] <= starts_by_key.get(other, frozenset())
                 and not self.is_proven(other, now)
             )
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_gate.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_gate.py
@@ -24,7 +24,7 @@
         self._crashes = crashes
         self._timer = timer
         self._exchange = exchange
-        self._requester = prompt_parts.plain_requester_of(exchange)
+        self._requester = prompt_parts.requester_of(exchange).without_parts
 
     def is_quarantined(self) -> bool:
         """Whether the request is to be refused, which is logged."""
@@ -48,8 +48,9 @@
         :param sent_at: monotonic time at which the request was sent.
         """
         match outcome:
-            case outcomes.CompleteResponse():
-                self._quarantine.record_served(self._requester)
+            case outcomes.CompleteResponse(head, _):
+                if head.status not in outcomes.FAILURE_STATUSES:
+                    self._quarantine.record_served(self._requester)
             case outcomes.MaybeRun(is_broken_off=True):
                 self._crashes.check_end(
                     self._requester,
@@ -66,7 +67,7 @@
         while True:
             if not self._quarantine.may_repeat(self._requester):
                 return False
-            delay_s = self._crashes.repeat_delay_s(self._requester)
+            delay_s = self._crashes.repeat_delay_s(self._requester.keys)
             if delay_s <= 0.0:
                 return True
             if self._timer.now() + delay_s >= self._exchange.ends_at:
--- a/packages/cactusmux-relay/src/cactusmux_relay/prompt_parts.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/prompt_parts.py
@@ -35,7 +35,7 @@
 
     :ivar organisation: name of the caller's organisation, empty without one.
     :ivar parts: the parts that it may share with other requests.
-    :ivar request: the request itself; ``None`` if it is judged by its parts.
+    :ivar request: the request itself; ``None`` if it isn't judged by itself.
     """
 
     organisation: str
@@ -44,37 +44,33 @@
 
     @property
     def keys(self) -> tuple[PartKey, ...]:
-        """The parts and, if it is judged itself, the request."""
+        """The parts and the request."""
         if self.request is None:
             return self.parts
         return (*self.parts, self.request)
 
+    @property
+    def without_parts(self) -> 'Requester':
+        """The same, judged by the whole request alone."""
+        return self._replace(parts=())
+
 
 def requester_of(exchange: context.Exchange) -> Requester:
-    """Returns what a stream is judged by.
+    """Returns what a request is judged by.
 
-    These are the shared parts of its prompt; the whole request without them.
+    These are the shared parts of its prompt, which plain requests don't have,
+    and the request itself.
     """
-    ids = dict.fromkeys(exchange.facts.shared_parts)
-    if not ids:
-        return plain_requester_of(exchange)
+    organisation = exchange.organisation
     service = exchange.service.name
+    ids = dict.fromkeys(exchange.facts.shared_parts)
     return Requester(
-        _organisation_of(exchange),
+        organisation.name if organisation else '',
         tuple(PartKey(service, _short(each)) for each in ids),
+        PartKey(service, request_identity.identify(exchange)),
     )
 
 
-def plain_requester_of(exchange: context.Exchange) -> Requester:
-    """Returns what a plain request is judged by: the whole request."""
-    key = PartKey(exchange.service.name, request_identity.identify(exchange))
-    return Requester(_organisation_of(exchange), (), key)
-
-
-def _organisation_of(exchange: context.Exchange) -> str:
-    return exchange.organisation.name if exchange.organisation else ''
-
-
 def _short(part: str) -> str:
     is_ambiguous = part.startswith(request_identity.PREFIX)
     if len(part) <= MAX_ID_LENGTH and not is_ambiguous:
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
@@ -80,24 +80,17 @@
             ages_ms=self._ages_ms(key),
         )
 
-    def is_suspect(self, requester: prompt_parts.Requester) -> bool:
-        """Whether a request has parts that aren't known to be sound."""
-        return self._are_unproven(requester.parts)
-
-    def is_unproven(self, requester: prompt_parts.Requester) -> bool:
-        """Whether a request, or a part of it, isn't known to be sound."""
-        return self._are_unproven(requester.keys)
-
-    def _are_unproven(self, keys: Iterable[prompt_parts.PartKey]) -> bool:
+    def is_suspect(self, keys: Iterable[prompt_parts.PartKey]) -> bool:
+        """Whether some of these aren't known to be sound."""
         now = self._timer.now()
         return any(not self.evidence.is_proven(each, now) for each in keys)
 
-    def repeat_delay_s(self, requester: prompt_parts.Requester) -> float:
-        """Returns how long a repeat of a request has to wait."""
+    def repeat_delay_s(self, keys: Iterable[prompt_parts.PartKey]) -> float:
+        """Returns how long a repeat of a request with these has to wait."""
         now = self._timer.now()
         delays_s = [
             crashes[-1].at + REPEAT_DELAY_S - now
-            for crashes in self._suspect_crashes(requester)
+            for crashes in self._suspect_crashes(keys)
         ]
         return max(delays_s, default=0.0)
 
@@ -105,7 +98,7 @@
         """Whether a request that was sent may be sent to another target."""
         return all(
             len(crashes) <= MAX_CRASHES_TO_REPEAT
-            for crashes in self._suspect_crashes(requester)
+            for crashes in self._suspect_crashes(requester.keys)
         )
 
     def record_served(self, requester: prompt_parts.Requester) -> None:
@@ -120,20 +113,24 @@
         request_id: str,
         start: targets.Start,
         sent_at: float | None = None,
+        ended_at: float | None = None,
     ) -> None:
-        """Records that a target ended after it began to write a request.
+        """Records that a target ended while it ran a request.
 
         :param sent_at: when the request was sent to it, in monotonic seconds;
             ``None`` if it isn't known.
+        :param ended_at: when the target broke it off; now if it isn't given.
         """
         now = self._timer.now()
+        if ended_at is None:
+            ended_at = now
         if sent_at is None:
-            sent_at = now
+            sent_at = ended_at
         keys = sorted(requester.keys, key=self._suspicion_order)
         keys = keys[: part_evidence.MAX_PARTS_PER_CRASH]
         crash = part_evidence.Crash(
             start,
-            now,
+            ended_at,
             dict.fromkeys(keys, requester.organisation),
             sent_at_by_key=dict.fromkeys(keys, sent_at),
         )
@@ -177,13 +174,13 @@
         self._report_changes()
 
     def _suspect_crashes(
-        self, requester: prompt_parts.Requester
+        self, keys: Iterable[prompt_parts.PartKey]
     ) -> list[list[part_evidence.Crash]]:
-        """Returns the ends under each part that isn't known to be sound."""
+        """Returns the ends under each of these not known to be sound."""
         now = self._timer.now()
         found = [
             self.evidence.crashes(key)
-            for key in requester.keys
+            for key in keys
             if not self.evidence.is_proven(key, now)
         ]
         return [crashes for crashes in found if crashes]
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine_gate.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine_gate.py
@@ -43,7 +43,7 @@
                 stream_refusal.end_with_refusal(
                     self._parts, self._state, outcomes.Refusal.TARGET_FAILED
                 )
-            delay_s = crashes.repeat_delay_s(requester)
+            delay_s = crashes.repeat_delay_s(requester.parts)
             if delay_s <= 0.0:
                 return
             self._parts.timer.sleep(min(delay_s, POLL_S))
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
@@ -3,11 +3,12 @@
 A stream that breaks off just after its target began to write is suspect. It
 is evidence only once the target is known to have ended: it refuses
 connections, two instances find it down, or it has started anew. A reset
-connection alone is none, nor is the end of a target that was leaving. For a
-plain request the same holds at any time: a target that ran it may end before
-it has begun to answer.
+connection alone is none, nor is the end of a target that was leaving. A
+target may also end before it begins to answer; then the whole request is
+suspect, but not its parts. For a plain request that holds at any time.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from cactusmux_base import ordered_set
@@ -89,6 +90,19 @@
         last_at = max(response_at, self.live.last_event_at)
         return last_at - response_at <= START_WINDOW_S
 
+    @property
+    def suspect_requester(self) -> prompt_parts.Requester | None:
+        """What is suspect if a target ends now, ``None`` if nothing is.
+
+        Before a target begins to write, only the whole request is: many wait
+        with each part, and few of them have begun.
+        """
+        if self.has_just_begun:
+            return self.requester
+        if self.live.response_at is None:
+            return self.requester.without_parts
+        return None
+
     @property
     def is_suspect(self) -> bool:
         """Whether a target that ends now may end because of the request."""
@@ -142,8 +156,7 @@
         attempt = WatchedAttempt(
             self, requester, request_id, live, self._timer.now()
         )
-        if requester.keys:
-            self._attempts.add(attempt)
+        self._attempts.add(attempt)
         return attempt
 
     def remove(self, attempt: WatchedAttempt) -> None:
@@ -152,19 +165,23 @@
 
     def is_suspect(self, requester: prompt_parts.Requester) -> bool:
         """Whether a request has parts that aren't known to be sound."""
-        return self.quarantine.is_suspect(requester)
+        return self.quarantine.is_suspect(requester.parts)
 
     def record_served(self, requester: prompt_parts.Requester) -> None:
         """Clears the parts of a request that was served."""
         self.quarantine.record_served(requester)
 
-    def repeat_delay_s(self, requester: prompt_parts.Requester) -> float:
-        """Returns how long a repeat has to wait for signs and for peers."""
-        delay_s = self.quarantine.repeat_delay_s(requester)
+    def repeat_delay_s(self, keys: Collection[prompt_parts.PartKey]) -> float:
+        """Returns how long a repeat has to wait for signs and for peers.
+
+        :param keys: what it has in common with requests that broke off.
+        """
+        delay_s = self.quarantine.repeat_delay_s(keys)
+        if not self.quarantine.is_suspect(keys):
+            return delay_s
         now = self._timer.now()
         for each in self._suspicions:
-            is_shared = not set(each.requester.keys).isdisjoint(requester.keys)
-            if is_shared and self.quarantine.is_unproven(requester):
+            if not set(each.requester.keys).isdisjoint(keys):
                 delay_s = max(delay_s, each.at + PROBE_WAIT_S - now)
         return delay_s
 
@@ -181,22 +198,22 @@
 
         :param sent_at: monotonic time at which the request was sent.
         """
+        ended_at = self._timer.now()
         outcome = self._down.probe_now(target)
         if outcome is connection_probes.Outcome.ACCEPTED:
             return
         self._suspicions.append(
-            _Suspicion(
-                requester, request_id, target, self._timer.now(), sent_at
-            )
+            _Suspicion(requester, request_id, target, ended_at, sent_at)
         )
         self._review()
 
     def suspect(self, attempt: WatchedAttempt, target: targets.Target) -> None:
         """Waits for a sign that a target has ended under an attempt."""
-        if not attempt.has_just_begun or not attempt.requester.keys:
+        requester = attempt.suspect_requester
+        if requester is None:
             return
         suspicion = _Suspicion(
-            attempt.requester,
+            requester,
             attempt.request_id,
             target,
             self._timer.now(),
@@ -224,6 +241,7 @@
                     each.request_id,
                     each.target.start,
                     each.sent_at,
+                    each.at,
                 )
             elif now - each.at < SUSPICION_S:
                 left.append(each)
--- a/packages/cactusmux-relay/tests/test_quarantine_streams.py
+++ b/packages/cactusmux-relay/tests/test_quarantine_streams.py
@@ -104,14 +104,16 @@
     assert waited_s < AT_ONCE_S
 
 
-def test_request_that_waits_at_a_target_that_ends_is_not_suspect(rig):
-    """Its target hadn't begun to write on it."""
+def test_part_of_a_request_that_waits_at_a_target_that_ends_is_sound(rig):
+    """Its target hadn't begun to write on it: only the request is suspect."""
     first, second = _Target(rig, ends=True), _serving(rig)
     rig.use_engines(first.address, second.address)
     _ask(rig, 'part')
     waited_s = second.times[0] - first.times[0]
     assert waited_s < AT_ONCE_S
-    assert rig.metric.counter_by_name['relay.target_ended_at_start'] == 0
+    (crash,) = rig.quarantine.evidence.all_crashes
+    (key,) = crash.organisation_by_key
+    assert key.is_request
 
 
 def test_request_under_which_others_ended_is_not_sent_on(rig):
