--- a/packages/cactusmux-relay/tests/test_plain_quarantine.py
+++ b/packages/cactusmux-relay/tests/test_plain_quarantine.py
@@ -5,10 +5,12 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import quarantine
+from cactusmux_relay import target_crashes
 import gevent
 import pytest
 
 SIGNED = {'Signature': 's'}
+FAILED = scripted_target.answer(b'failed', 500, SIGNED)
 DONE = scripted_target.answer(b'done', 200, SIGNED)
 
 
@@ -27,9 +29,19 @@
             return False
         if request.path.endswith('reset'):
             return False
+        if request.path.endswith('mixed'):
+            return self._fail_or_end(sock)
         sock.sendall(DONE)
         return False
 
+    def _fail_or_end(self, sock):
+        """Fails at the first request and ends at the second one."""
+        if self.paths.count('/unsafe/mixed') > 1:
+            self.target.stop()
+            return False
+        sock.sendall(FAILED)
+        return False
+
     @property
     def paths(self):
         return [each.path for each in self.target.received]
@@ -89,14 +101,27 @@
 
 def test_broken_answer_of_a_target_that_lives_is_no_evidence(rig):
     found = _use(rig, 2)
+    times_s = []
     for _ in range(4):
         status, seconds, _ = _ask(rig, '/safe/reset')
         assert status == 502
         assert seconds < quarantine.REPEAT_DELAY_S / 2
+        times_s.append(seconds)
+    assert min(times_s) < target_crashes.PROBE_WAIT_S
     assert _sends(found, '/safe/reset') == 8
     assert not rig.quarantine.evidence.all_crashes
 
 
+def test_request_that_targets_fail_before_they_end_is_not_cleared(rig):
+    found = _use(rig, 4)
+    statuses = []
+    while statuses[-1:] != [503] and len(statuses) < 12:
+        statuses.append(_ask(rig, '/unsafe/mixed')[0])
+    ended = [each for each in found if each.paths.count('/unsafe/mixed') > 1]
+    assert len(ended) == 3
+    assert set(statuses[:-1]) == {500, 502}
+
+
 def test_sound_request_beside_a_fatal_one_is_served_and_cleared(rig):
     found = _use(rig, 2)
     for each in found:
