Refuse all requests that were at the same ends of targets

Cause: the evidence looks for the part that explains most ends, and counts these for no other part. Of two whole requests at the same three ends it chose one, which may be the sound one; the fatal one then needed three more ends. Found by a mutation that no test noticed (requests as alternatives of each other). Change: requests with the same ends are refused together, as no request has the other one and nothing tells them apart. Result: test_requests_that_broke_at_the_same_ends_are_each_refused failed, passes.

--- a/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
@@ -11,7 +11,8 @@
 is quarantined when several targets have ended under it and none was served
 in between. Ends that a fatal part explains count for no other part. Parts
 under which the same targets ended are told apart by requests that have only
-one of them. No request is another one: each is judged by itself.
+one of them. For whole requests there is no such way: all that were at the same
+ends are refused.
 
 A fatal request ends targets one after the other, each after it was sent
 there. Targets that end at one moment, as when a zone loses power, ended for
@@ -264,6 +265,8 @@
                 ),
             )
             fatal[key] = crashes_by_key[key]
+            for other in _equal_requests(key, certain, crashes_by_key):
+                fatal[other] = crashes_by_key[other]
         self._crashes_by_key = {**crashes_by_key, **fatal}
         self._alternatives_by_key = {
             **alternatives_by_key,
@@ -342,6 +345,26 @@
             del self._crash_by_start[oldest.start]
 
 
+def _equal_requests(
+    key: prompt_parts.PartKey,
+    others: Collection[prompt_parts.PartKey],
+    crashes_by_key: Mapping[prompt_parts.PartKey, list[Crash]],
+) -> list[prompt_parts.PartKey]:
+    """Returns the requests with the same ends as a request.
+
+    Nothing tells which of them is fatal, so all of them are refused.
+    """
+    if not key.is_request:
+        return []
+    starts = {each.start for each in crashes_by_key[key]}
+    return [
+        other
+        for other in others
+        if other.is_request
+        and {each.start for each in crashes_by_key[other]} == starts
+    ]
+
+
 def _without(
     crashes_by_key: Mapping[prompt_parts.PartKey, list[Crash]],
     explained: Collection[targets.Start],
--- a/packages/cactusmux-relay/tests/test_part_evidence.py
+++ b/packages/cactusmux-relay/tests/test_part_evidence.py
@@ -254,3 +254,11 @@
         case.serve(f'other-{number}')
     assert case.evidence.served_at(_key('first')) == part_evidence.NEVER
     assert case.evidence.served_at(_key('other-0')) > part_evidence.NEVER
+
+
+def test_requests_that_broke_at_the_same_ends_are_each_refused(case):
+    """No request has the other one, so that waiting for both would be vain."""
+    for _ in range(part_evidence.MIN_CRASHES):
+        case.crash('request-a', 'request-b')
+    assert case.refuses('request-a')
+    assert case.refuses('request-b')
