--- a/packages/cactusmux-relay/src/cactusmux_relay/rate_limit_topic.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/rate_limit_topic.py
@@ -19,10 +19,9 @@
 
 # Limits in one message; each takes about 30 bytes.
 MAX_LIMITS_PER_MESSAGE = 32
-MAX_PER_S = 1e9
 MS_PER_S = 1000.0
 
-_Rate = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_PER_S)]
+_Rate = Annotated[float, msgspec.Meta(ge=0.0, le=rate_limits.MAX_PER_S)]
 _Age = Annotated[int, msgspec.Meta(ge=0)]
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/rate_limits.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/rate_limits.py
@@ -5,7 +5,7 @@
 as its responses name it.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 import enum
 from typing import NamedTuple
 
@@ -21,7 +21,9 @@
 # How long the end of a limit is remembered, so that peers learn of it and
 # their older data doesn't restore the limit.
 ENDED_KEPT_S = 10.0
-MAX_RECORDS = 512
+MAX_RECORDS = 4096
+# Higher limits are no limits to any instance.
+MAX_PER_S = 1e9
 # Error of times that peers tell by their age: the way of the message. What is
 # hardly later than the known time has only been around.
 AGE_ERROR_S = 0.05
@@ -124,7 +126,8 @@
             self._log_unreadable(start, reading.unreadable)
             return
         if reading.per_s is not None:
-            self._record(start, reading.per_s, self._timer.now())
+            per_s = min(reading.per_s, MAX_PER_S)
+            self._record(start, per_s, self._timer.now())
         elif self.per_s(start) is not None:
             self._record(start, None, sent_at)
 
@@ -168,12 +171,10 @@
                 self._drop(start, EndReason.GONE)
             elif limit.per_s is None and self._age_s(limit) > ENDED_KEPT_S:
                 del self._limit_by_start[start]
-        self._metric.gauge(
-            'believed.targets_rate_limited', _count_limited(self._limits())
+        limited = sum(
+            each.per_s is not None for each in self._limit_by_start.values()
         )
-
-    def _limits(self) -> Iterable[RateLimit]:
-        return self._limit_by_start.values()
+        self._metric.gauge('believed.targets_rate_limited', limited)
 
     def _age_s(self, limit: RateLimit) -> float:
         return self._timer.now() - limit.at
@@ -237,7 +238,3 @@
             born_ms=start.born_ms,
             value=value,
         )
-
-
-def _count_limited(limits: Iterable[RateLimit]) -> int:
-    return sum(each.per_s is not None for each in limits)
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
@@ -36,7 +36,11 @@
 
 
 class _Suspicion(NamedTuple):
-    """A stream that broke off, and the target that may have ended."""
+    """A request that broke off, and the target that may have ended.
+
+    :ivar at: when it broke off, in monotonic seconds.
+    :ivar sent_at: when it was sent to the target.
+    """
 
     requester: prompt_parts.Requester
     request_id: str
--- a/packages/cactusmux-relay/tests/test_rate_limit_topic.py
+++ b/packages/cactusmux-relay/tests/test_rate_limit_topic.py
@@ -122,6 +122,13 @@
     assert members[0].per_s is None
 
 
+def test_huge_limit_of_a_target_does_not_spoil_the_message(members):
+    one, two, _ = members
+    one.answer(1e300)
+    two.topic.take('one', one.topic.own())
+    assert two.per_s == rate_limits.MAX_PER_S
+
+
 def test_peers_without_requests_leave_their_share_to_others(members):
     one, two, _ = members
     one.answer(7.9)
