Test that a restarted instance knows a quarantined request

A gap found in the last read: the store's key was tested with parts only, a whole request by gossip only. No code changes.

--- a/packages/cactusmux-relay/tests/test_quarantine_storage.py
+++ b/packages/cactusmux-relay/tests/test_quarantine_storage.py
@@ -74,6 +74,23 @@
     assert world.start(is_holder=False).refuses
 
 
+def test_instance_that_starts_after_the_end_of_all_refuses_the_request(world):
+    key = prompt_parts.PartKey('portal', 'request-5c1e07a2')
+    fatal = prompt_parts.Requester('almaty', (), key)
+    first = world.start()
+    for number in range(part_evidence.MIN_CRASHES):
+        world.timer.advance(1.0)
+        start = targets.Start(f't{number}', 1)
+        sent_at = world.timer.now() - 0.1
+        first.quarantine.record_crash(fatal, f'r{number}', start, sent_at)
+    first.storage.step()
+    world.timer.advance(5.0)
+    restarted = world.start(is_holder=False)
+    assert restarted.quarantine.find(fatal) == key
+    other = fatal._replace(organisation='astana')
+    assert restarted.quarantine.find(other) is None
+
+
 def test_only_the_holder_writes(world):
     first = world.start(is_holder=False)
     first.learn()
