--- a/packages/cactusmux-entry/src/cactusmux_entry/document_handlers.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/document_handlers.py
@@ -5,6 +5,7 @@
 from typing import Any
 import urllib.parse
 
+from cactusmux_base import decimals
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_control import document_store
@@ -132,13 +133,14 @@
     given = urllib.parse.parse_qs(call.query).get(name, [''])[0]
     if not given:
         return None
-    if not given.isdecimal():
+    number = decimals.read(given)
+    if number is None:
         raise problems.RequestFailed(
             problems.bad_request(
                 f'bad_{name}', f'{name} {given!r} is not a number'
             )
         )
-    return int(given)
+    return number
 
 
 def _to_request_failed(failure: Any) -> problems.RequestFailed:
--- a/packages/cactusmux-entry/src/cactusmux_entry/http_input.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/http_input.py
@@ -4,6 +4,7 @@
 from typing import Any
 import urllib.parse
 
+from cactusmux_base import decimals
 import gevent
 
 from . import problems
@@ -38,13 +39,14 @@
         incomplete.
     """
     content_length = environ.get('CONTENT_LENGTH') or '0'
-    if not content_length.isdecimal():
+    length = decimals.read(content_length)
+    if length is None:
         raise _request_failed(
             'bad_content_length',
             f'Content-Length {content_length!r} is not a number',
             HTTPStatus.BAD_REQUEST,
         )
-    if int(content_length) > max_bytes:
+    if length > max_bytes:
         raise _too_large(max_bytes)
     try:
         with gevent.Timeout(timeout_s, TimeoutError):
@@ -59,10 +61,10 @@
         raise _request_failed(
             'body_cut_short', str(error), HTTPStatus.BAD_REQUEST
         ) from error
-    if len(body) < int(content_length):
+    if len(body) < length:
         raise _request_failed(
             'body_cut_short',
-            f'body has {len(body)} of {content_length} bytes',
+            f'body has {len(body)} of {length} bytes',
             HTTPStatus.BAD_REQUEST,
         )
     return body
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
@@ -15,6 +15,7 @@
 from cactusmux_relay import backoffs
 from cactusmux_relay import context
 from cactusmux_relay import cost_model
+from cactusmux_relay import event_ids
 from cactusmux_relay import instance_rank
 from cactusmux_relay import live_streams
 from cactusmux_relay import load_tracker
@@ -129,7 +130,7 @@
         exchange: context.Exchange,
         target: targets.Target,
         path: cost_model.Path = (),
-        last_event_id: int | None = None,
+        last_event_id: event_ids.EventId | None = None,
         live: live_streams.LiveStream | None = None,
     ) -> outcomes.SendOutcome:
         self._target_id_by_request[exchange.facts.request_id] = target.id
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/pace_stream_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pace_stream_play.py
@@ -18,6 +18,7 @@
 from cactusmux_relay import dialect
 from cactusmux_relay import down_targets
 from cactusmux_relay import ejection_reports
+from cactusmux_relay import event_ids
 from cactusmux_relay import failing_targets
 from cactusmux_relay import http_server
 from cactusmux_relay import instance_rank
@@ -157,7 +158,7 @@
         exchange: context.Exchange,
         target: targets.Target,
         path: cost_model.Path = (),
-        last_event_id: int | None = None,
+        last_event_id: event_ids.EventId | None = None,
         live: live_streams.LiveStream | None = None,
     ) -> outcomes.SendOutcome:
         self._target_id_by_request[exchange.facts.request_id] = target.id
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -1,6 +1,7 @@
 """A header dialect with neutral names, for tests of the relay."""
 
 from cactusmux_relay import dialect
+from cactusmux_relay import event_ids
 from cactusmux_relay import http_server
 from cactusmux_relay import target_calls
 
@@ -33,7 +34,9 @@
             prompt_tokens=float(request.header(b'prompt') or 0),
             most_answer_tokens=float(request.header(b'answer') or 0),
             hinted_answer_tokens=None,
-            last_event_id=int(last_event) if last_event else None,
+            last_event_id=event_ids.EventId(last_event)
+            if last_event
+            else None,
             passed_headers=[
                 each
                 for each in request.headers
@@ -61,7 +64,7 @@
         if sending.urgency is not None:
             headers.append((b'urgency', str(sending.urgency).encode()))
         if sending.last_event_id is not None:
-            last = str(sending.last_event_id).encode()
+            last = sending.last_event_id.text.encode('latin-1')
             headers.append((b'last-event', last))
         return headers
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/attempt_replacements.py
@@ -47,7 +47,8 @@
 class AttemptReplacements:
     """The replacements of lost stages of one attempt of a stream.
 
-    :param last_id: returns the id of the last event that the caller has.
+    :param sent_count: returns the number of events sent to the caller, over
+        all attempts.
     :param avoid: makes later attempts of the request avoid a target.
     :param avoided: returns the ids of all targets that the request avoids.
     """
@@ -58,7 +59,7 @@
         exchange: context.Exchange,
         demand: path_choice.Demand,
         load: attempt_load.AttemptLoad,
-        last_id: Callable[[], int | None],
+        sent_count: Callable[[], int],
         avoid: Callable[[str], None],
         avoided: Callable[[], Set[str]],
     ) -> None:
@@ -67,7 +68,7 @@
         self._exchange = exchange
         self._demand = demand
         self._attempt_load = load
-        self._last_id = last_id
+        self._sent_count = sent_count
         self._avoid = avoid
         self._avoided_by_request = avoided
         self._avoided: set[str] = set()
@@ -136,7 +137,7 @@
     ) -> stage_replacement.StageLoss:
         engine = self._exchange.service.engine
         event_tokens = engine.event_tokens if engine else 0
-        written = event_tokens * max(self._last_id() or 0, stream.event_count)
+        written = event_tokens * max(self._sent_count(), stream.event_count)
         in_path = set(stream.target_ids)
         lost_ids = self._parts.live.lost_ids(stream)
         return stage_replacement.StageLoss(
--- a/packages/cactusmux-relay/src/cactusmux_relay/copies.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copies.py
@@ -10,6 +10,7 @@
 import random
 from typing import NamedTuple
 
+from cactusmux_base import decimals
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_platform import http_calls
@@ -182,11 +183,12 @@
     def _unpack(
         self, response: http_calls.Response, address: str
     ) -> store_mirror.Copy | None:
-        era = response.header(ERA_HEADER) or '0'
-        if not (era.isascii() and era.isdigit()):
-            events.warning('copy_era_unreadable', address=address, value=era)
+        text = response.header(ERA_HEADER) or '0'
+        era = decimals.read(text)
+        if era is None:
+            events.warning('copy_era_unreadable', address=address, value=text)
             return None
-        match copy_packing.unpack(response.body, int(era)):
+        match copy_packing.unpack(response.body, era):
             case result.Success(copy):
                 return copy
             case result.Failure(failure):
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -6,6 +6,7 @@
 from cactusmux_base import failures
 
 from . import cost_model
+from . import event_ids
 from . import http_server
 from . import target_calls
 
@@ -46,7 +47,7 @@
     prompt_tokens: float
     most_answer_tokens: float
     hinted_answer_tokens: float | None
-    last_event_id: int | None
+    last_event_id: event_ids.EventId | None
     passed_headers: http_server.Headers
     shared_parts: tuple[str, ...] = ()
 
@@ -65,7 +66,7 @@
     left_s: float
     path: cost_model.Path
     urgency: int | None
-    last_event_id: int | None
+    last_event_id: event_ids.EventId | None
 
 
 class RateLimitReading(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/event_forwarding.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/event_forwarding.py
@@ -5,6 +5,7 @@
 from cactusmux_base import timers
 
 from . import dialect
+from . import event_ids
 from . import event_stream
 from . import http_server
 from . import target_calls
@@ -18,11 +19,48 @@
         self.detail = detail
 
 
+class _Numbering:
+    """How the ids of a stream rise, to tell whether a run leaves events out.
+
+    Ids rise by any amount. Only where they have been consecutive does a
+    later run that begins further on leave events out.
+    """
+
+    def __init__(self) -> None:
+        self._has_direct_steps = False
+        self._has_jumps = False
+        self._is_resuming = False
+
+    def begin_run(self, is_resuming: bool) -> None:
+        """Begins a run.
+
+        :param is_resuming: whether the caller has an earlier event.
+        """
+        self._is_resuming = is_resuming
+
+    def record(
+        self, last_id: event_ids.EventId, next_id: event_ids.EventId
+    ) -> None:
+        """Records two ids in a row; raises :class:`StreamBroken` on a gap."""
+        is_direct = next_id.directly_follows(last_id)
+        if not self._is_resuming:
+            self._has_direct_steps |= is_direct
+            self._has_jumps |= not is_direct
+            return
+        self._is_resuming = False
+        is_consecutive = self._has_direct_steps and not self._has_jumps
+        if is_consecutive and not is_direct:
+            raise StreamBroken(
+                f'event {next_id.logged} follows event {last_id.logged}'
+            )
+
+
 class EventForwarder:
     """Forwards events to one caller, over all attempts of its stream.
 
     :ivar last_id: id of the last event that the caller has; it may have
         received it before this request.
+    :ivar sent_count: number of events sent to the caller.
     :ivar has_begun: whether the head of the response was sent.
     :ivar first_at: when the first event was forwarded, 0 before it.
     """
@@ -32,13 +70,15 @@
         answerer: http_server.Answerer,
         header_dialect: dialect.Dialect,
         timer: timers.TimerService,
-        last_id: int | None,
+        last_id: event_ids.EventId | None,
     ) -> None:
         self._answerer = answerer
         self._header_dialect = header_dialect
         self._timer = timer
         self._last_forwarded_at = 0.0
+        self._numbering = _Numbering()
         self.last_id = last_id
+        self.sent_count = 0
         self.has_begun = False
         self.first_at = 0.0
         self.longest_pause_s = 0.0
@@ -55,6 +95,7 @@
             caller already has.
         """
         has_events = self.last_id is not None
+        self._numbering.begin_run(self.last_id is not None)
         for event in _events(call):
             has_events = True
             on_event()
@@ -70,14 +111,14 @@
         self._answerer.finish()
 
     def _is_next(self, event: event_stream.Event) -> bool:
-        """Whether the caller lacks an event; raises on a gap in the ids."""
+        """Whether the caller lacks an event; raises if one is missing."""
         if event.id is None:
             return True
         last_id = self.last_id
-        if last_id is not None and event.id <= last_id:
-            return False
-        if last_id is not None and event.id != last_id + 1:
-            raise StreamBroken(f'event {event.id} follows event {last_id}')
+        if last_id is not None:
+            if not event.id.is_after(last_id):
+                return False
+            self._numbering.record(last_id, event.id)
         self.last_id = event.id
         return True
 
@@ -90,7 +131,8 @@
         self._answerer.start(head.status, kept)
 
     def _record_forwarded(self) -> None:
-        """Records the time of a forwarded event, on whichever path."""
+        """Counts and times a forwarded event, on whichever path."""
+        self.sent_count += 1
         now = self._timer.now()
         if not self.first_at:
             self.first_at = now
--- a/packages/cactusmux-relay/src/cactusmux_relay/event_stream.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/event_stream.py
@@ -4,6 +4,8 @@
 
 from cactusmux_base import failures
 
+from . import event_ids
+
 # An event holds a few tokens: more bytes than this without an event boundary
 # aren't an event stream.
 MAX_EVENT_BYTES = 262_144
@@ -12,9 +14,9 @@
 
 
 class Event(NamedTuple):
-    """The bytes of one event; ``id`` is ``None`` without a numeric id."""
+    """The bytes of one event; ``id`` is ``None`` without a usable id."""
 
-    id: int | None
+    id: event_ids.EventId | None
     data: bytes
 
 
@@ -74,10 +76,9 @@
     return min(ends, default=-1)
 
 
-def _event_id(raw: bytes) -> int | None:
+def _event_id(raw: bytes) -> event_ids.EventId | None:
     for line in raw.splitlines():
         if not line.startswith(b'id:'):
             continue
-        value = line[len(b'id:') :].strip()
-        return int(value) if value.isdigit() else None
+        return event_ids.read(line[len(b'id:') :])
     return None
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -6,6 +6,7 @@
 from . import context
 from . import cost_model
 from . import dialect
+from . import event_ids
 from . import leaving_targets
 from . import live_streams
 from . import outcomes
@@ -46,7 +47,7 @@
         exchange: context.Exchange,
         target: targets.Target,
         path: cost_model.Path = (),
-        last_event_id: int | None = None,
+        last_event_id: event_ids.EventId | None = None,
         live: live_streams.LiveStream | None = None,
     ) -> outcomes.SendOutcome:
         """Sends once; leaves the events of a stream unread.
@@ -88,7 +89,7 @@
         exchange: context.Exchange,
         target: targets.Target,
         path: cost_model.Path,
-        last_event_id: int | None,
+        last_event_id: event_ids.EventId | None,
     ) -> target_calls.OutgoingRequest:
         facts = exchange.facts
         if last_event_id is None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_attempt.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_attempt.py
@@ -124,7 +124,7 @@
             state.exchange,
             state.demand,
             self._attempt_load,
-            lambda: state.forwarder.last_id,
+            lambda: state.forwarder.sent_count,
             lambda target_id: state.avoided.add(target_id),
             lambda: state.avoided,
         )
--- a/packages/cactusmux-relay/src/cactusmux_relay/stream_log.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stream_log.py
@@ -4,6 +4,7 @@
 
 from . import cost_model
 from . import event_forwarding
+from . import event_ids
 from . import live_streams
 from . import stream_parts
 from . import stream_paths
@@ -27,7 +28,7 @@
         expected_pause_ms=int(found.pause_ms),
         send=state.sends,
         returning=state.is_returning,
-        after_event=state.forwarder.last_id,
+        after_event=event_ids.logged(state.forwarder.last_id),
         left_ms=_ms(left_s),
         parts=_shared_parts(state),
     )
@@ -85,7 +86,7 @@
         id=state.exchange.facts.request_id,
         path=_ids(path),
         detail=broken.detail,
-        last_event=state.forwarder.last_id,
+        last_event=event_ids.logged(state.forwarder.last_id),
         runs=state.runs,
         written_ms=written_ms,
         events=live.event_count,
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -10,6 +10,7 @@
 import socket as std_socket
 from typing import NamedTuple
 
+from cactusmux_base import decimals
 from cactusmux_base import failures
 from cactusmux_base import timers
 import gevent
@@ -254,9 +255,13 @@
         announced = head.header(b'keep-alive') or ''
         for part in announced.split(','):
             name, _, value = part.strip().partition('=')
-            if name.lower() == 'timeout' and value.isdigit():
-                announced_s = int(value) - KEEP_ALIVE_MARGIN_S
-                self._keep_alive_s = min(announced_s, MAX_KEEP_ALIVE_S)
+            if name.lower() != 'timeout':
+                continue
+            announced_s = decimals.read(value)
+            if announced_s is not None:
+                self._keep_alive_s = min(
+                    announced_s - KEEP_ALIVE_MARGIN_S, MAX_KEEP_ALIVE_S
+                )
 
 
 class TargetConnections:
