--- a/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
@@ -11,11 +11,11 @@
 from geventhttpclient import response
 from returns import result
 
+from . import yielding_socket
+
 CONNECT_TIMEOUT_S = 1.0
 # Limit of head and body together; a faulty server may send endlessly.
 MAX_RESPONSE_BYTES = 32 << 20
-# After this many bytes without a pause, reading yields to other greenlets.
-YIELD_BYTES = 262_144
 
 
 class CallNotSent(failures.CactusmuxError):
@@ -127,11 +127,10 @@
     """No connection was made within the connect timeout."""
 
 
-class _BoundedSocket(gevent.socket.socket):
+class _BoundedSocket(yielding_socket.YieldingSocket):
     """Socket that receives a response of bounded length."""
 
     remaining_bytes = MAX_RESPONSE_BYTES
-    bytes_since_yield = 0
 
     def recv(self, *args: Any) -> bytes:
         """Receives data; raises :class:`OSError` beyond the limit."""
@@ -139,10 +138,6 @@
         self.remaining_bytes -= len(data)
         if self.remaining_bytes < 0:
             raise OSError(errno.EMSGSIZE, 'response exceeds the size limit')
-        self.bytes_since_yield += len(data)
-        if self.bytes_since_yield >= YIELD_BYTES:
-            self.bytes_since_yield = 0
-            gevent.sleep(0)
         return data
 
 
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
@@ -4,11 +4,11 @@
 
 import gevent
 from geventhttpclient import client as http_client
-from geventhttpclient import connectionpool
 from geventhttpclient import response as http_response
 from returns import result
 
 from . import plain_services
+from . import yielding_socket
 
 MAX_RESPONSE_BYTES = 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -23,7 +23,7 @@
     """The request was not sent, as no connection could be used."""
 
 
-class _Pool(connectionpool.ConnectionPool):
+class _Pool(yielding_socket.YieldingPool):
     """Connection pool that tells failures to connect from later ones."""
 
     def __init__(
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import socket
 
+from cactusmux_base import turns
 import gevent
 from geventhttpclient import client as http_client
 from geventhttpclient import response as http_response
@@ -10,6 +11,7 @@
 from returns import result
 
 from . import targets
+from . import yielding_socket
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 2.0
@@ -17,6 +19,8 @@
 HTTP_OK = 200
 # An engine sends an empty line at once to accept a request.
 EMPTY_LINE = b'\n'
+# More of them in a row aren't an answer.
+MAX_EMPTY_LINES = 1024
 FENCED = 'fenced'
 
 NETWORK_ERRORS = (
@@ -59,10 +63,19 @@
 
     def __iter__(self) -> Iterator[targets.Token]:
         decode = _token_decoder.decode
+        own_turns = turns.Turns()
+        empty_lines = 0
         while True:
             line = self._read_line()
+            own_turns.record()
             if line == EMPTY_LINE:
+                empty_lines += 1
+                if empty_lines > MAX_EMPTY_LINES:
+                    raise targets.StreamBroken(
+                        self._exchange.address, 'only_empty_lines'
+                    )
                 continue
+            empty_lines = 0
             try:
                 token = decode(line)
             except msgspec.DecodeError:
@@ -139,9 +152,13 @@
     def __init__(self, address: str, timeout_s: float) -> None:
         host, _, port = address.rpartition(':')
         self.address = address
-        self._client = http_client.HTTPClient(
+        self._client = http_client.HTTPClient(host, int(port))
+        self._client._connection_pool = yielding_socket.YieldingPool(
             host,
             int(port),
+            host,
+            int(port),
+            size=1,
             connection_timeout=CONNECT_TIMEOUT_S,
             # A socket timeout would start a timer for each token.
             network_timeout=None,
--- a/packages/cactusmux-relay/src/cactusmux_relay/event_forwarding.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/event_forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from cactusmux_base import timers
+from cactusmux_base import turns
 
 from . import dialect
 from . import event_ids
@@ -10,6 +11,12 @@
 from . import http_server
 from . import target_calls
 
+# Events are split from pieces of this length, so that other tasks may run in
+# between however many events arrive together.
+PIECE_BYTES = 4096
+# Bytes without an event that is new: more aren't an answer.
+MAX_BYTES_WITHOUT_PROGRESS = event_stream.MAX_EVENT_BYTES
+
 
 class StreamBroken(Exception):
     """The stream broke off; it may be resumed."""
@@ -55,6 +62,33 @@
             )
 
 
+class _RunProgress:
+    """Tells whether the events of one run are new.
+
+    A target that only repeats an event, or sends comments, isn't writing.
+    """
+
+    def __init__(self) -> None:
+        self._last_id: event_ids.EventId | None = None
+        self._idle_bytes = 0
+
+    def record(self, event: event_stream.Event) -> bool:
+        """Whether an event is new; raises :class:`StreamBroken`."""
+        if self._is_new(event):
+            self._idle_bytes = 0
+            return True
+        self._idle_bytes += len(event.data)
+        if self._idle_bytes > MAX_BYTES_WITHOUT_PROGRESS:
+            raise StreamBroken(f'{self._idle_bytes} bytes without a new event')
+        return False
+
+    def _is_new(self, event: event_stream.Event) -> bool:
+        if event.id is None:
+            return not event.is_comment
+        last_id, self._last_id = self._last_id, event.id
+        return last_id is None or event.id.is_after(last_id)
+
+
 class EventForwarder:
     """Forwards events to one caller, over all attempts of its stream.
 
@@ -91,14 +125,16 @@
     ) -> None:
         """Forwards events as they arrive; raises :class:`StreamBroken`.
 
-        :param on_event: called for each event, also for those that the
-            caller already has.
+        :param on_event: called for each event that is new in this run, also
+            if the caller already has it.
         """
         has_events = self.last_id is not None
         self._numbering.begin_run(self.last_id is not None)
+        progress = _RunProgress()
         for event in _events(call):
-            has_events = True
-            on_event()
+            if progress.record(event):
+                has_events = True
+                on_event()
             if not self._is_next(event):
                 continue
             self._begin(head)
@@ -144,9 +180,14 @@
 
 def _events(call: target_calls.TargetCall) -> Iterator[event_stream.Event]:
     splitter = event_stream.EventSplitter()
+    own_turns = turns.Turns()
     try:
         for part in call.body_chunks():
-            yield from splitter.feed(part)
+            for start in range(0, len(part), PIECE_BYTES):
+                own_turns.record()
+                for event in splitter.feed(part[start : start + PIECE_BYTES]):
+                    own_turns.record()
+                    yield event
     except target_calls.AnswerBroken as broken:
         raise StreamBroken(broken.detail) from broken
     except event_stream.EventTooLong as too_long:
--- a/packages/cactusmux-relay/src/cactusmux_relay/event_stream.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/event_stream.py
@@ -1,5 +1,6 @@
 """Splits a byte stream into server-sent events and reads their ids."""
 
+import re
 from typing import NamedTuple
 
 from cactusmux_base import failures
@@ -9,8 +10,8 @@
 # An event holds a few tokens: more bytes than this without an event boundary
 # aren't an event stream.
 MAX_EVENT_BYTES = 262_144
-_BOUNDARIES = (b'\n\n', b'\r\n\r\n')
-_MAX_BOUNDARY_BYTES = max(len(boundary) for boundary in _BOUNDARIES)
+_BOUNDARY = re.compile(rb'\n\n|\r\n\r\n')
+_MAX_BOUNDARY_BYTES = 4
 
 
 class Event(NamedTuple):
@@ -19,6 +20,14 @@
     id: event_ids.EventId | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it holds nothing but comments."""
+        if self.id is not None:
+            return False
+        lines = self.data.splitlines()
+        return all(line.startswith(b':') or not line for line in lines)
+
 
 class EventTooLong(failures.CactusmuxError):
     """Too many bytes without an event boundary."""
@@ -48,9 +57,10 @@
         self._rest += data
         events: list[Event] = []
         while True:
-            end = _event_end(self._rest, self._searched)
-            if end < 0:
+            boundary = _BOUNDARY.search(self._rest, self._searched)
+            if boundary is None:
                 break
+            end = boundary.end()
             raw = bytes(self._rest[:end])
             del self._rest[:end]
             self._searched = 0
@@ -66,16 +76,6 @@
         return bytes(self._rest)
 
 
-def _event_end(data: bytearray, start: int) -> int:
-    """Returns where the first event ends, -1 if it is incomplete."""
-    ends = []
-    for boundary in _BOUNDARIES:
-        at = data.find(boundary, start)
-        if at >= 0:
-            ends.append(at + len(boundary))
-    return min(ends, default=-1)
-
-
 def _event_id(raw: bytes) -> event_ids.EventId | None:
     for line in raw.splitlines():
         if not line.startswith(b'id:'):
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from cactusmux_base import timers
+from cactusmux_base import turns
 from gevent import socket
 import h11
 
@@ -43,6 +44,7 @@
         self._h11 = framing
         self._timer = timer
         self._limits = limits
+        self._turns = turns.Turns()
 
     def read(
         self, write: Callable[[h11.Event], None]
@@ -100,6 +102,7 @@
         size = 0
         while True:
             event = self._h11.next_event()
+            self._turns.record()
             if isinstance(event, h11.EndOfMessage):
                 return b''.join(parts)
             if isinstance(event, h11.Data):
@@ -122,9 +125,11 @@
             return b''
         self._sock.settimeout(timeout_s)
         try:
-            return self._sock.recv(RECEIVE_BYTES)
+            data = self._sock.recv(RECEIVE_BYTES)
         except TimeoutError:
             return b''
+        self._turns.record(len(data))
+        return data
 
 
 def _check_size(head: h11.Request, max_bytes: int) -> None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -13,6 +13,7 @@
 from cactusmux_base import decimals
 from cactusmux_base import failures
 from cactusmux_base import timers
+from cactusmux_base import turns
 import gevent
 from gevent import select
 from gevent import socket
@@ -27,8 +28,6 @@
 BACKGROUND_SEND_BYTES = 32768
 # Limit on informational (1xx) responses; a target sends one at most.
 MAX_INFORMATIONAL_RESPONSES = 8
-# Bytes read from a target without a pause before other tasks get to run.
-YIELD_BYTES = 262_144
 MAX_IDLE_PER_TARGET = 32
 # Subtracted from the keep-alive time that a target announces, to allow for
 # data in transit.
@@ -128,7 +127,7 @@
         self._sender: gevent.Greenlet | None = None
         self._is_complete = False
         self._is_aborted = False
-        self._unyielded_bytes = 0
+        self._turns = turns.Turns()
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._send(request)
 
@@ -228,13 +227,14 @@
             while True:
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
+                    self._turns.record()
                     return event
                 data = self._sock.recv(RECEIVE_BYTES)
                 if self._is_aborted:
                     raise AnswerBroken(
                         self._address, 'aborted by this instance'
                     )
-                self._yield_after(len(data))
+                self._turns.record(len(data))
                 self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise AnswerBroken(self._address, str(error)) from error
@@ -244,13 +244,6 @@
             )
             raise AnswerBroken(self._address, detail) from error
 
-    def _yield_after(self, received: int) -> None:
-        """Lets other tasks run; reading buffered data doesn't yield."""
-        self._unyielded_bytes += received
-        if self._unyielded_bytes >= YIELD_BYTES:
-            self._unyielded_bytes = 0
-            gevent.sleep(0)
-
     def _record_keep_alive(self, head: ResponseHead) -> None:
         announced = head.header(b'keep-alive') or ''
         for part in announced.split(','):
