--- a/packages/cactusmux-control/src/cactusmux_control/claim_log.py
+++ b/packages/cactusmux-control/src/cactusmux_control/claim_log.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import failures
 from cactusmux_base import ids
 from cactusmux_base import timers
@@ -221,5 +222,5 @@
 def _decode(entry: stores.Entry) -> NumberedEntry:
     number = int(entry.key.rpartition('/')[2])
     return NumberedEntry(
-        number, msgspec.json.decode(entry.value, type=LogEntry)
+        number, decoding.from_json(entry.value, type=LogEntry)
     )
--- a/packages/cactusmux-control/src/cactusmux_control/claims.py
+++ b/packages/cactusmux-control/src/cactusmux_control/claims.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 import uuid
 
+from cactusmux_base import decoding
 from cactusmux_base import failures
 from cactusmux_base import ids
 from cactusmux_base import timers
@@ -263,7 +264,7 @@
 
 def decode(value: bytes) -> ClaimRecord:
     """Reads a record from its stored form."""
-    return msgspec.json.decode(value, type=ClaimRecord)
+    return decoding.from_json(value, type=ClaimRecord)
 
 
 def is_expired(idempotency_key: str, wall: float, retention_s: float) -> bool:
--- a/packages/cactusmux-control/src/cactusmux_control/envelopes.py
+++ b/packages/cactusmux-control/src/cactusmux_control/envelopes.py
@@ -12,6 +12,7 @@
 
 from typing import Annotated, NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import failures
 from cactusmux_platform import stores
 import msgspec
@@ -85,8 +86,8 @@
 def decode(value: bytes) -> result.Result[Envelope, EnvelopeInvalid]:
     """Returns the envelope; its text is not validated."""
     try:
-        message = msgspec.json.decode(value, type=_Message)
-    except msgspec.MsgspecError as error:
+        message = decoding.from_json(value, type=_Message)
+    except decoding.Unreadable as error:
         return result.Failure(EnvelopeInvalid(str(error)))
     return result.Success(
         Envelope(
--- a/packages/cactusmux-control/src/cactusmux_control/peer_claims.py
+++ b/packages/cactusmux-control/src/cactusmux_control/peer_claims.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_peers import assignments
 from cactusmux_peers import peer_service
 from cactusmux_peers import transport
@@ -56,8 +57,8 @@
     def _handle(self, body: bytes) -> bytes:
         """Accepts writes of another instance, even if not their owner."""
         try:
-            call = msgspec.json.decode(body, type=ClaimWritesCall)
-        except msgspec.DecodeError as error:
+            call = decoding.from_json(body, type=ClaimWritesCall)
+        except decoding.Unreadable as error:
             raise transport.CallRefused(str(error)) from error
         replies = self._owner.submit(call.range_number, call.writes)
         return msgspec.json.encode(replies)
@@ -67,10 +68,8 @@
     peer_address: str, data: bytes, count: int
 ) -> result.Result[tuple[claim_writes.Reply, ...], transport.PeerError]:
     try:
-        replies = msgspec.json.decode(
-            data, type=tuple[claim_writes.Reply, ...]
-        )
-    except msgspec.DecodeError as error:
+        replies = decoding.from_json(data, type=tuple[claim_writes.Reply, ...])
+    except decoding.Unreadable as error:
         return result.Failure(
             transport.MessageMalformed(peer_address, str(error))
         )
--- a/packages/cactusmux-control/src/cactusmux_control/plan_record.py
+++ b/packages/cactusmux-control/src/cactusmux_control/plan_record.py
@@ -7,6 +7,7 @@
 
 import zlib
 
+from cactusmux_base import decoding
 from cactusmux_base import failures
 from cactusmux_base import ids
 from cactusmux_platform import stores
@@ -152,8 +153,8 @@
 def decode(value: bytes) -> PlanRecord | None:
     """Returns the record, or ``None`` if the value is not a record."""
     try:
-        return msgspec.json.decode(zlib.decompress(value), type=PlanRecord)
-    except (zlib.error, msgspec.MsgspecError):
+        return decoding.from_json(zlib.decompress(value), type=PlanRecord)
+    except (zlib.error, decoding.Unreadable):
         return None
 
 
--- a/packages/cactusmux-entry/src/cactusmux_entry/completions.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/completions.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 import zlib
 
+from cactusmux_base import decoding
 from cactusmux_base import timers
 from cactusmux_control import documents
 import msgspec
@@ -52,8 +53,8 @@
     :raises problems.RequestFailed: for an invalid field.
     """
     try:
-        parsed = msgspec.json.decode(body, type=CompletionBody)
-    except msgspec.DecodeError as error:
+        parsed = decoding.from_json(body, type=CompletionBody)
+    except decoding.Unreadable as error:
         raise _bad_request('bad_body', str(error)) from error
     if not 1 <= parsed.max_tokens <= MAX_TOKENS:
         raise _bad_request(
--- a/packages/cactusmux-model/src/cactusmux_model/deployments.py
+++ b/packages/cactusmux-model/src/cactusmux_model/deployments.py
@@ -2,6 +2,7 @@
 
 from typing import Literal
 
+from cactusmux_base import decoding
 from cactusmux_base import failures
 from cactusmux_relay import desired_state
 from cactusmux_relay import targets
@@ -115,8 +116,8 @@
 def read(data: bytes) -> result.Result[Deployment, DeploymentInvalid]:
     """Decodes and validates a deployment file, which is JSON."""
     try:
-        deployment = msgspec.json.decode(data, type=Deployment)
-    except msgspec.MsgspecError as error:
+        deployment = decoding.from_json(data, type=Deployment)
+    except decoding.Unreadable as error:
         return result.Failure(DeploymentInvalid(str(error)))
     fault = _find_fault(deployment)
     if fault:
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_instances.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_instances.py
@@ -1,7 +1,7 @@
 """HTTP client of the platform's instance list, with JSON responses."""
 
+from cactusmux_base import decoding
 from cactusmux_base import metrics
-import msgspec
 from returns import result
 
 from . import http_calls
@@ -55,8 +55,8 @@
     if response.status != 200:
         return None
     try:
-        return msgspec.json.decode(
+        return decoding.from_json(
             response.body, type=tuple[instances.ListedInstance, ...]
         )
-    except msgspec.MsgspecError:
+    except decoding.Unreadable:
         return None
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_store.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_store.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from cactusmux_base import decoding
 from cactusmux_base import metrics
 import msgspec
 from returns import result
@@ -164,9 +165,9 @@
     if response.status != store_calls.STATUS_OK:
         return result.Failure(failure_if_lost)
     try:
-        found = msgspec.json.decode(
+        found = decoding.from_json(
             response.body, type=store_calls.RESULT_BY_CALL[call]
         )
-    except msgspec.MsgspecError:
+    except decoding.Unreadable:
         return result.Failure(failure_if_lost)
     return result.Success(found)
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import socket
 
+from cactusmux_base import decoding
 from cactusmux_base import turns
 import gevent
 from geventhttpclient import client as http_client
@@ -49,10 +50,10 @@
     reason: str = ''
 
 
-_token_decoder = msgspec.json.Decoder(targets.Token)
-_report_decoder = msgspec.json.Decoder(targets.TargetReport)
-_failed_decoder = msgspec.json.Decoder(StreamFailed)
-_refusal_decoder = msgspec.json.Decoder(RefusalBody)
+_token_decoder = decoding.json_decoder(targets.Token)
+_report_decoder = decoding.json_decoder(targets.TargetReport)
+_failed_decoder = decoding.json_decoder(StreamFailed)
+_refusal_decoder = decoding.json_decoder(RefusalBody)
 
 
 class HttpTokenStream(targets.TokenStream):
@@ -78,7 +79,7 @@
             empty_lines = 0
             try:
                 token = decode(line)
-            except msgspec.DecodeError:
+            except decoding.Unreadable:
                 raise self._line_failure(line) from None
             yield token
             if token.final:
@@ -105,7 +106,7 @@
         """
         try:
             failed = _failed_decoder.decode(line)
-        except msgspec.DecodeError:
+        except decoding.Unreadable:
             return targets.StreamBroken(
                 self._exchange.address, 'unreadable_line'
             )
@@ -200,7 +201,7 @@
             return result.Success(_report_decoder.decode(body))
         except NETWORK_ERRORS as error:
             return result.Failure(self.network_failure(error))
-        except msgspec.DecodeError as error:
+        except decoding.Unreadable as error:
             return result.Failure(
                 targets.StreamBroken(self.address, str(error))
             )
@@ -229,7 +230,7 @@
         try:
             with gevent.Timeout(self._timeout_s, TimeoutError):
                 body = _refusal_decoder.decode(self._read_body())
-        except (msgspec.DecodeError, *NETWORK_ERRORS):
+        except (decoding.Unreadable, *NETWORK_ERRORS):
             body = RefusalBody()
         if body.reason == FENCED:
             return targets.OrderFenced(self.address, body.reason)
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_weights.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_weights.py
@@ -2,8 +2,8 @@
 
 import math
 
+from cactusmux_base import decoding
 from cactusmux_base import metrics
-import msgspec
 from returns import result
 
 from . import http_calls
@@ -53,7 +53,7 @@
     if response.status != 200:
         return None
     try:
-        rate = msgspec.json.decode(response.body, type=float)
-    except msgspec.MsgspecError:
+        rate = decoding.from_json(response.body, type=float)
+    except decoding.Unreadable:
         return None
     return rate if math.isfinite(rate) and rate > 0 else None
--- a/packages/cactusmux-platform/src/cactusmux_platform/store_calls.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/store_calls.py
@@ -9,6 +9,7 @@
 import enum
 from typing import Any, TypedDict
 
+from cactusmux_base import decoding
 import msgspec
 
 from . import stores
@@ -103,8 +104,8 @@
 def decode_failure(body: bytes) -> stores.StoreError | None:
     """Returns the failure in a body, ``None`` if it is not a known one."""
     try:
-        message = msgspec.json.decode(body, type=FailureMessage)
-    except msgspec.MsgspecError:
+        message = decoding.from_json(body, type=FailureMessage)
+    except decoding.Unreadable:
         return None
     reason = message.get('reason')
     if reason == stores.Conflict.reason:
--- a/packages/cactusmux-relay/src/cactusmux_relay/connection_probes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/connection_probes.py
@@ -58,6 +58,8 @@
         return Outcome.REFUSED, error.strerror or 'connection refused'
     except OSError as error:
         return Outcome.UNANSWERED, error.strerror or 'connection failed'
+    except (ValueError, OverflowError) as error:
+        return Outcome.UNANSWERED, str(error)
     finally:
         sock.close()
     return Outcome.ACCEPTED, 'accepts connections'
--- a/packages/cactusmux-relay/src/cactusmux_relay/copy_packing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copy_packing.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 import zlib
 
+from cactusmux_base import decoding
 from cactusmux_base import failures
 from cactusmux_platform import stores
 import msgspec
@@ -33,7 +34,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(_PackedCopy)
+_decoder = decoding.msgpack_decoder(_PackedCopy)
 
 
 class CopyUnreadable(failures.CactusmuxError):
@@ -75,7 +76,7 @@
         return result.Failure(CopyUnreadable('cut short'))
     try:
         found = _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except decoding.Unreadable as error:
         return result.Failure(CopyUnreadable(str(error)))
     copy = store_mirror.Copy(
         found.entries,
--- a/packages/cactusmux-relay/src/cactusmux_relay/ejection_reports.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/ejection_reports.py
@@ -12,6 +12,7 @@
 import random
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
@@ -97,7 +98,7 @@
         self._success_at_by_id: dict[str, float] = {}
         self._excluded_ids: frozenset[str] = frozenset()
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(list[TargetReports])
+        self._decoder = decoding.msgpack_decoder(list[TargetReports])
 
     def record_failure(self, target_id: str, is_ejected: bool) -> None:
         """Records that this instance's last request to a target failed.
--- a/packages/cactusmux-relay/src/cactusmux_relay/gossip_handler.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gossip_handler.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+from cactusmux_base import decoding
 from cactusmux_base import events
-import msgspec
 
 from . import down_targets
 from . import gossip_topics
@@ -104,10 +104,18 @@
                 continue
             try:
                 topic.take(message.name, data)
-            except msgspec.MsgspecError as error:
+            except decoding.Unreadable as error:
                 events.warning(
                     'news_topic_unreadable',
                     topic=name,
                     sender=message.name,
                     cause=str(error),
                 )
+            except Exception as error:
+                # The other topics of the message still apply.
+                events.error(
+                    'news_topic_failed',
+                    topic=name,
+                    sender=message.name,
+                    cause=repr(error),
+                )
--- a/packages/cactusmux-relay/src/cactusmux_relay/gossip_topics.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/gossip_topics.py
@@ -23,5 +23,5 @@
     def take(self, sender: str, data: bytes) -> None:
         """Handles data from the instance named ``sender``.
 
-        :raises msgspec.MsgspecError: if the data can't be decoded.
+        :raises decoding.Unreadable: if the data can't be decoded.
         """
--- a/packages/cactusmux-relay/src/cactusmux_relay/membership.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/membership.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_platform import store_eras
@@ -139,7 +140,7 @@
     found = []
     for entry in entries:
         try:
-            found.append(msgspec.json.decode(entry.value, type=Instance))
-        except msgspec.MsgspecError:
+            found.append(decoding.from_json(entry.value, type=Instance))
+        except decoding.Unreadable:
             events.warning('instance_entry_unreadable', key=entry.key)
     return found
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine_topic.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine_topic.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 import random
 
+from cactusmux_base import decoding
 from cactusmux_base import timers
 import msgspec
 
@@ -79,7 +80,7 @@
         self._timer = timer
         self._rng = rng
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(EvidenceReport)
+        self._decoder = decoding.msgpack_decoder(EvidenceReport)
 
     def own(self) -> bytes:
         """Returns the evidence on quarantined and suspect parts, encoded."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/rate_limit_topic.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/rate_limit_topic.py
@@ -9,6 +9,7 @@
 import random
 from typing import Annotated
 
+from cactusmux_base import decoding
 from cactusmux_base import timers
 import msgspec
 
@@ -63,7 +64,7 @@
         self._timer = timer
         self._rng = rng
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(LimitsReport)
+        self._decoder = decoding.msgpack_decoder(LimitsReport)
 
     def own(self) -> bytes:
         """Returns the known limits, encoded."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/recovery_topic.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/recovery_topic.py
@@ -1,5 +1,6 @@
 """Tells peers which targets are reachable again."""
 
+from cactusmux_base import decoding
 import msgspec
 
 from . import down_targets
@@ -18,7 +19,7 @@
     def __init__(self, down: down_targets.DownTargets) -> None:
         self._down = down
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(list[targets.Start])
+        self._decoder = decoding.msgpack_decoder(list[targets.Start])
 
     def own(self) -> bytes:
         """Returns the targets that this instance found up again."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/refusal_gossip.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/refusal_gossip.py
@@ -7,6 +7,7 @@
 in urgency are included.
 """
 
+from cactusmux_base import decoding
 from cactusmux_base import timers
 import msgspec
 
@@ -58,7 +59,7 @@
 
     def take(self, sender: str, data: bytes) -> None:
         """Takes rejections that a peer has made or received."""
-        entries = msgspec.msgpack.decode(data, type=list[tuple[int, int]])
+        entries = decoding.from_msgpack(data, type=list[tuple[int, int]])
         now = self._timer.now()
         for key, age_tenths in entries[:MAX_REPORTED]:
             refused_at = now - max(0, age_tenths) / TENTHS_PER_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -9,6 +9,7 @@
 from cactusmux_control import leases
 from cactusmux_platform import era_guarded_store
 from cactusmux_platform import store_eras
+from cactusmux_platform import stores
 import gevent
 
 from . import copies
@@ -299,13 +300,25 @@
         prefix = self._settings.state_prefix
         mirror = self._mirror_by_prefix[prefix]
         for entry in mirror.entry_by_key.values():
+            self._apply_state_entry(entry)
+        addresses = self._fleet.addresses_to_notify(mirror.is_from_peer)
+        if addresses:
+            gevent.spawn(self._exchange.send_to, addresses)
+
+    def _apply_state_entry(self, entry: stores.Entry) -> None:
+        """Applies one entry; if that fails, the others still apply."""
+        try:
             state = self._bindings.decode_state(entry)
             if state is not None:
                 self.in_force.replace(state)
                 self._roster.update()
-        addresses = self._fleet.addresses_to_notify(mirror.is_from_peer)
-        if addresses:
-            gevent.spawn(self._exchange.send_to, addresses)
+        except Exception as error:
+            events.error(
+                'configuration_failed',
+                key=entry.key,
+                revision=entry.revision,
+                cause=repr(error),
+            )
 
     def _on_leases_changed(self) -> None:
         """Tries to acquire the lease as soon as it has become free."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_handling.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_handling.py
@@ -48,11 +48,11 @@
         """Puts a state in force if its version is newer than the present."""
         if self.state is not None and state.version <= self.state.version:
             return
+        table = route_table.RouteTable(state.routes)
+        urgencies = urgency_ranks.urgencies_by_service(state.routes)
         self.state = state
-        self._table = route_table.RouteTable(state.routes)
-        self._urgencies_by_service = urgency_ranks.urgencies_by_service(
-            state.routes
-        )
+        self._table = table
+        self._urgencies_by_service = urgencies
         events.info(
             'configuration_in_force',
             version=state.version,
--- a/packages/cactusmux-relay/src/cactusmux_relay/service_load.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/service_load.py
@@ -13,6 +13,7 @@
 import math
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import timers
 import msgspec
 
@@ -280,7 +281,7 @@
 
     def take(self, sender: str, data: bytes) -> None:
         """Stores a peer's report unless a newer one has arrived."""
-        report = msgspec.msgpack.decode(data, type=Report)
+        report = decoding.from_msgpack(data, type=Report)
         known = self._report_by_sender.get(sender)
         now = self._timer.now()
         if known is not None and now - known.at <= MAX_REPORT_AGE_S:
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import random
 
+from cactusmux_base import decoding
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_platform import stores
@@ -113,7 +114,9 @@
         self._rng = rng
         self._server = _DatagramServer((host, int(port)), self._receive)
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(GossipMessage | deltas.Delta)
+        self._decoder = decoding.Decoder[GossipMessage | deltas.Delta](
+            msgspec.msgpack.Decoder(GossipMessage | deltas.Delta)
+        )
         self._last_sent = b''
         self._sent_at = 0.0
         self.heard_at_by_name: dict[str, float] = {}
@@ -163,8 +166,7 @@
             events.warning('news_too_long', size=len(data))
             return
         for address in peers:
-            host, _, port = address.rpartition(':')
-            self._send_to(data, (host, int(port)))
+            self._send_to(data, address)
 
     def send_delta(self, delta: deltas.Delta, addresses: list[str]) -> None:
         """Sends a delta; if it is lost, later gossip reveals the change."""
@@ -175,19 +177,20 @@
             events.info('delta_too_long', prefix=delta.prefix, size=len(data))
             return
         for address in addresses:
-            host, _, port = address.rpartition(':')
-            self._send_to(data, (host, int(port)))
+            self._send_to(data, address)
 
-    def _send_to(self, data: bytes, peer: tuple[str, int]) -> None:
+    def _send_to(self, data: bytes, address: str) -> None:
+        """Sends to one peer; a failure doesn't keep the others from it."""
+        host, _, port = address.rpartition(':')
         try:
-            self._server.sendto(data, peer)
-        except OSError as error:
-            events.info('news_not_sent', peer=peer[0], cause=error.strerror)
+            self._server.sendto(data, (host, int(port)))
+        except (OSError, ValueError, OverflowError) as error:
+            events.info('news_not_sent', peer=address, cause=str(error))
 
     def _receive(self, data: bytes, _peer: socket.socket) -> None:
         try:
             message = self._decoder.decode(data)
-        except msgspec.MsgspecError:
+        except decoding.Unreadable:
             events.warning('news_unreadable', size=len(data))
             return
         self._heard_at = self._timer.now()
--- a/packages/cactusmux-relay/src/cactusmux_relay/stored_placement.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stored_placement.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import events
 from cactusmux_platform import stores
 import msgspec
@@ -43,8 +44,8 @@
 def decode(entry: stores.Entry) -> VersionedPlacement:
     """Returns a stored placement, an empty one if it can't be decoded."""
     try:
-        stored = msgspec.json.decode(entry.value, type=StoredPlacement)
-    except msgspec.MsgspecError:
+        stored = decoding.from_json(entry.value, type=StoredPlacement)
+    except decoding.Unreadable:
         events.error('placement_unreadable', key=entry.key)
         return UNPLACED
     placement = placement_search.Placement(
--- a/packages/cactusmux-relay/src/cactusmux_relay/stored_quarantine.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/stored_quarantine.py
@@ -1,5 +1,6 @@
 """Encoding of the quarantined parts in the configuration store."""
 
+from cactusmux_base import decoding
 from cactusmux_base import events
 from cactusmux_base import timers
 from cactusmux_platform import stores
@@ -60,8 +61,8 @@
 ) -> list[part_evidence.Crash]:
     """Returns the stored ends, none if they can't be decoded."""
     try:
-        stored = msgspec.json.decode(entry.value, type=list[StoredCrash])
-    except msgspec.MsgspecError:
+        stored = decoding.from_json(entry.value, type=list[StoredCrash])
+    except decoding.Unreadable:
         events.error('quarantine_unreadable', key=entry.key)
         return []
     return [_crash(each, timer) for each in stored]
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -326,7 +326,7 @@
         try:
             sock.settimeout(CONNECT_TIMEOUT_S)
             sock.connect((host, int(port)))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             sock.close()
             is_refused = not isinstance(error, TimeoutError)
             raise NotSent(address, is_refused) from error
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_paces.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_paces.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
@@ -59,7 +60,7 @@
 
 SHARE_UNITS = 1000
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(list[Rise])
+_DECODER = decoding.msgpack_decoder(list[Rise])
 
 
 class _Bound(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_registry.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_registry.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+from cactusmux_base import events
+
 from . import desired_state
 from . import leaving_targets
 from . import segments
@@ -62,7 +64,7 @@
         }
         if changed_by_id:
             for callback in self._callbacks:
-                callback(changed_by_id)
+                _call(callback, changed_by_id)
 
     def record_leaving(
         self, start: targets.Start, source: leaving_targets.Source
@@ -119,6 +121,33 @@
         for name, service in self._service_by_name.items():
             if service.engine is None:
                 continue
-            self._graph_by_service[name] = segments.SegmentGraph(
-                service.engine, self.ready(name)
-            )
+            graph = _make_graph(name, service.engine, self.ready(name))
+            if graph is not None:
+                self._graph_by_service[name] = graph
+
+
+def _call(
+    callback: StateLostCallback, changed_by_id: Mapping[str, targets.Target]
+) -> None:
+    """Calls a subscriber; if it fails, the others are still called."""
+    try:
+        callback(changed_by_id)
+    except Exception as error:
+        events.error(
+            'lost_state_not_handled',
+            targets=','.join(changed_by_id),
+            cause=repr(error),
+        )
+
+
+def _make_graph(
+    service: str, engine: desired_state.Engine, ready: list[targets.Target]
+) -> segments.SegmentGraph | None:
+    """Returns the segments of one service; ``None`` if that fails."""
+    try:
+        return segments.SegmentGraph(engine, ready)
+    except Exception as error:
+        events.error(
+            'segments_not_computed', service=service, cause=repr(error)
+        )
+        return None
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_roster.py
@@ -104,11 +104,26 @@
         for key, entry in entry_by_key.items():
             decoded = self._decoded_by_key.get(key)
             if decoded is None or decoded.entry != entry:
-                target = self._decode(entry)
-                decoded = restored_entries.DecodedEntry(entry, target)
+                decoded = self._decode_entry(entry)
             decoded_by_key[key] = decoded
         return decoded_by_key
 
+    def _decode_entry(
+        self, entry: stores.Entry
+    ) -> restored_entries.DecodedEntry:
+        """Decodes one entry; if that fails, the others still apply."""
+        try:
+            target = self._decode(entry)
+        except Exception as error:
+            events.error(
+                'target_entry_failed',
+                key=entry.key,
+                revision=entry.revision,
+                cause=repr(error),
+            )
+            target = None
+        return restored_entries.DecodedEntry(entry, target)
+
     def _resolve_targets(self) -> dict[str, targets.Target]:
         target_by_id: dict[str, targets.Target] = {}
         for key, decoded in self._decoded_by_key.items():
--- a/packages/cactusmux-relay/src/cactusmux_relay/trouble_topic.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/trouble_topic.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cactusmux_base import decoding
 from cactusmux_base import events
 from cactusmux_base import metrics
 from cactusmux_base import timers
@@ -68,7 +69,7 @@
         self._received_by_name: dict[str, _Received] = {}
         self._reported: frozenset[str] = frozenset()
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(list[Statement])
+        self._decoder = decoding.msgpack_decoder(list[Statement])
 
     def own(self) -> bytes:
         """Returns the own statement and the newest ones of peers."""
--- a/packages/cactusmux/src/cactusmux/operator_client.py
+++ b/packages/cactusmux/src/cactusmux/operator_client.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
+from cactusmux_base import decoding
 from cactusmux_base import failures
 from geventhttpclient import client as http_client
 from geventhttpclient import response as http_response
-import msgspec
 from returns import result
 
 CONNECT_TIMEOUT_S = 2.0
@@ -54,12 +54,12 @@
     )
     try:
         response = client.request(method, path, body)
-        answer = msgspec.json.decode(bytes(response.read()))
+        answer = decoding.any_json(bytes(response.read()))
     except (
         OSError,
         http_response.HTTPParseError,
         http_response.HTTPConnectionClosed,
-        msgspec.DecodeError,
+        decoding.Unreadable,
     ) as error:
         detail = str(error) or type(error).__name__
         return result.Failure(InstanceUnreachable(address, detail))
