--- a/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/part_evidence.py
@@ -166,11 +166,11 @@
         """
         known = self._crash_by_start.get(crash.start)
         organisation_by_key = dict(known.organisation_by_key if known else {})
-        count_before = len(organisation_by_key)
+        known_keys = frozenset(organisation_by_key)
         for key, organisation in crash.organisation_by_key.items():
-            if len(organisation_by_key) < MAX_PARTS_PER_CRASH:
+            if _make_room(key, organisation_by_key):
                 organisation_by_key.setdefault(key, organisation)
-        if len(organisation_by_key) == count_before:
+        if organisation_by_key.keys() <= known_keys:
             return False
         sent_at_by_key = dict(known.sent_at_by_key if known else {})
         for key, sent_at in crash.sent_at_by_key.items():
@@ -345,6 +345,26 @@
             del self._crash_by_start[oldest.start]
 
 
+def _make_room(
+    key: prompt_parts.PartKey,
+    organisation_by_key: dict[prompt_parts.PartKey, str],
+) -> bool:
+    """Whether a part or request can be kept for an end.
+
+    Many requests wait at a target, each with an own key. One of them makes
+    room for a part, which many may share.
+    """
+    if len(organisation_by_key) < MAX_PARTS_PER_CRASH:
+        return True
+    if key.is_request or key in organisation_by_key:
+        return False
+    for other in reversed(organisation_by_key):
+        if other.is_request:
+            del organisation_by_key[other]
+            return True
+    return False
+
+
 def _equal_requests(
     key: prompt_parts.PartKey,
     others: Collection[prompt_parts.PartKey],
--- a/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/quarantine.py
@@ -85,6 +85,19 @@
         now = self._timer.now()
         return any(not self.evidence.is_proven(each, now) for each in keys)
 
+    def without_proven(
+        self, requester: prompt_parts.Requester
+    ) -> prompt_parts.Requester:
+        """Returns a request without its parts that are known to be sound."""
+        now = self._timer.now()
+        return requester._replace(
+            parts=tuple(
+                each
+                for each in requester.parts
+                if not self.evidence.is_proven(each, now)
+            )
+        )
+
     def repeat_delay_s(self, keys: Iterable[prompt_parts.PartKey]) -> float:
         """Returns how long a repeat of a request with these has to wait."""
         now = self._timer.now()
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
@@ -4,8 +4,9 @@
 is evidence only once the target is known to have ended: it refuses
 connections, two instances find it down, or it has started anew. A reset
 connection alone is none, nor is the end of a target that was leaving. A
-target may also end before it begins to answer; then the whole request is
-suspect, but not its parts. For a plain request that holds at any time.
+target may also end as it begins to write, before the head of its answer has
+left; then all requests that wait there are suspect, but for their parts that
+are known to be sound. For a plain request that holds at any time.
 """
 
 from collections.abc import Collection
@@ -98,13 +99,13 @@
     def suspect_requester(self) -> prompt_parts.Requester | None:
         """What is suspect if a target ends now, ``None`` if nothing is.
 
-        Before a target begins to write, only the whole request is: many wait
-        with each part, and few of them have begun.
+        Before the head of an answer nothing tells which of the requests that
+        wait has begun, so parts that are known to be sound are left out.
         """
         if self.has_just_begun:
             return self.requester
         if self.live.response_at is None:
-            return self.requester.without_parts
+            return self._crashes.quarantine.without_proven(self.requester)
         return None
 
     @property
--- a/packages/cactusmux-relay/tests/test_part_evidence.py
+++ b/packages/cactusmux-relay/tests/test_part_evidence.py
@@ -2,6 +2,7 @@
 
 from cactusmux_relay import part_evidence
 from cactusmux_relay import prompt_parts
+from cactusmux_relay import request_identity
 from cactusmux_relay import served_keys
 from cactusmux_relay import targets
 import hypothesis
@@ -55,6 +56,28 @@
     return _Case()
 
 
+# Guards against a fatal part lost among the requests that wait at a target.
+def test_part_is_kept_for_an_end_with_many_requests():
+    evidence = part_evidence.PartEvidence()
+    start = targets.Start('t0', 1)
+    service = 'drafts'
+    for number in range(2 * part_evidence.MAX_PARTS_PER_CRASH):
+        key = prompt_parts.PartKey(
+            service, f'{request_identity.PREFIX}{number}'
+        )
+        evidence.record_crash(
+            part_evidence.Crash(start, 1.0, {key: 'almaty'}), 1.0
+        )
+    part = prompt_parts.PartKey(service, 'part')
+    crash = part_evidence.Crash(start, 1.0, {part: 'almaty'})
+    assert evidence.record_crash(crash, 1.0)
+    assert not evidence.record_crash(crash, 1.0)
+    assert len(evidence.crashes(part)) == 1
+    (kept,) = evidence.all_crashes
+    limit = part_evidence.MAX_PARTS_PER_CRASH
+    assert len(kept.organisation_by_key) == limit
+
+
 def test_part_is_quarantined_after_three_ends(case):
     for number in range(part_evidence.MIN_CRASHES):
         assert not case.refuses('fatal')
--- a/packages/cactusmux-relay/tests/test_quarantine_fleet.py
+++ b/packages/cactusmux-relay/tests/test_quarantine_fleet.py
@@ -23,6 +23,12 @@
     return play
 
 
+def _parts(member):
+    """Returns the parts that an instance refuses."""
+    found = member.quarantine.evidence.quarantined
+    return {each.part for each in found}
+
+
 def _sends_after_window(play):
     """Returns the requests sent after it had to be known."""
     if len(play.ended_at) < ENDS_BEFORE_WINDOW:
@@ -42,6 +48,53 @@
     assert outcome.refused <= MAX_REFUSED_SHARE * outcome.asked
 
 
+# Guards against a fatal part that is never found, as its targets end before
+# the head of their answer.
+@pytest.mark.parametrize('size', [1, 8, 97])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_fatal_part_is_found_though_targets_end_before_they_answer(size, seed):
+    play = _start(size, seed, has_heads=False)
+    play.every(FATAL_PER_S, 'subject-0', fatal_parts_play.FATAL_PART)
+    outcome = play.play(30.0)
+    assert len(_sends_after_window(play)) <= MAX_SENDS_AFTER_WINDOW
+    assert outcome.refused <= MAX_REFUSED_SHARE * outcome.asked
+    for member in play.member_by_name.values():
+        assert _parts(member) == {fatal_parts_play.FATAL_PART}
+
+
+# Guards against sound parts that are blamed as requests wait with them.
+@pytest.mark.parametrize('size', [8, 97])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('asked_for_s', [0.3, 5.0])
+def test_four_targets_that_end_under_a_common_part_quarantine_nothing(
+    size, seed, asked_for_s
+):
+    """The part is common to all requests, at first not served anywhere."""
+    play = fatal_parts_play.FatalPartsPlay(size, TARGETS, seed)
+    play.every(200.0, 'common')
+    play.play(asked_for_s)
+    play.end_targets(4 / TARGETS)
+    outcome = play.play(10.0)
+    assert outcome.asked > 1000
+    assert outcome.refused == 0
+    for member in play.member_by_name.values():
+        assert not _parts(member)
+
+
+# Guards against the same for targets that end one after the other.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_targets_that_end_in_turn_quarantine_no_busy_part(seed):
+    play = fatal_parts_play.FatalPartsPlay(8, TARGETS, seed)
+    play.every(100.0, 'busy')
+    play.play(5.0)
+    for _ in range(10):
+        play.end_targets(0.05)
+        outcome = play.play(0.4)
+        assert outcome.refused == 0
+    for member in play.member_by_name.values():
+        assert not _parts(member)
+
+
 def test_burst_of_fatal_requests_ends_after_the_window():
     play = _start(97, 4)
     play.every(20.0, 'subject-0', fatal_parts_play.FATAL_PART)
