--- a/packages/cactusmux-relay/tests/test_endless_answers.py
+++ b/packages/cactusmux-relay/tests/test_endless_answers.py
@@ -164,8 +164,9 @@
     return pauses
 
 
-# Guards against bodies in chunks of one byte that keep the loop busy.
-def test_body_in_tiny_chunks_of_a_target_leaves_turns(monkeypatch):
+@pytest.fixture(name='call')
+def _call():
+    """A call whose body comes in chunks of one byte, without an end."""
     target = scripted_target.ScriptedTarget(
         lambda sock, _request: sock.sendall(HEAD) or True
     )
@@ -176,11 +177,16 @@
     call = connections.call(target.address, request, True)
     call.read_head()
     own_sock, call._sock = call._sock, _Flood(b'1\r\nx\r\n')
+    yield call
+    own_sock.close()
+    target.stop()
+
+
+# Guards against bodies in chunks of one byte that keep the loop busy.
+def test_body_in_tiny_chunks_of_a_target_leaves_turns(monkeypatch, call):
     pauses = _count_pauses(monkeypatch)
     with pytest.raises(target_calls.AnswerBroken):
         call.read_body(5000)
-    own_sock.close()
-    target.stop()
     assert len(pauses) >= 5000 // turns.MAX_STEPS
 
 
@@ -201,21 +207,9 @@
 
 
 # Guards against a timeout that can't fire while bytes keep arriving.
-def test_timeout_fires_while_an_endless_body_is_read():
-    target = scripted_target.ScriptedTarget(
-        lambda sock, _request: sock.sendall(HEAD) or True
-    )
-    connections = target_calls.TargetConnections(timers.GeventTimers())
-    request = target_calls.OutgoingRequest(
-        'POST', '/a', [(b'host', b'h'), (b'content-length', b'1')], b'x'
-    )
-    call = connections.call(target.address, request, True)
-    call.read_head()
-    own_sock, call._sock = call._sock, _Flood(b'1\r\nx\r\n')
+def test_timeout_fires_while_an_endless_body_is_read(call):
     read = 0
     with pytest.raises(gevent.Timeout), gevent.Timeout(0.05):
         for part in call.body_chunks():
             read += len(part)
             assert read < 500_000
-    own_sock.close()
-    target.stop()
