--- a/packages/cactusmux-base/src/cactusmux_base/decoding.py
+++ b/packages/cactusmux-base/src/cactusmux_base/decoding.py
@@ -18,7 +18,7 @@
     reason = 'unreadable'
 
     def __init__(self, cause: str) -> None:
-        super().__init__(f'can not be decoded: {cause}')
+        super().__init__(cause)
         self.cause = cause
 
 
