Tell failures towards the caller from all others; log each abnormal end

Cause: HttpConnection.run took every OSError and h11.LocalProtocolError for the caller's, and closed the connection without a response or a line. Those of a target's connection, or of any other, ended a request in the same silence as a caller that had gone. A body that wasn't complete in time ended without a line, handler_failed had no id, a stray gevent.Timeout only a traceback. Change: writing to the caller raises CallerUnreachable, which is no OSError; reading its body raises RequestIncomplete. Any other exception of a handler, also gevent.Timeout, is answered 500 if the response hasn't begun. Each abnormal end of a request whose head was read has one line, request_ended, with the id, the cause and how far request and response had come, and is counted as relay.ended.CAUSE. It replaces handler_failed, at the level error. The dialect tells the id of a request; EndLog is the interface to the server. request_malformed of the connection has the id, too. The test of bodies in tiny chunks passes the new argument of read. The whole package has not been run yet.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/plain_dialect.py
@@ -20,13 +20,16 @@
 class PlainDialect(dialect.Dialect):
     """Uses headers such as ``request-id``, ``key``, ``wait-s``, ``path``."""
 
+    def request_id(self, headers: tuple[http_server.Header, ...]) -> str:
+        return http_server.first_value(headers, b'request-id') or ''
+
     def request_facts(
         self, request: http_server.Request
     ) -> dialect.RequestFacts:
         last_event = request.header(b'last-event')
         wait_s = request.header(b'wait-s')
         return dialect.RequestFacts(
-            request_id=request.header(b'request-id') or '',
+            request_id=self.request_id(request.headers),
             host=request.header(b'host') or '',
             wait_s=float(wait_s) if wait_s else None,
             key=request.header(b'key'),
--- a/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/relay_rig.py
@@ -20,6 +20,7 @@
 from cactusmux_relay import quarantine
 from cactusmux_relay import refusal_gossip
 from cactusmux_relay import refused_callers
+from cactusmux_relay import request_ends
 from cactusmux_relay import request_handling
 from cactusmux_relay import retry_budget
 from cactusmux_relay import sending
@@ -246,7 +247,11 @@
             lambda longest_s: longest_s < self.most_work_s,
         )
         self.server = http_server.HttpServer(
-            '127.0.0.1:0', handler.handle, timer, lambda: self.in_force.limits
+            '127.0.0.1:0',
+            handler.handle,
+            timer,
+            lambda: self.in_force.limits,
+            request_ends.EndLog(relay_dialect.request_id, self.metric),
         )
         self.server.start()
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/dialect.py
@@ -112,6 +112,10 @@
 class Dialect(abc.ABC):
     """Reads and writes headers in the format of a deployment."""
 
+    @abc.abstractmethod
+    def request_id(self, headers: tuple[http_server.Header, ...]) -> str:
+        """Returns the id of a request, empty without one; doesn't raise."""
+
     @abc.abstractmethod
     def request_facts(self, request: http_server.Request) -> RequestFacts:
         """Parses a request's headers; raises :class:`MalformedRequest`."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -17,6 +17,7 @@
 
 from . import desired_state
 from . import http_messages
+from . import request_ends
 from . import request_reading
 
 # Limit on the bytes of pipelined requests that are read while a handler runs.
@@ -34,6 +35,7 @@
 
     :param limits: returns the limits in force; called for each request.
     :param is_closing: whether each further response ends its connection.
+    :param end_log: gets each end of a request.
     """
 
     def __init__(
@@ -43,12 +45,15 @@
         timer: timers.TimerService,
         limits: Callable[[], desired_state.Limits],
         is_closing: Callable[[], bool],
+        end_log: request_ends.EndLog,
     ) -> None:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         self._sock = sock
         self._handler = handler
         self._timer = timer
         self._is_closing = is_closing
+        self._end_log = end_log
+        self._progress = request_ends.RequestProgress()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
@@ -74,11 +79,14 @@
         try:
             while self._serve_one():
                 self._h11.start_next_cycle()
-        except (OSError, h11.LocalProtocolError):
-            return
         except http_messages.CallerDisconnected:
             return
 
+    def stop(self) -> None:
+        """Closes the socket because the server stops."""
+        self._progress.record_end(request_ends.Cause.STOPPED)
+        self.close()
+
     def close(self) -> None:
         """Closes the socket at once."""
         try:
@@ -88,8 +96,25 @@
 
     def _serve_one(self) -> bool:
         """Serves one request; returns whether to keep the connection."""
+        self._progress = request_ends.RequestProgress()
         try:
-            request = self._reader.read(self._write)
+            return self._read_and_handle()
+        except request_ends.CallerFailure as failure:
+            self._progress.record_end(failure.cause, str(failure))
+            return False
+        except http_messages.CallerDisconnected:
+            self._progress.record_end(request_ends.Cause.CALLER_DISCONNECTED)
+            raise
+        except BaseException as error:
+            self._progress.record_failure(error)
+            raise
+        finally:
+            self._end_log.record(self._progress)
+
+    def _read_and_handle(self) -> bool:
+        """Serves one request; returns whether to keep the connection."""
+        try:
+            request = self._reader.read(self._write, self._progress)
         except request_reading.BadRequest as bad:
             self._refuse(bad.status)
             return False
@@ -112,13 +137,16 @@
         return self._h11.their_state is h11.DONE
 
     def _handle(self, request: http_messages.Request) -> None:
-        """Runs the handler; responds with 500 to an unexpected exception."""
+        """Runs the handler; responds with 500 to an unexpected exception.
+
+        That includes failures of other connections than the caller's.
+        """
         try:
             self._handler(request, self)
-        except (OSError, h11.LocalProtocolError):
+        except request_ends.CallerUnreachable:
             raise
-        except Exception as error:
-            events.error('handler_failed', cause=repr(error))
+        except (Exception, gevent.Timeout) as error:
+            self._progress.record_failure(error)
             if self._h11.our_state is h11.SEND_RESPONSE:
                 self.answer(500, [], b'')
 
@@ -140,7 +168,11 @@
     def _refuse(self, status: int) -> None:
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        events.info('request_malformed', status=status)
+        events.info(
+            'request_malformed',
+            id=self._end_log.request_id(self._progress),
+            status=status,
+        )
         self.answer(status, [(b'connection', b'close')], b'')
         self._linger()
 
@@ -176,11 +208,38 @@
         self._write(h11.EndOfMessage())
 
     def abort(self) -> None:
+        self._progress.record_end(request_ends.Cause.ABORTED)
         self._is_closed = True
         self.close()
 
     def _write(self, event: h11.Event) -> None:
-        data = memoryview(self._h11.send(event) or b'')
+        """Sends an event; raises :class:`request_ends.CallerUnreachable`."""
+        try:
+            data = memoryview(self._h11.send(event) or b'')
+        except h11.LocalProtocolError as error:
+            raise request_ends.CallerUnreachable(
+                request_ends.Cause.RESPONSE_INVALID, repr(error)
+            ) from error
+        if isinstance(event, h11.Response):
+            self._progress.response_status = event.status_code
+        has_body = isinstance(event, h11.Data)
         for start in range(0, len(data), SEND_PIECE_BYTES):
+            piece = data[start : start + SEND_PIECE_BYTES]
+            self._send_piece(piece)
+            if has_body:
+                self._progress.response_bytes += len(piece)
+        if isinstance(event, h11.EndOfMessage):
+            self._progress.is_response_whole = True
+
+    def _send_piece(self, piece: memoryview) -> None:
+        try:
             with gevent.Timeout(SEND_TIMEOUT_S, TimeoutError):
-                self._sock.sendall(data[start : start + SEND_PIECE_BYTES])
+                self._sock.sendall(piece)
+        except TimeoutError as error:
+            raise request_ends.CallerUnreachable(
+                request_ends.Cause.CALLER_STALLED, ''
+            ) from error
+        except OSError as error:
+            raise request_ends.CallerUnreachable(
+                request_ends.Cause.CALLER_UNREACHABLE, repr(error)
+            ) from error
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_messages.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_messages.py
@@ -14,6 +14,14 @@
     """The caller disconnected before its response was complete."""
 
 
+def first_value(headers: tuple[Header, ...], name: bytes) -> str | None:
+    """Returns the first value of a header, ``None`` if it is absent."""
+    for key, value in headers:
+        if key == name:
+            return value.decode('latin-1')
+    return None
+
+
 class Request(NamedTuple):
     """A complete request; header names are in lower case.
 
@@ -28,10 +36,7 @@
 
     def header(self, name: bytes) -> str | None:
         """Returns the first value of a header, ``None`` if it is absent."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode('latin-1')
-        return None
+        return first_value(self.headers, name)
 
 
 class Answerer(abc.ABC):
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -13,6 +13,7 @@
 from . import desired_state
 from . import http_connection
 from . import http_messages
+from . import request_ends
 
 # How long a stop waits for requests that have arrived and aren't read yet.
 FINAL_READ_TIMEOUT_S = 0.2
@@ -25,6 +26,7 @@
 Request = http_messages.Request
 Answerer = http_messages.Answerer
 Handler = http_messages.Handler
+first_value = http_messages.first_value
 
 
 class HttpServer:
@@ -32,6 +34,8 @@
 
     :param limits: returns the limits in force; called for each connection and
         each request.
+    :param end_log: gets each end of a request; by default one that knows no
+        ids of requests.
     """
 
     def __init__(
@@ -40,11 +44,13 @@
         handler: Handler,
         timer: timers.TimerService,
         limits: Callable[[], desired_state.Limits] = desired_state.Limits,
+        end_log: request_ends.EndLog | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._handler = handler
         self._timer = timer
         self._limits = limits
+        self._end_log = end_log or request_ends.without_ids()
         self._connections = ordered_set.OrderedSet[
             http_connection.HttpConnection
         ]()
@@ -84,7 +90,7 @@
             self._timer.sleep(FINAL_READ_POLL_S)
         for connection in list(self._connections):
             if not connection.is_busy:
-                connection.close()
+                connection.stop()
 
     def _serve(self, sock: socket.socket, _peer: object) -> None:
         connection = http_connection.HttpConnection(
@@ -93,6 +99,7 @@
             self._timer,
             self._limits,
             lambda: self.is_closing,
+            self._end_log,
         )
         self._connections.add(connection)
         try:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -33,6 +33,7 @@
 from . import rate_limit_topic
 from . import recovery_topic
 from . import relay_settings
+from . import request_ends
 from . import soft_exchange
 from . import store_availability
 from . import trouble_topic
@@ -85,6 +86,7 @@
             handler_assembly.build_request_handler(parts.shared).handle,
             timer,
             lambda: self.in_force.limits,
+            request_ends.EndLog(bindings.header_dialect.request_id, metric),
         )
         own = membership.Instance(
             settings.name,
@@ -167,6 +169,7 @@
             settings.exchange_address,
             copies.CopyHandler(self._mirror_by_prefix).handle,
             timer,
+            end_log=request_ends.without_ids(metric),
         )
         self._copy_puller = copies.CopyPuller(
             self._mirror_by_prefix, timer, rng, self._mirrors.store_answered_at
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -9,6 +9,7 @@
 
 from . import desired_state
 from . import http_messages
+from . import request_ends
 
 RECEIVE_BYTES = 65536
 # Limit on reading a whole body. The idle timeout alone would let a client that
@@ -47,26 +48,29 @@
         self._turns = turns.Turns()
 
     def read(
-        self, write: Callable[[h11.Event], None]
+        self,
+        write: Callable[[h11.Event], None],
+        progress: request_ends.RequestProgress,
     ) -> http_messages.Request | None:
         """Returns the next complete request, ``None`` if there is none.
 
-        Raises :class:`BadRequest` and :class:`h11.RemoteProtocolError`.
+        Raises :class:`BadRequest`, :class:`h11.RemoteProtocolError` and
+        :class:`request_ends.RequestIncomplete`.
 
         :param write: sends an interim response.
+        :param progress: records what was read.
         """
         head = self._read_head()
         if head is None:
             return None
         received_at = self._timer.now()
         headers = tuple(head.headers)
+        progress.headers = headers
         _check_framing(headers)
         _check_size(head, self._limits().header_bytes)
         if self._h11.they_are_waiting_for_100_continue:
             write(h11.InformationalResponse(status_code=100, headers=[]))
-        body = self._read_body()
-        if body is None:
-            return None
+        body = self._read_body(progress)
         return http_messages.Request(
             method=head.method.decode('ascii'),
             path=head.target.decode('latin-1'),
@@ -95,39 +99,59 @@
                 deadline = self._timer.now() + limits.header_timeout_s
             self._h11.receive_data(data)
 
-    def _read_body(self) -> bytes | None:
+    def _read_body(self, progress: request_ends.RequestProgress) -> bytes:
         limits = self._limits()
         deadline = self._timer.now() + BODY_TIMEOUT_S
         parts: list[bytes] = []
-        size = 0
         while True:
             event = self._h11.next_event()
             self._turns.record()
             if isinstance(event, h11.EndOfMessage):
+                progress.is_request_whole = True
                 return b''.join(parts)
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
+                progress.request_bytes += len(event.data)
+                if progress.request_bytes > limits.body_bytes:
                     raise BadRequest(413)
                 parts.append(bytes(event.data))
                 continue
-            if event is not h11.NEED_DATA:
-                return None
             left_s = deadline - self._timer.now()
-            data = self.receive(min(limits.idle_timeout_s, left_s))
-            if not data:
-                return None
-            self._h11.receive_data(data)
+            self._receive_body(min(limits.idle_timeout_s, left_s))
+
+    def _receive_body(self, timeout_s: float) -> None:
+        """Passes on received bytes; raises ``RequestIncomplete``."""
+        try:
+            data = self._receive(timeout_s)
+        except TimeoutError as error:
+            raise request_ends.RequestIncomplete(
+                request_ends.Cause.BODY_TIMEOUT, ''
+            ) from error
+        except OSError as error:
+            raise request_ends.RequestIncomplete(
+                request_ends.Cause.BODY_CUT, repr(error)
+            ) from error
+        if not data:
+            raise request_ends.RequestIncomplete(
+                request_ends.Cause.BODY_CUT, ''
+            )
+        self._h11.receive_data(data)
 
     def receive(self, timeout_s: float) -> bytes:
-        """Returns received bytes, empty at the end or after the timeout."""
-        if timeout_s <= 0:
-            return b''
-        self._sock.settimeout(timeout_s)
+        """Returns received bytes, empty if the connection brings none.
+
+        It has ended or failed, or nothing came within the timeout.
+        """
         try:
-            data = self._sock.recv(RECEIVE_BYTES)
-        except TimeoutError:
+            return self._receive(timeout_s)
+        except OSError:
             return b''
+
+    def _receive(self, timeout_s: float) -> bytes:
+        """Returns received bytes, empty at the end; raises ``OSError``."""
+        if timeout_s <= 0:
+            raise TimeoutError
+        self._sock.settimeout(timeout_s)
+        data = self._sock.recv(RECEIVE_BYTES)
         self._turns.record(len(data))
         return data
 
--- a/packages/cactusmux-relay/tests/test_endless_answers.py
+++ b/packages/cactusmux-relay/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import event_forwarding
+from cactusmux_relay import request_ends
 from cactusmux_relay import request_reading
 from cactusmux_relay import target_calls
 import gevent
@@ -202,7 +203,7 @@
     )
     pauses = _count_pauses(monkeypatch)
     with pytest.raises(request_reading.BadRequest):
-        reader.read(lambda event: None)
+        reader.read(lambda event: None, request_ends.RequestProgress())
     assert len(pauses) >= 5000 // turns.MAX_STEPS
 
 
