--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -311,14 +311,16 @@
         self._idle_by_address = kept_by_address
 
     def _take_idle(self, address: str) -> socket.socket | None:
-        idle = self._idle_by_address.get(address)
-        while idle:
+        while True:
+            # Other tasks run during a check, and the sweep replaces the queue.
+            idle = self._idle_by_address.get(address)
+            if not idle:
+                return None
             newest = idle.pop()
             expired = newest.expires_at <= self._timer.now()
             if not expired and _has_no_input(newest.sock):
                 return newest.sock
             newest.sock.close()
-        return None
 
     def _connect(self, address: str) -> socket.socket:
         host, _, port = address.rpartition(':')
--- a/packages/cactusmux-relay/tests/test_target_calls.py
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -1,3 +1,5 @@
+import socket as std_socket
+
 from cactusmux_base import timers
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import target_calls
@@ -229,3 +231,29 @@
     own_sock.close()
     target.stop()
     assert runs
+
+
+def _two_idle_connections(connections, target):
+    """Makes two idle connections; returns them, the latest last."""
+    calls = [connections.call(target.address, REQUEST, True) for _ in range(2)]
+    for call in calls:
+        call.read_head()
+        call.read_body(1000)
+    for call in calls:
+        call.close()
+    return [call._sock for call in calls]
+
+
+def test_connection_that_is_swept_while_checked_serves_one_call(connections):
+    target = _target(scripted_target.answer(b'ok'), keep=True)
+    _, latest = _two_idle_connections(connections, target)
+    latest.shutdown(std_socket.SHUT_RDWR)
+    gevent.spawn(connections._close_expired)
+    calls = [
+        connections.call(target.address, REQUEST, False) for _ in range(2)
+    ]
+    assert len({call._sock.fileno() for call in calls}) == 2
+    for call in calls:
+        call.read_head()
+        assert call.read_body(1000) == b'ok'
+        call.close()
