Abort only the call that a stream waits on (LOST)

Cause: the check whether a silent stream has unread bytes lets other tasks run. The stream may end meanwhile; its connection is back in the pool, and may serve another request, when the abort shuts it down. A path and a retry reserved after its end were never released.

Change: a closed call ignores an abort, and a stream that has ended during the check is left alone.

Tests that failed before: test_late_abort_spares_the_next_call_of_the_connection ("can't handle event type ConnectionClosed" at the other request) and test_stream_that_ends_while_it_is_checked_reserves_nothing.

--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -308,7 +308,7 @@
             return False
         if now < stream.next_replacement_at or not self._is_lost(stream):
             return False
-        if stream.call.has_unread():
+        if self._has_moved_on(stream, stream.call):
             return False
         stream.next_replacement_at = now + RECOVERY_PERIOD_S
         return stream.replace_lost(stream)
@@ -323,6 +323,12 @@
             return False
         return not stream.time_until_overdue_s(now)
 
+    def _has_moved_on(
+        self, stream: LiveStream, call: target_calls.TargetCall
+    ) -> bool:
+        """Whether a stream has unread bytes, or ended during this check."""
+        return call.has_unread() or stream not in self._streams
+
     def resume_on_other_path(self, stream: LiveStream) -> None:
         """Interrupts a stream if it is silent and can be resumed."""
         now = self._timer.now()
@@ -335,7 +341,7 @@
             or now < stream.next_resume_check_at
         ):
             return
-        if stream.call.has_unread():
+        if self._has_moved_on(stream, stream.call):
             # This instance's event loop or the caller is slow, not the target.
             return
         stream.next_resume_check_at = now + RECOVERY_PERIOD_S
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -127,6 +127,7 @@
         self._sender: gevent.Greenlet | None = None
         self._is_complete = False
         self._is_aborted = False
+        self._is_closed = False
         self._turns = turns.Turns()
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._send(request)
@@ -193,7 +194,13 @@
         return b''.join(body_chunks)
 
     def abort(self) -> None:
-        """Makes the task that reads the response fail at once."""
+        """Makes the task that reads the response fail at once.
+
+        Does nothing once the call is closed: its connection may serve another
+        call by then.
+        """
+        if self._is_closed:
+            return
         self._is_aborted = True
         try:
             self._sock.shutdown(std_socket.SHUT_RDWR)
@@ -206,6 +213,7 @@
 
     def close(self) -> None:
         """Returns the connection to the pool, or closes it."""
+        self._is_closed = True
         sent = self._sender is None or self._sender.ready()
         if self._is_complete and sent and self._is_reusable():
             self._owner.return_idle(
--- a/packages/cactusmux-relay/tests/test_failure_detection.py
+++ b/packages/cactusmux-relay/tests/test_failure_detection.py
@@ -229,6 +229,21 @@
         return self._can_replace
 
 
+def test_stream_that_ends_while_it_is_checked_reserves_nothing():
+    reserved = []
+    watched = _Watched()
+    stream = watched.add('x', secure_next=lambda: reserved.append(1) or True)
+
+    def end_meanwhile():
+        watched.live.remove(stream)
+        return False
+
+    stream.call.has_unread = end_meanwhile
+    watched.down.mark(sample_engine.target('x'), 'test')
+    assert reserved == []
+    assert not stream.call.is_cut
+
+
 def test_stream_is_replaced_once_its_event_is_overdue():
     """Waiting for the silence limit would lengthen the pause by 40 ms."""
     watched = _Watched()
--- a/packages/cactusmux-relay/tests/test_target_calls.py
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -257,3 +257,17 @@
         call.read_head()
         assert call.read_body(1000) == b'ok'
         call.close()
+
+
+def test_late_abort_spares_the_next_call_of_the_connection(connections):
+    target = _target(scripted_target.answer(b'ok'), keep=True)
+    first = connections.call(target.address, REQUEST, False)
+    first.read_head()
+    first.read_body(1000)
+    first.close()
+    second = connections.call(target.address, REQUEST, False)
+    first.abort()
+    second.read_head()
+    assert second.read_body(1000) == b'ok'
+    second.close()
+    assert target.connections == 1
