--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -24,8 +24,9 @@
 CONNECT_TIMEOUT_S = 0.3
 RECEIVE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
-# Larger bodies are sent in a separate task, as the response may come first.
-BACKGROUND_SEND_BYTES = 32768
+# Larger bodies are long: a target may respond, and go on for any time, before
+# it reads them to their end. They are sent in a separate task.
+LONG_BODY_BYTES = 32768
 # Limit on informational (1xx) responses; a target sends one at most.
 MAX_INFORMATIONAL_RESPONSES = 8
 MAX_IDLE_PER_TARGET = 32
@@ -36,8 +37,11 @@
 # Limits how long connections to removed targets stay open.
 MAX_KEEP_ALIVE_S = 30.0
 SWEEP_PERIOD_S = 2.0
-# Bytes unacknowledged for this long mean that the target is unreachable.
+# Bytes unacknowledged for this long mean that the target is unreachable. The
+# kernel also counts the time in which a target reads nothing, so that it isn't
+# set while a long body is sent; the deadline of the request ends that.
 USER_TIMEOUT_MS = 2000
+NO_USER_TIMEOUT_MS = 0
 
 
 class NotSent(failures.CactusmuxError):
@@ -97,6 +101,11 @@
     headers: http_server.Headers
     body: bytes
 
+    @property
+    def has_long_body(self) -> bool:
+        """Whether a target may leave a part of the body unread for long."""
+        return len(self.body) > LONG_BODY_BYTES
+
 
 class _Idle(NamedTuple):
     sock: socket.socket
@@ -124,6 +133,7 @@
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._has_long_body = request.has_long_body
         self._sender: gevent.Greenlet | None = None
         self._is_complete = False
         self._is_aborted = False
@@ -140,7 +150,7 @@
         if request.body:
             data += self._h11.send(h11.Data(data=request.body)) or b''
         data += self._h11.send(h11.EndOfMessage()) or b''
-        if len(request.body) > BACKGROUND_SEND_BYTES:
+        if request.has_long_body:
             self._sender = gevent.spawn(self._send_all, data)
             return
         self._send_all(data)
@@ -214,8 +224,7 @@
     def close(self) -> None:
         """Returns the connection to the pool, or closes it."""
         self._is_closed = True
-        sent = self._sender is None or self._sender.ready()
-        if self._is_complete and sent and self._is_reusable():
+        if self._is_complete and self._is_reusable():
             self._owner.return_idle(
                 self._address, self._sock, self._keep_alive_s
             )
@@ -225,6 +234,9 @@
         self._sock.close()
 
     def _is_reusable(self) -> bool:
+        if self._has_long_body:
+            # A further request would wait behind what the target hasn't read.
+            return False
         if self._h11.trailing_data[0]:
             return False
         done = (h11.DONE, h11.DONE)
@@ -289,9 +301,12 @@
         :param fresh: whether to open a new connection, so that a failure
             can't come from an idle one that the target has just closed.
         """
+        if request.has_long_body:
+            sock = self._connect(address, NO_USER_TIMEOUT_MS)
+            return TargetCall(self, address, sock, request)
         sock = None if fresh else self._take_idle(address)
         if sock is None:
-            sock = self._connect(address)
+            sock = self._connect(address, USER_TIMEOUT_MS)
         return TargetCall(self, address, sock, request)
 
     def return_idle(
@@ -330,7 +345,7 @@
                 return newest.sock
             newest.sock.close()
 
-    def _connect(self, address: str) -> socket.socket:
+    def _connect(self, address: str, user_timeout_ms: int) -> socket.socket:
         host, _, port = address.rpartition(':')
         sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
         try:
@@ -345,7 +360,7 @@
         sock.setsockopt(
             std_socket.IPPROTO_TCP,
             std_socket.TCP_USER_TIMEOUT,
-            USER_TIMEOUT_MS,
+            user_timeout_ms,
         )
         return sock
 
--- a/packages/cactusmux-relay/tests/test_target_calls.py
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -4,8 +4,11 @@
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import target_calls
 import gevent
+from gevent import server
+from gevent import socket
 import pytest
 
+LONG_BODY_BYTES = 8 << 20
 REQUEST = target_calls.OutgoingRequest(
     'POST', '/a', [(b'host', b'h'), (b'content-length', b'1')], b'x'
 )
@@ -271,3 +274,46 @@
     assert second.read_body(1000) == b'ok'
     second.close()
     assert target.connections == 1
+
+
+def _late_reader(delay_s):
+    """A target that answers at once and reads the request's body late."""
+
+    def serve(sock, _peer):
+        received = sock.recv(65536)
+        sock.sendall(scripted_target.stream_head())
+        gevent.sleep(delay_s)
+        while len(received) < LONG_BODY_BYTES:
+            data = sock.recv(65536)
+            if not data:
+                break
+            received += data
+        sock.sendall(scripted_target.chunk(b'ok') + scripted_target.chunk(b''))
+        gevent.sleep(0.5)
+
+    listener = socket.socket()
+    listener.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_RCVBUF, 65536)
+    listener.bind(('127.0.0.1', 0))
+    listener.listen()
+    target = server.StreamServer(listener, serve)
+    target.start()
+    return target
+
+
+def test_target_that_reads_a_long_body_late_is_not_cut_off(connections):
+    target = _late_reader(target_calls.USER_TIMEOUT_MS / 1000 * 2)
+    request = REQUEST._replace(
+        headers=[
+            (b'host', b'h'),
+            (b'content-length', str(LONG_BODY_BYTES).encode()),
+        ],
+        body=b'x' * LONG_BODY_BYTES,
+    )
+    address = f'127.0.0.1:{target.server_port}'
+    call = connections.call(address, request, False)
+    call.read_head()
+    assert call.read_body(1000) == b'ok'
+    call.close()
+    target.stop()
+    # Its kernel may hold a part of the body that it hasn't read.
+    assert connections.idle_count == 0
