--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -19,11 +19,11 @@
 from . import http_messages
 from . import request_ends
 from . import request_reading
+from . import steady_sending
 
 # Limit on the bytes of pipelined requests that are read while a handler runs.
 MAX_PIPELINED_BYTES = 262144
-# Timeout for each piece of a response, not for the whole: a caller that reads
-# slowly isn't disconnected.
+# How long a caller may read nothing of a response that waits to be sent.
 SEND_TIMEOUT_S = 10.0
 SEND_PIECE_BYTES = 65536
 # How long bytes in flight are read after a response that ends a connection.
@@ -233,12 +233,11 @@
 
     def _send_piece(self, piece: memoryview) -> None:
         try:
-            with gevent.Timeout(SEND_TIMEOUT_S, TimeoutError):
-                self._sock.sendall(piece)
-        except TimeoutError as error:
+            steady_sending.send_all(self._sock, piece, SEND_TIMEOUT_S)
+        except steady_sending.PeerStalled as stalled:
             raise request_ends.CallerUnreachable(
-                request_ends.Cause.CALLER_STALLED, ''
-            ) from error
+                request_ends.Cause.CALLER_STALLED, str(stalled)
+            ) from stalled
         except OSError as error:
             raise request_ends.CallerUnreachable(
                 request_ends.Cause.CALLER_UNREACHABLE, repr(error)
--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -256,3 +256,52 @@
             received += len(data)
     served.stop()
     assert received >= len(body)
+
+
+def test_caller_that_reads_steadily_is_not_cut_off(monkeypatch):
+    """A piece that took longer than the timeout counted as stalled."""
+    body = b'x' * 400_000
+    monkeypatch.setattr(http_connection, 'SEND_TIMEOUT_S', 0.2)
+    served = http_server.HttpServer(
+        '127.0.0.1:0',
+        lambda request, answerer: answerer.answer(200, [], body),
+        timers.GeventTimers(),
+    )
+    served.start()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    # Small segments let the caller acknowledge what it reads at once.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
+    sock.connect(('127.0.0.1', served.port))
+    sock.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    received = 0
+    with gevent.Timeout(30.0):
+        while received < len(body):
+            gevent.sleep(0.01)
+            data = sock.recv(2048)
+            if not data:
+                break
+            received += len(data)
+    served.stop()
+    assert received >= len(body)
+
+
+def test_caller_that_reads_nothing_is_cut_off(monkeypatch):
+    monkeypatch.setattr(http_connection, 'SEND_TIMEOUT_S', 0.2)
+    ended = event.Event()
+
+    def handle(_request, answerer):
+        try:
+            answerer.answer(200, [], b'x' * (16 << 20))
+        finally:
+            ended.set()
+
+    served = http_server.HttpServer(
+        '127.0.0.1:0', handle, timers.GeventTimers()
+    )
+    served.start()
+    sock = socket.create_connection(('127.0.0.1', served.port))
+    sock.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    assert ended.wait(timeout=10.0)
+    served.stop()
+    sock.close()
