Keep the ranks of waiting streams when a version has fewer

A version of the configuration with fewer urgencies for a service lowered the number of ranks of its load at once. Streams that were already waiting kept their rank, so the review of the queue failed with an IndexError: in the task of each waiting stream and of each new one, which callers saw as 500 and the log as handler_failed without an id. A stream whose submit failed stayed in the queue, was admitted by a later review and held its tokens for good.

A rank that no route uses any more asks for nothing, so nothing is reserved for it.

The test failed before with 'IndexError: tuple index out of range' in stream_admission.is_assured.

--- a/packages/cactusmux-relay/src/cactusmux_relay/service_admission.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/service_admission.py
@@ -55,11 +55,15 @@
         self._reviewed_at = -math.inf
 
     def configure(self, engine: desired_state.Engine, ranks: int) -> None:
-        """Sets the engine and the number of ranks in force."""
+        """Sets the engine in force, and at least this number of ranks.
+
+        Ranks are never taken back: requests that arrived before a version
+        with fewer of them keep their own until they end.
+        """
         if engine is not self._engine:
             self._capacity_at = -math.inf
         self._engine = engine
-        self.ranks = ranks
+        self.ranks = max(self.ranks, ranks)
 
     @property
     def load(self) -> service_load.ServiceLoad:
--- a/packages/cactusmux-relay/tests/test_stream_gate.py
+++ b/packages/cactusmux-relay/tests/test_stream_gate.py
@@ -226,6 +226,19 @@
     assert rig.timer.now() - at >= 0.1
 
 
+def test_version_with_fewer_urgencies_does_not_fail_waiting_requests(rig):
+    rig.fill(tokens_left=500.0)
+
+    def apply_version():
+        rig.pressures.add_held_tokens(SERVICE, 1, KEY, -5000.0)
+        rig.admit(rig.exchange(urgency=0, urgencies=(0, 1))).unwrap()
+
+    rig.timer.after(0.1, apply_version)
+    waiting = rig.exchange(urgency=2)
+    assert isinstance(rig.admit(waiting), result.Success)
+    assert not rig.gate._service_by_name[SERVICE].queue.waiting
+
+
 def test_last_retries_are_left_to_urgent_streams(rig):
     budget = retry_budget.RetryBudget(rig.timer, 0.0, 10.0, 10.0)
     budget.set_instances(1)
