Let streams go on when a version names another card

A stream keeps the engine of the version that it arrived under, but the segments that its path is chosen from follow the version in force. When a version named a card for the first time, and a target with it was known, the search of each earlier stream that looked for a path failed with a KeyError: one that waited got 500, and one that resumed was closed after its head. The log had handler_failed without an id.

Such a target is now unusable for these streams, as in the search for replacements of lost stages.

The test failed before: the answer ended without its last chunk, and the log had handler_failed with KeyError('new').

--- a/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_choice.py
@@ -222,6 +222,9 @@
     to the others.
     """
     target = segment.target
+    if target.card not in engine.card_by_name:
+        # The request came before the version that names this card.
+        return _UNUSABLE
     used = load.tokens_by_target.get(target.id, 0.0)
     if used + tokens > segment.room * MAX_CACHE_FILL:
         return _UNUSABLE
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -16,6 +16,7 @@
 from cactusmux_relay import refused_callers
 from cactusmux_relay import stream_paths
 from cactusmux_relay import target_calls
+from cactusmux_relay import targets
 from cactusmux_routing import breakers
 import gevent
 import pytest
@@ -92,6 +93,36 @@
     assert second.received[0].value_by_header['last-event'] == '3'
 
 
+def test_version_with_another_card_does_not_end_a_running_stream(rig):
+    def script(sock, _request):
+        sock.sendall(HEAD + _chunks(EVENTS[:3]))
+        _add_card(rig, first.address, second.address)
+        return False
+
+    first = scripted_target.ScriptedTarget(script)
+    second = _target(HEAD + _chunks(EVENTS[3:]) + END)
+    rig.use_engines(first.address, second.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
+def _add_card(rig, *addresses):
+    """Puts a card in force that a target which was there already has."""
+    rig.use_engines(*addresses)
+    state = rig.in_force.state
+    service = state.service_by_name[sample_engine.SERVICE]
+    cards = dict(service.engine.card_by_name)
+    cards['new'] = cards['whole']._replace(name='new')
+    engine = service.engine._replace(card_by_name=cards)
+    layers = targets.LayerRange(0, engine.layers)
+    added = sample_engine.target('new', 'new', 'a', layers)
+    rig.book.replace(
+        [*rig.book.target_by_id.values(), added],
+        {sample_engine.SERVICE: service._replace(engine=engine)},
+    )
+
+
 def test_repeated_events_are_dropped(rig):
     first = _target(HEAD + _chunks(EVENTS[:3]))
     second = _target(HEAD + _chunks(EVENTS[1:]) + END)
