--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -302,11 +302,12 @@
             can't come from an idle one that the target has just closed.
         """
         if request.has_long_body:
-            sock = self._connect(address, NO_USER_TIMEOUT_MS)
+            sock = self._connect(address)
+            _set_user_timeout(sock, NO_USER_TIMEOUT_MS)
             return TargetCall(self, address, sock, request)
         sock = None if fresh else self._take_idle(address)
         if sock is None:
-            sock = self._connect(address, USER_TIMEOUT_MS)
+            sock = self._connect(address)
         return TargetCall(self, address, sock, request)
 
     def return_idle(
@@ -345,7 +346,7 @@
                 return newest.sock
             newest.sock.close()
 
-    def _connect(self, address: str, user_timeout_ms: int) -> socket.socket:
+    def _connect(self, address: str) -> socket.socket:
         host, _, port = address.rpartition(':')
         sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
         try:
@@ -357,14 +358,16 @@
             raise NotSent(address, is_refused) from error
         sock.settimeout(None)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            std_socket.IPPROTO_TCP,
-            std_socket.TCP_USER_TIMEOUT,
-            user_timeout_ms,
-        )
+        _set_user_timeout(sock, USER_TIMEOUT_MS)
         return sock
 
 
+def _set_user_timeout(sock: socket.socket, timeout_ms: int) -> None:
+    sock.setsockopt(
+        std_socket.IPPROTO_TCP, std_socket.TCP_USER_TIMEOUT, timeout_ms
+    )
+
+
 def _has_no_input(sock: socket.socket) -> bool:
     """Whether a connection has neither unread data nor been closed."""
     readable, _, _ = select.select([sock], [], [], 0)
