Log only the first 128 characters of a request's id

Cause: a caller chooses the id of its request, and each line about it repeats the id, however long the header. Change: format_event cuts the field id; the value sent on is unchanged. Result: test_long_id_is_cut failed at the old source with the whole 9,000 characters in the line, now it passes. That the dialect reads an id from any bytes is held by a test on drawn bytes, which passed at once.

--- a/packages/cactusmux-base/src/cactusmux_base/events.py
+++ b/packages/cactusmux-base/src/cactusmux_base/events.py
@@ -5,6 +5,8 @@
 
 from absl import logging
 
+# A caller chooses the id of its request, so its length is limited here.
+MAX_ID_CHARACTERS = 128
 _PLAIN_VALUE = re.compile(r'[A-Za-z0-9_.:/@+-]+\Z')
 
 
@@ -17,10 +19,14 @@
 
 
 def format_event(event: str, **value_by_key: object) -> str:
-    """Formats an event and its fields as a single line."""
+    """Formats an event and its fields as a single line.
+
+    Of the field ``id`` only the first :data:`MAX_ID_CHARACTERS` are kept.
+    """
     fields = [f'event={format_value(event)}']
     for key, value in value_by_key.items():
-        fields.append(f'{key}={format_value(value)}')
+        kept = str(value)[:MAX_ID_CHARACTERS] if key == 'id' else value
+        fields.append(f'{key}={format_value(kept)}')
     return ' '.join(fields)
 
 
--- a/packages/cactusmux-base/tests/test_events.py
+++ b/packages/cactusmux-base/tests/test_events.py
@@ -17,3 +17,9 @@
     fields: dict[str, str], line: str
 ) -> None:
     assert events.format_event('seen', **fields) == line
+
+
+# Guards against lines as long as the longest header that a caller may send.
+def test_long_id_is_cut() -> None:
+    line = events.format_event('seen', id='x' * 9000, name='y' * 9000)
+    assert line == f'event=seen id={"x" * 128} name={"y" * 9000}'
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -1,4 +1,5 @@
 from adapter import headers
+from cactusmux_base import events
 from cactusmux_fakes import sample_engine
 from cactusmux_relay import cost_model
 from cactusmux_relay import dialect
@@ -42,6 +43,15 @@
     assert facts.key == 'k1'
 
 
+# Guards against ids whose bytes end a request before it can be logged.
+@hypothesis.given(strategies.binary(max_size=64))
+def test_request_id_is_read_from_any_bytes(value):
+    found = (b'x-cactusmux-request-id', value)
+    text = DIALECT.request_id((found,))
+    assert text.encode('latin-1') == value
+    assert len(events.format_event('seen', id=text).splitlines()) == 1
+
+
 @pytest.mark.parametrize(
     'value, expected',
     [
