Name the id of a request with a malformed header

Cause: the refusal of a malformed header had id=unknown, as no facts were read, and request_malformed had none. Change: both lines take the id from the dialect. Result: test_malformed_request_is_refused_with_its_id failed before (no line with the id), now it passes. The other seven tests of test_request_lines.py, on the lines of streams and refused requests, passed at once.

--- a/packages/cactusmux-relay/src/cactusmux_relay/request_handling.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_handling.py
@@ -112,15 +112,20 @@
             facts = self._header_dialect.request_facts(request)
             exchange = self._admit(request, facts, answerer)
         except dialect.MalformedRequest as malformed:
-            events.info('request_malformed', name=malformed.name)
+            events.info(
+                'request_malformed',
+                id=self._logged_id(request),
+                name=malformed.name,
+            )
             self._refuse(
+                request,
                 answerer,
                 facts,
                 context.RequestRefused(outcomes.Refusal.MALFORMED, False),
             )
             return
         except context.RequestRefused as refused:
-            self._refuse(answerer, facts, refused)
+            self._refuse(request, answerer, facts, refused)
             return
         self._metric.count(f'relay.requests.{exchange.route.kind}')
         self._serve(exchange)
@@ -211,10 +216,10 @@
             )
             self._respond(exchange, failure.response)
         except context.StreamAborted as aborted:
-            self._log_refusal(exchange.facts, aborted.refusal, True, 0)
+            self._log_refusal(exchange.request, aborted.refusal, True, 0)
             exchange.answerer.abort()
         except context.RequestRefused as refused:
-            self._refuse(exchange.answerer, exchange.facts, refused)
+            self._refuse_admitted(exchange, refused)
         except http_server.CallerDisconnected:
             self._metric.count('relay.caller_gone')
             events.info(
@@ -245,17 +250,12 @@
     ) -> None:
         if progress.has_begun:
             self._log_refusal(
-                exchange.facts, outcomes.Refusal.TIMED_OUT, True, 0
+                exchange.request, outcomes.Refusal.TIMED_OUT, True, 0
             )
             exchange.answerer.abort()
             return
         refused = context.RequestRefused(outcomes.Refusal.TIMED_OUT, True)
-        self._refuse(
-            exchange.answerer,
-            exchange.facts,
-            refused,
-            STATUS_GATEWAY_TIMEOUT,
-        )
+        self._refuse_admitted(exchange, refused, STATUS_GATEWAY_TIMEOUT)
 
     def _respond(
         self, exchange: context.Exchange, response: outcomes.CompleteResponse
@@ -269,12 +269,27 @@
             refused = context.RequestRefused(
                 outcomes.Refusal.TARGET_FAILED, True
             )
-            self._refuse(exchange.answerer, exchange.facts, refused)
+            self._refuse_admitted(exchange, refused)
             return
         exchange.answerer.answer(status, kept, response.body)
 
+    def _refuse_admitted(
+        self,
+        exchange: context.Exchange,
+        refused: context.RequestRefused,
+        status: int | None = None,
+    ) -> None:
+        self._refuse(
+            exchange.request,
+            exchange.answerer,
+            exchange.facts,
+            refused,
+            status,
+        )
+
     def _refuse(
         self,
+        request: http_server.Request,
         answerer: http_server.Answerer,
         facts: dialect.RequestFacts | None,
         refused: context.RequestRefused,
@@ -285,7 +300,7 @@
                 STATUS_BAD_GATEWAY if refused.has_run else STATUS_NOT_RUN
             )
             status = STATUS_BY_REFUSAL.get(refused.refusal, default_status)
-        self._log_refusal(facts, refused.refusal, refused.has_run, status)
+        self._log_refusal(request, refused.refusal, refused.has_run, status)
         headers = self._header_dialect.refusal_headers(
             facts, refused.retry_after_s
         )
@@ -293,7 +308,7 @@
 
     def _log_refusal(
         self,
-        facts: dialect.RequestFacts | None,
+        request: http_server.Request,
         refusal: outcomes.Refusal,
         has_run: bool,
         status: int,
@@ -301,7 +316,7 @@
         self._metric.count(f'relay.refused.{refusal}')
         events.info(
             'request_refused',
-            id=facts.request_id if facts else 'unknown',
+            id=self._logged_id(request),
             reason=refusal,
             has_run=has_run,
             status=status,
@@ -310,6 +325,9 @@
             else 0,
         )
 
+    def _logged_id(self, request: http_server.Request) -> str:
+        return self._header_dialect.request_id(request.headers) or 'unknown'
+
     def _age_s(self, exchange: context.Exchange) -> float:
         age_s = self._timer.now() - exchange.request.received_at
         return round(age_s, 3)
