--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -87,6 +87,11 @@
         self._progress.record_end(request_ends.Cause.STOPPED)
         self.close()
 
+    def log_unfinished(self) -> None:
+        """Logs the present request as ended by the stop of the process."""
+        self._progress.record_end(request_ends.Cause.STOPPED)
+        self._end_log.record(self._progress)
+
     def close(self) -> None:
         """Closes the socket at once."""
         try:
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -92,6 +92,11 @@
             if not connection.is_busy:
                 connection.stop()
 
+    def log_unfinished(self) -> None:
+        """Logs the requests in progress, which the process ends with it."""
+        for connection in list(self._connections):
+            connection.log_unfinished()
+
     def _serve(self, sock: socket.socket, _peer: object) -> None:
         connection = http_connection.HttpConnection(
             sock,
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -274,7 +274,10 @@
         return self.in_force.state is not None and not self.is_stopping
 
     def stop(self) -> None:
-        """Stops without aborting requests; returns when all are served."""
+        """Stops without aborting requests; returns when all are served.
+
+        Those that aren't served in the time for a stop are logged.
+        """
         self._shutdown.begin()
         events.info('stop_begun', busy=self._entry.busy_count)
         self._registration.stop()
@@ -284,6 +287,7 @@
         self._shutdown.wait(lambda: self._entry.busy_count)
         events.info('stop_done', busy=self._entry.busy_count)
         self._entry.stop()
+        self._entry.log_unfinished()
 
     def _send_gossip_soon(self) -> None:
         """Sends ejected and recovered targets to peers within 0.1 s."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
@@ -44,6 +44,8 @@
         Cause.RESPONSE_UNFINISHED,
     )
 )
+# Ends by a decision of this instance.
+_DECIDED = frozenset((Cause.ABORTED, Cause.STOPPED))
 
 
 class CallerFailure(failures.CactusmuxError):
@@ -83,6 +85,7 @@
     :ivar response_bytes: bytes of the response's body that were sent, with
         the framing of its chunks.
     :ivar cause: what ended the request, ``None`` while nothing did.
+    :ivar is_logged: whether its abnormal end has been logged.
     """
 
     def __init__(self) -> None:
@@ -93,6 +96,7 @@
         self.response_bytes = 0
         self.is_response_whole = False
         self.cause: Cause | None = None
+        self.is_logged = False
         self.detail = ''
 
     def record_end(self, cause: Cause, detail: str = '') -> None:
@@ -135,10 +139,11 @@
     def record(self, progress: RequestProgress) -> None:
         """Records that a request has ended, normally or not."""
         cause = progress.abnormal_cause
-        if cause is None:
+        if cause is None or progress.is_logged:
             return
+        progress.is_logged = True
         self._metric.count(f'relay.ended.{cause}')
-        log = events.error if cause in _INTERNAL else events.info
+        log = _log_of(cause)
         log(
             'request_ended',
             id=self.request_id(progress),
@@ -157,6 +162,13 @@
     return EndLog(lambda headers: '', metric or metrics.MemoryMetrics())
 
 
+def _log_of(cause: Cause) -> Callable[..., None]:
+    """Returns the function that logs at the level of a cause."""
+    if cause in _INTERNAL:
+        return events.error
+    return events.warning if cause in _DECIDED else events.info
+
+
 def _describe(error: BaseException) -> str:
     """Returns an exception and the place where it was raised."""
     frames = traceback.extract_tb(error.__traceback__)
