Explain requests by the line of their abnormal end

Cause: explain and causes took request_ended, and request_malformed now that it has an id, for the last line of a request whose instance was killed. Change: both know the two lines; an aborted stream is still explained by its refusal and by what broke it. Result: 20 tests of test_log_explanation.py and test_cause_table.py failed before ("the instance stopped or was killed"), now all of the package's pass.

--- a/packages/cactusmux/src/cactusmux/cause_table.py
+++ b/packages/cactusmux/src/cactusmux/cause_table.py
@@ -23,6 +23,10 @@
     'stream_broken': 'its stream broke',
     'no_path': 'it waited for room',
 }
+# Abnormal ends that are the caller's doing.
+_ENDS_BY_CALLER = frozenset(
+    ('body_cut', 'caller_disconnected', 'caller_unreachable')
+)
 _IN_TIME = ''
 
 
@@ -72,13 +76,14 @@
 
 def _find_cause(lines: list[log_explanation.LogLine], limits: Limits) -> str:
     last = lines[-1]
+    if last.event == 'request_ended':
+        return _cause_of_end(lines)
     if last.event == 'stream_served':
         return _cause_of_late_stream(lines, limits)
-    if last.event == 'plain_served':
+    if last.event in ('plain_served', 'request_malformed'):
         return _IN_TIME
     if last.event == 'request_refused':
-        reason = last.value_by_key.get('reason', '')
-        return _IN_TIME if reason in _OWN_FAULTS else f'refused: {reason}'
+        return _cause_of_refusal(last)
     if last.event == 'failure_passed_on':
         return 'its target answered with a failure'
     if last.event == 'caller_gone':
@@ -86,6 +91,23 @@
     return 'the instance stopped or was killed'
 
 
+def _cause_of_end(lines: list[log_explanation.LogLine]) -> str:
+    """Names the cause of an abnormal end; a refusal before it counts."""
+    cause = lines[-1].value_by_key.get('cause', '')
+    if cause == 'aborted':
+        for line in lines:
+            if line.event == 'request_refused':
+                return _cause_of_refusal(line)
+    if cause in _ENDS_BY_CALLER:
+        return 'the caller left'
+    return f'ended: {cause}'
+
+
+def _cause_of_refusal(line: log_explanation.LogLine) -> str:
+    reason = line.value_by_key.get('reason', '')
+    return _IN_TIME if reason in _OWN_FAULTS else f'refused: {reason}'
+
+
 def _cause_of_late_stream(
     lines: list[log_explanation.LogLine], limits: Limits
 ) -> str:
--- a/packages/cactusmux/src/cactusmux/log_explanation.py
+++ b/packages/cactusmux/src/cactusmux/log_explanation.py
@@ -5,6 +5,8 @@
 import re
 from typing import NamedTuple
 
+from cactusmux_base import events
+
 # Lines about the request's targets and the instance's state are shown from
 # this long before its first line until this long after its last line.
 BEFORE_S = 5.0
@@ -59,6 +61,19 @@
     'rate_limited': 'the targets that could take it have named rate limits',
 }
 
+_CAUSE_BY_END = {
+    'aborted': 'its response was closed midway on purpose',
+    'body_cut': 'the caller closed its connection within its body',
+    'body_timeout': 'its body did not arrive whole in time',
+    'caller_disconnected': 'the caller closed its connection',
+    'caller_stalled': 'the caller read nothing of its response for too long',
+    'caller_unreachable': 'the connection to the caller failed',
+    'handler_failed': 'an exception that nobody foresaw',
+    'response_invalid': 'its response would have broken the protocol',
+    'response_unfinished': 'its handler left its response incomplete',
+    'stopped': 'the instance was stopped before it had ended',
+}
+
 
 class LogLine(NamedTuple):
     """A line of an instance's log; ``at_s`` is seconds since midnight."""
@@ -89,8 +104,9 @@
 
 def explain_request(request_id: str, lines: list[LogLine]) -> list[str]:
     """Returns a line for each step of a request; empty if unknown."""
+    logged_id = request_id[: events.MAX_ID_CHARACTERS]
     request_lines = [
-        each for each in lines if each.value_by_key.get('id') == request_id
+        each for each in lines if each.value_by_key.get('id') == logged_id
     ]
     if not request_lines:
         return []
@@ -153,35 +169,69 @@
 
 def _explain_cause(request_lines: list[LogLine]) -> str:
     last = request_lines[-1]
-    reason = last.value_by_key.get('reason', '')
+    if last.event != 'request_ended':
+        return _explain_outcome(request_lines)
+    end = _explain_end(last)
+    earlier = request_lines[:-1]
+    is_explained = any(each.event == 'request_refused' for each in earlier)
+    if is_explained:
+        return f'{_explain_outcome(earlier)}; {end}'
+    return end
+
+
+def _explain_end(line: LogLine) -> str:
+    """Explains an abnormal end by its cause and how far all had come."""
+    values = line.value_by_key
+    name = values.get('cause', '')
+    cause = _CAUSE_BY_END.get(name, name)
+    detail = values.get('detail', '')
+    told = f'{cause} ({detail})' if detail else cause
+    status = values.get('response_status', '0')
+    if status == '0':
+        return f'{told}; no response was begun'
+    whole = 'all' if values.get('response_whole') == 'True' else 'not all'
+    return (
+        f'{told}; a response with status {status} was begun, '
+        f'{values.get("response_bytes")} bytes of its body sent, {whole}'
+    )
+
+
+def _explain_outcome(request_lines: list[LogLine]) -> str:
+    """Explains the outcome that the last line tells."""
+    last = request_lines[-1]
+    values = last.value_by_key
     if last.event == 'request_refused':
-        cause = _CAUSE_BY_REASON.get(reason, reason)
-        broken = [
-            each for each in request_lines if each.event == 'stream_broken'
-        ]
-        if broken:
-            detail = broken[-1].value_by_key.get('detail', '')
-            cause = f'{cause}; its stream broke: {detail}'
-        return cause
+        return _explain_refusal(request_lines)
+    if last.event == 'request_malformed':
+        return f'malformed or too large: status {values.get("status")}'
     if last.event == 'stream_served':
-        values = last.value_by_key
         return (
             f'served after {values.get("sends")} sends: first event after '
             f'{values.get("first_ms")} ms, longest pause '
             f'{values.get("longest_pause_ms")} ms'
         )
     if last.event == 'failure_passed_on':
-        status = last.value_by_key.get('status')
+        status = values.get('status')
         return f'the last target asked answered with status {status} itself'
     if last.event == 'caller_gone':
         return 'the caller closed its connection'
     if last.event == 'plain_served':
-        return f'answered with status {last.value_by_key.get("status")}'
+        return f'answered with status {values.get("status")}'
     return (
         f'the log ends with {last.event}: the instance stopped or was killed'
     )
 
 
+def _explain_refusal(request_lines: list[LogLine]) -> str:
+    reason = request_lines[-1].value_by_key.get('reason', '')
+    cause = _CAUSE_BY_REASON.get(reason, reason)
+    broken = [each for each in request_lines if each.event == 'stream_broken']
+    if not broken:
+        return cause
+    detail = broken[-1].value_by_key.get('detail', '')
+    return f'{cause}; its stream broke: {detail}'
+
+
 def _format(line: LogLine, start: float) -> str:
     fields = ' '.join(
         f'{key}={value}'
--- a/packages/cactusmux/tests/test_cause_table.py
+++ b/packages/cactusmux/tests/test_cause_table.py
@@ -30,6 +30,7 @@
             'event=plain_served id=b status=200',
             'event=request_refused id=c reason=no_route',
             'event=target_down target=t',
+            'event=request_malformed id=d status=413',
         )
         == []
     )
@@ -59,6 +60,32 @@
             'its target answered with a failure',
         ),
         (['event=path_chosen id=a'], 'the instance stopped or was killed'),
+        (['event=request_ended id=a cause=body_cut'], 'the caller left'),
+        (
+            [
+                'event=caller_gone id=a',
+                'event=request_ended id=a cause=caller_disconnected',
+            ],
+            'the caller left',
+        ),
+        (
+            [
+                'event=request_refused id=a reason=target_failed status=0',
+                'event=request_ended id=a cause=aborted',
+            ],
+            'refused: target_failed',
+        ),
+        (
+            [
+                'event=plain_served id=a status=200',
+                'event=request_ended id=a cause=caller_stalled',
+            ],
+            'ended: caller_stalled',
+        ),
+        (
+            ['event=request_ended id=a cause=handler_failed'],
+            'ended: handler_failed',
+        ),
     ],
 )
 def test_each_request_counts_under_its_first_cause(events, cause):
--- a/packages/cactusmux/tests/test_log_explanation.py
+++ b/packages/cactusmux/tests/test_log_explanation.py
@@ -1,4 +1,6 @@
 from cactusmux import log_explanation
+from cactusmux_relay import request_ends
+import pytest
 
 LOG = """noise
 W0503 23:59:58.900000 1 events.py:34] event=target_down target=t2 cause="x y"
@@ -82,3 +84,56 @@
     assert any('target_rate_limited target=t1' in each for each in steps)
     assert not any('target=t9' in each for each in steps)
     assert 'rate limits' in steps[-1]
+
+
+END = (
+    'I0503 10:00:01.000000 1 events.py:29] event=request_ended id=r1 '
+    'cause={} request_bytes=800 request_whole=True response_status={} '
+    'response_bytes=71 response_whole=False detail={}'
+)
+ABORTED_LOG = """\
+I0503 10:00:00.000000 1 events.py:29] event=path_chosen id=r1 path=t1 send=1
+I0503 10:00:00.900000 1 events.py:29] event=stream_broken id=r1 path=t1 \
+detail=reset
+I0503 10:00:01.000000 1 events.py:29] event=request_refused id=r1 \
+reason=target_failed status=0
+""" + END.format('aborted', 200, '""')
+
+
+def _cause(log):
+    lines = log_explanation.parse(log.splitlines())
+    return log_explanation.explain_request('r1', lines)[-1]
+
+
+@pytest.mark.parametrize('cause', list(request_ends.Cause))
+def test_each_abnormal_end_is_explained(cause):
+    explained = _cause(END.format(cause, 0, '""'))
+    assert explained.endswith('; no response was begun')
+    assert not explained.startswith(f'cause: {cause};')
+
+
+def test_end_of_an_aborted_stream_is_explained_by_what_broke_it():
+    explained = _cause(ABORTED_LOG)
+    assert 'the target failed' in explained
+    assert 'its stream broke: reset' in explained
+    assert explained.endswith('71 bytes of its body sent, not all')
+
+
+def test_failure_of_a_handler_is_explained_by_its_exception():
+    log = END.format('handler_failed', 0, '"a.py:7: OSError()"')
+    assert '(a.py:7: OSError())' in _cause(log)
+
+
+def test_request_that_broke_the_protocol_is_explained():
+    log = """\
+I0503 10:00:01.000000 1 events.py:29] event=request_malformed id=r1 status=413
+"""
+    assert _cause(log) == 'cause: malformed or too large: status 413'
+
+
+def test_request_is_found_by_an_id_that_is_logged_cut():
+    log = f"""\
+I0503 10:00:01.000000 1 events.py:29] event=caller_gone id={'x' * 128}
+"""
+    lines = log_explanation.parse(log.splitlines())
+    assert log_explanation.explain_request('x' * 500, lines)
