Send a further attempt on a new connection

A target may close a kept connection just as a request is sent on it; such a break costs an attempt and a retry. The further attempt took a kept connection again, and with a route of two attempts a second close at that moment ended the request with 502, though both targets were sound. A further attempt after one that may have run now opens a connection, for streams and plain requests.

Both tests failed before: status 502 in place of 200.

--- a/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/pace_play.py
@@ -132,6 +132,8 @@
         path: cost_model.Path = (),
         last_event_id: event_ids.EventId | None = None,
         live: live_streams.LiveStream | None = None,
+        *,
+        has_run: bool = False,
     ) -> outcomes.SendOutcome:
         self._target_id_by_request[exchange.facts.request_id] = target.id
         self._server_by_id[target.id].run()
--- a/packages/cactusmux-relay/src/cactusmux_relay/attempt_sender.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/attempt_sender.py
@@ -64,6 +64,7 @@
             path,
             state.forwarder.last_id,
             self._attempt.live,
+            has_run=state.runs > 0,
         )
         if isinstance(outcome, outcomes.NotRun):
             self._record_rejection(outcome)
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -111,7 +111,9 @@
                 )
             tried.add(target.id)
             may_retry = self._may_retry(exchange, runs + 1, tried)
-            outcome = self._send(exchange, target, may_retry, gate)
+            outcome = self._send(
+                exchange, target, may_retry, gate, has_run=runs > 0
+            )
             if isinstance(outcome, outcomes.CompleteResponse):
                 if outcome.head.status not in outcomes.FAILURE_STATUSES:
                     return outcome
@@ -286,6 +288,7 @@
         target: targets.Target,
         may_retry: bool,
         gate: plain_gate.PlainGate,
+        has_run: bool,
     ) -> outcomes.SendOutcome:
         left_s = exchange.ends_at - self._timer.now()
         wait_s = left_s / 2 if may_retry else left_s
@@ -307,7 +310,7 @@
         )
         try:
             with gevent.Timeout(max(wait_s, 0.0), False):
-                outcome = self._sender.send(exchange, target)
+                outcome = self._sender.send(exchange, target, has_run=has_run)
         finally:
             self._tracker.remove((target.id,), 0.0)
         self._record_outcome(exchange, target, outcome, sent_at)
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -49,17 +49,22 @@
         path: cost_model.Path = (),
         last_event_id: event_ids.EventId | None = None,
         live: live_streams.LiveStream | None = None,
+        *,
+        has_run: bool = False,
     ) -> outcomes.SendOutcome:
         """Sends once; leaves the events of a stream unread.
 
         :param last_event_id: id of the event after which a stream resumes;
             the one of the caller's request if ``None``.
         :param live: gets the call, so that the stream can be interrupted.
+        :param has_run: whether an earlier send may have run. A target may
+            close a kept connection as it is used, which costs an attempt: a
+            further one gets a new connection.
         """
         if not self._rates.take(target):
             return outcomes.NotRun(target.address, 0, is_held=True)
         request = self._outgoing(exchange, target, path, last_event_id)
-        new_connection = not exchange.route.is_idempotent
+        new_connection = has_run or not exchange.route.is_idempotent
         sent_at = self._timer.now()
         try:
             call = self._connections.call(
--- a/packages/cactusmux-relay/tests/test_plain_relay.py
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -85,6 +85,30 @@
         assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
 
 
+def _target_that_closes_kept_connections():
+    """Answers once on each connection, which it closes when reused."""
+    used = set()
+
+    def script(sock, _request):
+        if sock in used:
+            return False
+        used.add(sock)
+        sock.sendall(_ok())
+        return True
+
+    return scripted_target.ScriptedTarget(script)
+
+
+def test_closed_kept_connections_do_not_use_up_all_attempts(rig):
+    found = [_target_that_closes_kept_connections() for _ in range(2)]
+    for target in found:
+        rig.use_plain(target.address)
+        assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
+    rig.use_plain(*[each.address for each in found])
+    assert _status(rig.ask(relay_rig.request('/safe/'))) == 200
+    assert [len(each.received) for each in found] == [2, 2]
+
+
 def test_failure_of_the_last_target_is_passed_on_with_its_signature(rig):
     failing = _target(scripted_target.answer(b'sorry', 500, SIGNED))
     rig.use_plain(failing.address)
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -123,6 +123,33 @@
     )
 
 
+def _target_that_closes_kept_connections():
+    """Serves one stream on each connection, which it closes when reused."""
+    used = set()
+
+    def script(sock, _request):
+        if sock in used:
+            return False
+        used.add(sock)
+        sock.sendall(HEAD + _chunks(EVENTS) + END)
+        return True
+
+    return scripted_target.ScriptedTarget(script)
+
+
+def test_closed_kept_connections_do_not_use_up_all_attempts(rig):
+    first = _target_that_closes_kept_connections()
+    second = _target_that_closes_kept_connections()
+    for target in (first, second):
+        rig.use_engines(target.address)
+        assert _ask(rig).is_complete
+    rig.use_engines(first.address, second.address)
+    head, body, _ = _ask(rig)
+    assert head.status_code == 200
+    assert body == b''.join(EVENTS)
+    assert (len(first.received), len(second.received)) == (2, 2)
+
+
 def test_repeated_events_are_dropped(rig):
     first = _target(HEAD + _chunks(EVENTS[:3]))
     second = _target(HEAD + _chunks(EVENTS[1:]) + END)
