Take back only streams on which no target has begun to write

Streams whose part is quarantined are taken back where no target has begun to write, so that their callers can be told. The check and the abort were a turn of the event loop apart: a stream whose head and first events came in between was aborted all the same, and closed without a whole answer. It is now checked again at the abort.

The case of a response that has begun failed before: the call was aborted. The other case, of a target that hasn't begun, passed and passes.

--- a/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
@@ -113,8 +113,13 @@
         """Whether a target that ends now may end because of the request."""
         return self.has_just_begun and self._crashes.is_suspect(self.requester)
 
-    def abort(self) -> None:
-        """Interrupts the attempt; the target isn't to blame for it."""
+    def take_back(self) -> None:
+        """Interrupts the attempt unless its target has begun to write.
+
+        The target isn't to blame for it.
+        """
+        if self.live.response_at is not None:
+            return
         if self.live.call is not None and not self.live.was_interrupted:
             self.live.was_interrupted = True
             self.live.call.abort()
@@ -274,4 +279,5 @@
             if attempt.live.response_at is not None:
                 continue
             if self.quarantine.find(attempt.requester) is not None:
-                self._timer.after(0.0, attempt.abort)
+                # Other tasks run before it: the target may begin to write.
+                self._timer.after(0.0, attempt.take_back)
--- a/packages/cactusmux-relay/tests/test_quarantine_streams.py
+++ b/packages/cactusmux-relay/tests/test_quarantine_streams.py
@@ -1,7 +1,10 @@
 """Streams whose prompt has a part under which targets end."""
 
+from cactusmux_base import timers
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import cost_model
+from cactusmux_relay import live_streams
 from cactusmux_relay import part_evidence
 from cactusmux_relay import prompt_parts
 from cactusmux_relay import quarantine
@@ -232,6 +235,36 @@
     assert not rig.failing.ids()
 
 
+class _Call:
+    """Records whether it was aborted."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    def abort(self):
+        self.is_aborted = True
+
+
+@pytest.mark.parametrize('has_begun', [False, True])
+def test_response_that_has_just_begun_is_not_taken_back(rig, has_begun):
+    timer = timers.ManualTimers()
+    crashes = target_crashes.TargetCrashes(
+        rig.quarantine, rig.down, rig.book, timer
+    )
+    stage = cost_model.Stage(
+        relay_rig.sample_engine.target('t'), targets.NO_LAYERS
+    )
+    live = live_streams.LiveStream((stage,), 40.0, timer.now())
+    live.call = _Call()
+    requester = prompt_parts.Requester('almaty', _keys('part'))
+    crashes.begin(requester, 'r1', live)
+    _quarantine(rig, 'part')
+    if has_begun:
+        live.response_at = timer.now()
+    timer.advance(0.0)
+    assert live.call.is_aborted is not has_begun
+
+
 def test_part_that_is_served_to_its_end_is_cleared(rig):
     requester = prompt_parts.Requester('almaty', _keys('part'))
     rig.quarantine.record_crash(requester, 'r0', targets.Start('t0', 1))
