--- a/packages/cactusmux-relay/tests/test_descriptors.py
+++ b/packages/cactusmux-relay/tests/test_descriptors.py
@@ -14,6 +14,7 @@
 from cactusmux_relay import desired_state
 from cactusmux_relay import http_connection
 from cactusmux_relay import http_server
+from cactusmux_relay import request_ends
 from cactusmux_relay import target_calls
 import gevent
 from gevent import socket
@@ -93,6 +94,7 @@
         timers.GeventTimers(),
         desired_state.Limits,
         lambda: False,
+        request_ends.without_ids(),
     )
 
 
