Check for unread input with poll, without a task switch

Callers saw: 500 for an ordinary request while 1,500 connections were open. Cause: the checks whether a kept connection to a target, or a caller's connection at a stop, has input went through gevent's select(). It refuses descriptors from 1,024 on; for a caller's connection that meant that a request that had arrived at a stop wasn't noticed. It also runs other tasks even with a timeout of 0, so that what was true before the check isn't after it. Change: unread_input asks the kernel's poll, unpatched, at both places.

--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -11,7 +11,6 @@
 from cactusmux_base import events
 from cactusmux_base import timers
 import gevent
-from gevent import select
 from gevent import socket
 import h11
 
@@ -19,6 +18,7 @@
 from . import http_messages
 from . import request_ends
 from . import request_reading
+from . import unread_input
 
 # Limit on the bytes of pipelined requests that are read while a handler runs.
 MAX_PIPELINED_BYTES = 262144
@@ -68,11 +68,7 @@
         """Whether unread bytes of a request have arrived."""
         if self._h11.trailing_data[0]:
             return True
-        try:
-            readable, _, _ = select.select([self._sock], [], [], 0)
-        except (OSError, ValueError):
-            return False
-        return bool(readable)
+        return unread_input.has_input(self._sock)
 
     def run(self) -> None:
         """Serves requests until the connection ends."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -15,11 +15,11 @@
 from cactusmux_base import timers
 from cactusmux_base import turns
 import gevent
-from gevent import select
 from gevent import socket
 import h11
 
 from . import http_server
+from . import unread_input
 
 CONNECT_TIMEOUT_S = 0.3
 RECEIVE_BYTES = 65536
@@ -342,5 +342,4 @@
 
 def _has_no_input(sock: socket.socket) -> bool:
     """Whether a connection has neither unread data nor been closed."""
-    readable, _, _ = select.select([sock], [], [], 0)
-    return not readable
+    return not unread_input.has_input(sock)
