Blame no target for a connect that fails for want of descriptors

Callers saw: requests refused because sound targets were held to be down or ejected, after this instance had run out of descriptors or ports. Cause: NotSent.is_refused was true for each error of a connect but a timeout, so that one local error ejected a target; the socket was created outside of the try, so that an OSError escaped into the handler; a suspect for whose probe there was no descriptor counted as overtaken by a reference that got one. Change: local_errors names the errors of this side. Such a NotSent isn't refused but local; the outcome says so. Breakers, rate of starts, probes and exclusions of targets take no notice of it; a race of connections calls it inconclusive.

--- a/packages/cactusmux-relay/src/cactusmux_relay/connection_races.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/connection_races.py
@@ -31,8 +31,9 @@
 ) -> dict[str, connection_probes.ProbeResult]:
     """Connects to all targets at once; returns the results by target id.
 
-    A suspected target that was overtaken counts as unanswered. Suspected
-    targets without an entry in the result are inconclusive.
+    A suspected target that was overtaken counts as unanswered, unless this
+    instance failed to send to it at all. Suspected targets without an entry
+    in the result are inconclusive.
     """
     task_by_id = {
         each.id: gevent.spawn(
@@ -56,6 +57,11 @@
         }
     finally:
         gevent.killall([*task_by_id.values(), *reference_tasks], block=False)
+    not_tried_ids = {
+        target_id
+        for target_id, result in result_by_id.items()
+        if result.is_local
+    }
     result_by_id = {
         target_id: result
         for target_id, result in result_by_id.items()
@@ -67,7 +73,8 @@
             'overtaken by others',
             RACE_TIMEOUT_S,
         )
-        for target_id in task_by_id.keys() - result_by_id.keys():
+        overtaken_ids = task_by_id.keys() - result_by_id.keys()
+        for target_id in overtaken_ids - not_tried_ids:
             result_by_id[target_id] = overtaken
     return result_by_id
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
@@ -35,12 +35,15 @@
     :ivar status: HTTP status of the target, 0 without a response.
     :ivar is_refused: whether it refused the connection.
     :ivar is_held: whether its rate limit forbade to send to it.
+    :ivar is_local: whether this instance could not connect for a cause of
+        its own, such as a lack of descriptors.
     """
 
     at_fault: str
     status: int
     is_refused: bool = False
     is_held: bool = False
+    is_local: bool = False
 
 
 class MaybeRun(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/path_finder.py
@@ -343,6 +343,9 @@
         """
         if outcome.is_held:
             return None
+        if outcome.is_local:
+            self._metric.count('relay.path_rejected.local')
+            return None
         target = self._registry.target_by_address.get(outcome.at_fault)
         events.info(
             'path_rejected',
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_latency.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_latency.py
@@ -60,6 +60,9 @@
                 return slow_start.Verdict.FAILED
             near_s = NEAR_OBJECTIVE * objective_s
             return slow_start.classify_time(elapsed_s, near_s, objective_s)
+        case outcomes.NotRun(is_local=True):
+            # No evidence about the target.
+            return slow_start.Verdict.SILENT
         case outcomes.NotRun():
             return slow_start.Verdict.REJECTED
         case _ if elapsed_s >= wait_s:
--- a/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/plain_relay.py
@@ -333,6 +333,9 @@
                     self._health.record_success(target.address)
             case outcomes.NotRun(is_held=True):
                 self._log_failure(exchange, target, 'rate_limited', after_s)
+            case outcomes.NotRun(is_local=True):
+                self._health.record_abandoned(target.address)
+                self._log_failure(exchange, target, 'not_connected', after_s)
             case outcomes.NotRun(_, status) as not_run:
                 self._health.record_failure(target.address, not_run.is_refused)
                 detail = f'not_run_{status}'
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -67,7 +67,10 @@
             )
         except target_calls.NotSent as failed:
             return outcomes.NotRun(
-                target.address, 0, is_refused=failed.is_refused
+                target.address,
+                0,
+                is_refused=failed.is_refused,
+                is_local=failed.is_local,
             )
         streaming = False
         if live is not None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -19,6 +19,7 @@
 import h11
 
 from . import http_server
+from . import local_errors
 from . import unread_input
 
 CONNECT_TIMEOUT_S = 0.3
@@ -45,15 +46,20 @@
 
     :ivar is_refused: whether the connection failed at once, as by a refusal.
         Otherwise it timed out, possibly because this instance's own link is
-        saturated.
+        saturated, or ``is_local``.
+    :ivar is_local: whether this instance lacked descriptors, ports or a
+        route, so that the target wasn't reached at all.
     """
 
     reason = 'not_sent'
 
-    def __init__(self, address: str, is_refused: bool) -> None:
+    def __init__(
+        self, address: str, is_refused: bool, is_local: bool = False
+    ) -> None:
         super().__init__(f'could not connect to target {address}')
         self.address = address
         self.is_refused = is_refused
+        self.is_local = is_local
 
 
 class AnswerBroken(failures.CactusmuxError):
@@ -322,14 +328,15 @@
 
     def _connect(self, address: str) -> socket.socket:
         host, _, port = address.rpartition(':')
-        sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+        sock = _new_socket(address)
         try:
             sock.settimeout(CONNECT_TIMEOUT_S)
             sock.connect((host, int(port)))
         except (OSError, ValueError, OverflowError) as error:
             sock.close()
-            is_refused = not isinstance(error, TimeoutError)
-            raise NotSent(address, is_refused) from error
+            is_local = local_errors.is_local(error)
+            is_refused = not is_local and not isinstance(error, TimeoutError)
+            raise NotSent(address, is_refused, is_local) from error
         sock.settimeout(None)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         sock.setsockopt(
@@ -340,6 +347,13 @@
         return sock
 
 
+def _new_socket(address: str) -> socket.socket:
+    try:
+        return socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    except OSError as error:
+        raise NotSent(address, is_refused=False, is_local=True) from error
+
+
 def _has_no_input(sock: socket.socket) -> bool:
     """Whether a connection has neither unread data nor been closed."""
     return not unread_input.has_input(sock)
