Close idle connections to targets when there is no descriptor left

Cause: up to 32 idle connections to each target are kept for seconds. When the descriptors ran out, they stayed, and a new connection to any target failed. Change: the idle ones are closed when a socket can't be created, and the socket is tried once more. Result: test_idle_connections_give_way_to_a_new_one passes; without the change it ends with NotSent (seen before: OSError, as the other tests of that file).

--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -326,9 +326,27 @@
             newest.sock.close()
         return None
 
+    def _new_socket(self, address: str) -> socket.socket:
+        """Creates a socket; closes the idle ones if there is no other way."""
+        try:
+            return _create_socket(address)
+        except NotSent:
+            if not self._close_idle():
+                raise
+        return _create_socket(address)
+
+    def _close_idle(self) -> int:
+        """Closes all idle connections; returns how many there were."""
+        count = self.idle_count
+        for idle in self._idle_by_address.values():
+            while idle:
+                idle.pop().sock.close()
+        self._idle_by_address = {}
+        return count
+
     def _connect(self, address: str) -> socket.socket:
         host, _, port = address.rpartition(':')
-        sock = _new_socket(address)
+        sock = self._new_socket(address)
         try:
             sock.settimeout(CONNECT_TIMEOUT_S)
             sock.connect((host, int(port)))
@@ -347,7 +365,7 @@
         return sock
 
 
-def _new_socket(address: str) -> socket.socket:
+def _create_socket(address: str) -> socket.socket:
     try:
         return socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     except OSError as error:
--- a/packages/cactusmux-relay/tests/test_descriptors.py
+++ b/packages/cactusmux-relay/tests/test_descriptors.py
@@ -181,6 +181,18 @@
     assert not raised.value.is_refused
 
 
+def test_idle_connections_give_way_to_a_new_one(connections):
+    """Kept connections to some targets used up what the others needed."""
+    target = scripted_target.ScriptedTarget(lambda sock, request: False)
+    near, _far = socket.socketpair()
+    connections.return_idle('127.0.0.1:1', near, 5.0)
+    with _no_descriptors_left():
+        call = connections.call(target.address, REQUEST, fresh=True)
+    assert connections.idle_count == 0
+    call.close()
+    target.stop()
+
+
 def test_local_connect_errors_are_held_against_no_target(rig, monkeypatch):
     """Own failures to connect ejected each target in turn."""
     target = scripted_target.ScriptedTarget(lambda sock, request: False)
