Bound the connections that callers hold by the descriptors

Callers saw: no answer while 800 idle clients were connected to a process with 600 descriptors. Cause: nothing bounded the connections of callers, and nothing read limits.file_descriptors. Connections of callers took each descriptor, so that none was left to accept an ordinary caller, nor for targets and the store. Change: descriptor_budget divides the limit (the setting, or that of the operating system) among files, our own calls, the surfaces, callers, and one connection to a target for each of these. connection_limits counts the connections of all listening addresses; when there is no room, the longest idle one gives way, then incomplete heads, then incomplete bodies, never a request in service. One address may hold seven eighths. Readiness, addresses, metrics and copies have places of their own. Each connection costs one to three tasks, so that tasks are bounded as well. A line and counters say when it acts.

--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -14,6 +14,7 @@
 from gevent import socket
 import h11
 
+from . import connection_limits
 from . import desired_state
 from . import http_messages
 from . import request_ends
@@ -30,7 +31,7 @@
 LINGER_S = 0.5
 
 
-class HttpConnection(http_messages.Answerer):
+class HttpConnection(http_messages.Answerer, connection_limits.Closable):
     """One caller's connection.
 
     :param limits: returns the limits in force; called for each request.
@@ -58,8 +59,9 @@
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
         self._reader = request_reading.RequestReader(
-            sock, self._h11, timer, limits
+            sock, self._h11, timer, limits, self._record_stage
         )
+        self._seat: connection_limits.Seat | None = None
         self.is_busy = False
         self._pipelined_bytes = 0
         self._is_closed = False
@@ -70,8 +72,12 @@
             return True
         return unread_input.has_input(self._sock)
 
-    def run(self) -> None:
-        """Serves requests until the connection ends."""
+    def run(self, seat: connection_limits.Seat) -> None:
+        """Serves requests until the connection ends.
+
+        :param seat: its place among the connections of all callers.
+        """
+        self._seat = seat
         try:
             while self._serve_one():
                 self._h11.start_next_cycle()
@@ -83,6 +89,11 @@
         self._progress.record_end(request_ends.Cause.STOPPED)
         self.close()
 
+    def displace(self) -> None:
+        """Closes the socket to make room for another connection."""
+        self._progress.record_end(request_ends.Cause.DISPLACED)
+        self.close()
+
     def close(self) -> None:
         """Closes the socket at once."""
         try:
@@ -120,6 +131,7 @@
         if request is None:
             return False
         self.is_busy = True
+        self._record_stage(connection_limits.Stage.SERVED)
         watcher = gevent.spawn(self._watch_caller, gevent.getcurrent())
         # Pipelined bytes of earlier requests are no longer buffered.
         self._pipelined_bytes = len(self._h11.trailing_data[0])
@@ -132,6 +144,10 @@
             return False
         return self._h11.their_state is h11.DONE
 
+    def _record_stage(self, stage: connection_limits.Stage) -> None:
+        if self._seat is not None:
+            self._seat.enter(stage)
+
     def _handle(self, request: http_messages.Request) -> None:
         """Runs the handler; responds with 500 to an unexpected exception.
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -10,6 +10,7 @@
 from gevent import server
 from gevent import socket
 
+from . import connection_limits
 from . import desired_state
 from . import http_connection
 from . import http_messages
@@ -19,6 +20,8 @@
 FINAL_READ_TIMEOUT_S = 0.2
 FINAL_READ_POLL_S = 0.01
 BACKLOG = 1024
+# Bounds the descriptors of connections that aren't admitted yet.
+MAX_ACCEPTED_AT_ONCE = 8
 
 Header = http_messages.Header
 Headers = http_messages.Headers
@@ -36,6 +39,7 @@
         each request.
     :param end_log: gets each end of a request; by default one that knows no
         ids of requests.
+    :param listener: counts its connections; without a limit by default.
     """
 
     def __init__(
@@ -45,18 +49,21 @@
         timer: timers.TimerService,
         limits: Callable[[], desired_state.Limits] = desired_state.Limits,
         end_log: request_ends.EndLog | None = None,
+        listener: connection_limits.Listener | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._handler = handler
         self._timer = timer
         self._limits = limits
         self._end_log = end_log or request_ends.without_ids()
+        self._listener = listener or connection_limits.unlimited()
         self._connections = ordered_set.OrderedSet[
             http_connection.HttpConnection
         ]()
         self._server = server.StreamServer(
             (host, int(port)), self._serve, backlog=BACKLOG
         )
+        self._server.max_accept = MAX_ACCEPTED_AT_ONCE
         self.is_closing = False
 
     def start(self) -> None:
@@ -92,7 +99,7 @@
             if not connection.is_busy:
                 connection.stop()
 
-    def _serve(self, sock: socket.socket, _peer: object) -> None:
+    def _serve(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         connection = http_connection.HttpConnection(
             sock,
             self._handler,
@@ -101,9 +108,14 @@
             lambda: self.is_closing,
             self._end_log,
         )
+        seat = self._listener.admit(connection, peer[0])
+        if seat is None:
+            connection.close()
+            return
         self._connections.add(connection)
         try:
-            connection.run()
+            connection.run(seat)
         finally:
+            seat.leave()
             self._connections.discard(connection)
             connection.close()
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -12,7 +12,9 @@
 from cactusmux_platform import stores
 import gevent
 
+from . import connection_limits
 from . import copies
+from . import descriptor_budget
 from . import directory
 from . import fleet
 from . import gauges
@@ -81,12 +83,20 @@
         self._down = parts.shared.down
         self._failing = parts.shared.failing
         self._ejections = parts.ejections
+        self._budget = descriptor_budget.divide(
+            descriptor_budget.limit(settings.descriptors),
+            settings.descriptors_for_files,
+        )
+        self._connections = connection_limits.ConnectionAccount(
+            self._budget.shared, timer, metric
+        )
         self._entry = http_server.HttpServer(
             settings.entry_address,
             handler_assembly.build_request_handler(parts.shared).handle,
             timer,
             lambda: self.in_force.limits,
             request_ends.EndLog(bindings.header_dialect.request_id, metric),
+            self._connections.listener('entry'),
         )
         own = membership.Instance(
             settings.name,
@@ -169,6 +179,7 @@
             settings.exchange_address,
             copies.CopyHandler(self._mirror_by_prefix).handle,
             timer,
+            listener=self.listener('copies'),
             end_log=request_ends.without_ids(metric),
         )
         self._copy_puller = copies.CopyPuller(
@@ -263,6 +274,16 @@
         self._placement_keeper.start()
         self._quarantine_storage.start()
 
+    def listener(self, name: str) -> connection_limits.Listener:
+        """Returns the connections of one more listening address.
+
+        It shares the room of all callers, and has some of its own.
+
+        :param name: what it serves, for logs.
+        """
+        reserved = self._budget.reserved_per_listener
+        return self._connections.listener(name, reserved)
+
     @property
     def is_stopping(self) -> bool:
         """Whether a graceful shutdown has begun."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
@@ -14,6 +14,8 @@
 # Three heartbeats of 1.2 s, after which a store also removes the entries of
 # targets that are gone.
 RESTORED_SETTLE_S = 3.6
+# Sources, libraries, the log and what a library opens for a moment.
+DESCRIPTORS_FOR_FILES = 64
 
 
 class RelaySettings(NamedTuple):
@@ -34,6 +36,8 @@
         restored store lacks; until then missing entries aren't removed.
     :ivar link_mbps: bandwidth of the machine's link, 0 if unknown.
     :ivar cores: processor time that may be used, 0 if unknown.
+    :ivar descriptors: limit of the machine on descriptors, 0 if unknown.
+    :ivar descriptors_for_files: how many of them are kept for files.
     """
 
     name: str
@@ -50,6 +54,8 @@
     stop_within_s: float
     link_mbps: float = 0.0
     cores: float = 0.0
+    descriptors: int = 0
+    descriptors_for_files: int = DESCRIPTORS_FOR_FILES
     restored_settle_s: float = RESTORED_SETTLE_S
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
@@ -30,6 +30,7 @@
     CALLER_DISCONNECTED = 'caller_disconnected'
     CALLER_STALLED = 'caller_stalled'
     CALLER_UNREACHABLE = 'caller_unreachable'
+    DISPLACED = 'displaced'
     HANDLER_FAILED = 'handler_failed'
     RESPONSE_INVALID = 'response_invalid'
     RESPONSE_UNFINISHED = 'response_unfinished'
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -7,6 +7,7 @@
 from gevent import socket
 import h11
 
+from . import connection_limits
 from . import desired_state
 from . import http_messages
 from . import request_ends
@@ -32,6 +33,7 @@
     """Reads the requests of one connection.
 
     :param limits: returns the limits in force; called for each request.
+    :param record_stage: told what the connection does from now on.
     """
 
     def __init__(
@@ -40,11 +42,15 @@
         framing: h11.Connection,
         timer: timers.TimerService,
         limits: Callable[[], desired_state.Limits],
+        record_stage: Callable[[connection_limits.Stage], None] = (
+            lambda stage: None
+        ),
     ) -> None:
         self._sock = sock
         self._h11 = framing
         self._timer = timer
         self._limits = limits
+        self._record_stage = record_stage
         self._turns = turns.Turns()
 
     def read(
@@ -63,6 +69,7 @@
         head = self._read_head()
         if head is None:
             return None
+        self._record_stage(connection_limits.Stage.BODY)
         received_at = self._timer.now()
         headers = tuple(head.headers)
         progress.headers = headers
@@ -82,6 +89,11 @@
     def _read_head(self) -> h11.Request | None:
         limits = self._limits()
         idle = not self._h11.trailing_data[0]
+        self._record_stage(
+            connection_limits.Stage.IDLE
+            if idle
+            else connection_limits.Stage.HEAD
+        )
         timeout_s = limits.idle_timeout_s if idle else limits.header_timeout_s
         deadline = self._timer.now() + timeout_s
         while True:
@@ -96,6 +108,7 @@
                 return None
             if idle:
                 idle = False
+                self._record_stage(connection_limits.Stage.HEAD)
                 deadline = self._timer.now() + limits.header_timeout_s
             self._h11.receive_data(data)
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -41,6 +41,19 @@
     assert settings.parse(TEXT + limits).unwrap().cores == 0.5
 
 
+def test_limit_on_descriptors_is_read():
+    assert settings.parse(TEXT).unwrap().descriptors == 0
+    limit = 'limits.file_descriptors=4200\n'
+    assert settings.parse(TEXT + limit).unwrap().descriptors == 4200
+
+
+@pytest.mark.parametrize('value', ['many', '-1', '4200.5', '1e3', '9' * 5000])
+def test_invalid_limit_on_descriptors_is_reported(value):
+    found = settings.parse(TEXT + f'limits.file_descriptors={value}\n')
+    invalid = settings.SettingInvalid('limits.file_descriptors', value)
+    assert found.failure() == invalid
+
+
 @pytest.mark.parametrize(
     'name, value',
     [
