--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -15,11 +15,12 @@
 from cactusmux_base import timers
 from cactusmux_base import turns
 import gevent
-from gevent import select
 from gevent import socket
 import h11
 
 from . import http_server
+from . import local_errors
+from . import unread_input
 
 CONNECT_TIMEOUT_S = 0.3
 RECEIVE_BYTES = 65536
@@ -49,15 +50,20 @@
 
     :ivar is_refused: whether the connection failed at once, as by a refusal.
         Otherwise it timed out, possibly because this instance's own link is
-        saturated.
+        saturated, or ``is_local``.
+    :ivar is_local: whether this instance lacked descriptors, ports or a
+        route, so that the target wasn't reached at all.
     """
 
     reason = 'not_sent'
 
-    def __init__(self, address: str, is_refused: bool) -> None:
+    def __init__(
+        self, address: str, is_refused: bool, is_local: bool = False
+    ) -> None:
         super().__init__(f'could not connect to target {address}')
         self.address = address
         self.is_refused = is_refused
+        self.is_local = is_local
 
 
 class AnswerBroken(failures.CactusmuxError):
@@ -336,7 +342,7 @@
 
     def _take_idle(self, address: str) -> socket.socket | None:
         while True:
-            # Other tasks run during a check, and the sweep replaces the queue.
+            # The sweep may have replaced the queue.
             idle = self._idle_by_address.get(address)
             if not idle:
                 return None
@@ -346,16 +352,35 @@
                 return newest.sock
             newest.sock.close()
 
+    def _new_socket(self, address: str) -> socket.socket:
+        """Creates a socket; closes the idle ones if there is no other way."""
+        try:
+            return _create_socket(address)
+        except NotSent:
+            if not self._close_idle():
+                raise
+        return _create_socket(address)
+
+    def _close_idle(self) -> int:
+        """Closes all idle connections; returns how many there were."""
+        count = self.idle_count
+        for idle in self._idle_by_address.values():
+            while idle:
+                idle.pop().sock.close()
+        self._idle_by_address = {}
+        return count
+
     def _connect(self, address: str) -> socket.socket:
         host, _, port = address.rpartition(':')
-        sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+        sock = self._new_socket(address)
         try:
             sock.settimeout(CONNECT_TIMEOUT_S)
             sock.connect((host, int(port)))
         except (OSError, ValueError, OverflowError) as error:
             sock.close()
-            is_refused = not isinstance(error, TimeoutError)
-            raise NotSent(address, is_refused) from error
+            is_local = local_errors.is_local(error)
+            is_refused = not is_local and not isinstance(error, TimeoutError)
+            raise NotSent(address, is_refused, is_local) from error
         sock.settimeout(None)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         _set_user_timeout(sock, USER_TIMEOUT_MS)
@@ -368,7 +393,13 @@
     )
 
 
+def _create_socket(address: str) -> socket.socket:
+    try:
+        return socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    except OSError as error:
+        raise NotSent(address, is_refused=False, is_local=True) from error
+
+
 def _has_no_input(sock: socket.socket) -> bool:
     """Whether a connection has neither unread data nor been closed."""
-    readable, _, _ = select.select([sock], [], [], 0)
-    return not readable
+    return not unread_input.has_input(sock)
