--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -67,7 +67,9 @@
         headers = tuple(head.headers)
         progress.headers = headers
         _check_framing(headers)
-        _check_size(head, self._limits().header_bytes)
+        limits = self._limits()
+        _check_size(head, limits.header_bytes)
+        _check_length(headers, limits.body_bytes)
         if self._h11.they_are_waiting_for_100_continue:
             write(h11.InformationalResponse(status_code=100, headers=[]))
         body = self._read_body(progress)
@@ -166,6 +168,15 @@
         raise BadRequest(431)
 
 
+def _check_length(
+    headers: tuple[http_messages.Header, ...], max_bytes: int
+) -> None:
+    """Rejects a body that is announced to be over the limit."""
+    announced = http_messages.first_value(headers, b'content-length')
+    if announced is not None and int(announced) > max_bytes:
+        raise BadRequest(413)
+
+
 def _check_framing(headers: tuple[http_messages.Header, ...]) -> None:
     """Rejects ambiguous framing, which allows request smuggling."""
     names = [name for name, _ in headers]
--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -135,6 +135,23 @@
     assert server.requests == []
 
 
+# Guards against bodies over the limit that are read before they are refused.
+def test_announced_body_over_the_limit_is_refused_at_its_head(server):
+    sock = server.connect()
+    sock.sendall(HEAD + b'Content-Length: 1001\r\n\r\n')
+    assert _statuses(sock.recv(1000)) == [413]
+    sock.close()
+
+
+# Guards against an invitation to send a body that is then refused.
+def test_body_over_the_limit_is_not_asked_for(server):
+    sock = server.connect()
+    expects = b'Expect: 100-continue\r\nContent-Length: 1001\r\n\r\n'
+    sock.sendall(HEAD + expects)
+    assert _statuses(sock.recv(1000)) == [413]
+    sock.close()
+
+
 def test_unfinished_header_and_idle_connection_are_closed(server):
     assert server.ask(HEAD) == b''
     assert server.ask(b'') == b''
