--- a/packages/cactusmux-relay/src/cactusmux_relay/http_messages.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_messages.py
@@ -10,6 +10,17 @@
 Headers = list[Header]
 
 
+class BadRequest(Exception):
+    """A request that violates the protocol or exceeds a limit.
+
+    :ivar status: HTTP status of the response.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f'status {status}')
+        self.status = status
+
+
 class CallerDisconnected(gevent.GreenletExit):
     """The caller disconnected before its response was complete."""
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -9,6 +9,7 @@
 
 from . import desired_state
 from . import http_messages
+from . import request_body
 from . import request_ends
 
 RECEIVE_BYTES = 65536
@@ -16,16 +17,7 @@
 # sends a byte now and then hold its connection without end.
 BODY_TIMEOUT_S = 60.0
 
-
-class BadRequest(Exception):
-    """A request that violates the protocol or exceeds a limit.
-
-    :ivar status: HTTP status of the response.
-    """
-
-    def __init__(self, status: int) -> None:
-        super().__init__(f'status {status}')
-        self.status = status
+BadRequest = http_messages.BadRequest
 
 
 class RequestReader:
@@ -102,25 +94,38 @@
             self._h11.receive_data(data)
 
     def _read_body(self, progress: request_ends.RequestProgress) -> bytes:
-        limits = self._limits()
+        body = request_body.RequestBody(self._limits().body_bytes)
+        try:
+            self._fill(body, progress)
+            return body.take()
+        finally:
+            # An exception keeps this frame, and with it the body.
+            body.clear()
+
+    def _fill(
+        self,
+        body: request_body.RequestBody,
+        progress: request_ends.RequestProgress,
+    ) -> None:
+        """Reads a body to its end."""
+        idle_timeout_s = self._limits().idle_timeout_s
         deadline = self._timer.now() + BODY_TIMEOUT_S
-        parts: list[bytes] = []
         while True:
             event = self._h11.next_event()
             self._turns.record()
             if isinstance(event, h11.EndOfMessage):
                 progress.is_request_whole = True
-                return b''.join(parts)
+                return
             if isinstance(event, h11.Data):
-                progress.request_bytes += len(event.data)
-                if progress.request_bytes > limits.body_bytes:
-                    raise BadRequest(413)
-                parts.append(bytes(event.data))
+                body.append(event.data)
+                progress.request_bytes = body.size
                 continue
             left_s = deadline - self._timer.now()
-            self._receive_body(min(limits.idle_timeout_s, left_s))
+            self._receive_body(body, min(idle_timeout_s, left_s))
 
-    def _receive_body(self, timeout_s: float) -> None:
+    def _receive_body(
+        self, body: request_body.RequestBody, timeout_s: float
+    ) -> None:
         """Passes on received bytes; raises ``RequestIncomplete``."""
         try:
             data = self._receive(timeout_s)
@@ -136,6 +141,7 @@
             raise request_ends.RequestIncomplete(
                 request_ends.Cause.BODY_CUT, ''
             )
+        body.record_received(len(data))
         self._h11.receive_data(data)
 
     def receive(self, timeout_s: float) -> bytes:
