--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -21,7 +21,9 @@
 from . import request_reading
 
 # Limit on the bytes of pipelined requests that are read while a handler runs.
-MAX_PIPELINED_BYTES = 262144
+MAX_PIPELINED_BYTES = 65536
+# Received bytes that the kernel keeps unread; it would raise this by itself.
+RECEIVE_BUFFER_BYTES = 65536
 # Timeout for each piece of a response, not for the whole: a caller that reads
 # slowly isn't disconnected.
 SEND_TIMEOUT_S = 10.0
@@ -48,6 +50,9 @@
         end_log: request_ends.EndLog,
     ) -> None:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            std_socket.SOL_SOCKET, std_socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self._sock = sock
         self._handler = handler
         self._timer = timer
--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -218,6 +218,21 @@
     assert server.disconnected.wait(timeout=2.0)
 
 
+# Guards against bytes that wait in the kernel while a handler runs.
+def test_bytes_after_a_request_that_runs_are_bounded(server):
+    server.wait_s = 30.0
+    sock = server.connect()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+    sock.settimeout(1.0)
+    sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+    accepted = 0
+    with pytest.raises(TimeoutError):
+        while accepted < 4_000_000:
+            accepted += sock.send(b'x' * 65536)
+    assert accepted < 600_000
+    sock.close()
+
+
 def test_request_that_has_just_arrived_at_a_stop_is_served(server):
     """Its connection, idle until then, was closed and reset."""
     sock = server.connect()
