Give the process of the crowd tests ports below those of clients

The rig took ports that the kernel had just given out and released; once, in a run beside other tests, another connection got one of them before the process had started (test_bodies_at_the_other_addresses[directory], address in use). The ports are now taken below the range of clients.

--- a/tests/crowds/process_rig.py
+++ b/tests/crowds/process_rig.py
@@ -7,6 +7,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import subprocess
 import sys
 from typing import NamedTuple
@@ -29,6 +30,9 @@
 KEY = 'k1'
 SEAL = {'X-Cactusmux-Response-Seal': 'seal'}
 LONG_ANSWER_BYTES = 8 << 20
+# Below the ports that the kernel gives to clients: it would give away one
+# that is free between the choice and the start.
+PORT_RANGE = (12_000, 32_000)
 # Columns of /proc/net/tcp.
 _LOCAL_ADDRESS = 1
 _QUEUES = 4
@@ -316,19 +320,18 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Returns free ports; the last two are consecutive."""
-    with contextlib.ExitStack() as stack:
-        ports = [_bound_port(stack) for _ in range(count - 2)]
-        while True:
-            first = _bound_port(stack)
-            try:
-                return [*ports, first, _bound_port(stack, first + 1)]
-            except OSError:
-                continue
-
-
-def _bound_port(stack: contextlib.ExitStack, port: int = 0) -> int:
-    """Returns a port that stays bound until the stack is closed."""
-    sock = stack.enter_context(socket.socket())
-    sock.bind((LOOPBACK, port))
-    return sock.getsockname()[1]
+    """Returns consecutive ports that are free."""
+    while True:
+        first = random.randrange(*PORT_RANGE)
+        ports = list(range(first, first + count))
+        if all(map(_is_free, ports)):
+            return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
