--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -16,9 +16,11 @@
 import h11
 
 from . import desired_state
+from . import held_bytes
 from . import http_messages
 from . import request_ends
 from . import request_reading
+from . import room_choice
 
 # Limit on the bytes of pipelined requests that are read while a handler runs.
 MAX_PIPELINED_BYTES = 65536
@@ -30,6 +32,9 @@
 SEND_PIECE_BYTES = 65536
 # How long bytes in flight are read after a response that ends a connection.
 LINGER_S = 0.5
+STATUS_NOT_RUN = 503
+# By then, bodies in progress are likely to have arrived.
+RETRY_AFTER = (b'retry-after', b'1')
 
 
 class HttpConnection(http_messages.Answerer):
@@ -38,6 +43,7 @@
     :param limits: returns the limits in force; called for each request.
     :param is_closing: whether each further response ends its connection.
     :param end_log: gets each end of a request.
+    :param account: is asked for room for what the caller makes it hold.
     """
 
     def __init__(
@@ -48,6 +54,7 @@
         limits: Callable[[], desired_state.Limits],
         is_closing: Callable[[], bool],
         end_log: request_ends.EndLog,
+        account: held_bytes.HeldBytes,
     ) -> None:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         sock.setsockopt(
@@ -62,8 +69,9 @@
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
+        self._holding = account.open(self._make_room)
         self._reader = request_reading.RequestReader(
-            sock, self._h11, timer, limits
+            sock, self._h11, timer, limits, self._holding
         )
         self.is_busy = False
         self._pipelined_bytes = 0
@@ -86,6 +94,8 @@
                 self._h11.start_next_cycle()
         except http_messages.CallerDisconnected:
             return
+        finally:
+            self._holding.close()
 
     def stop(self) -> None:
         """Closes the socket because the server stops."""
@@ -102,6 +112,7 @@
     def _serve_one(self) -> bool:
         """Serves one request; returns whether to keep the connection."""
         self._progress = request_ends.RequestProgress()
+        self._holding.begin()
         try:
             return self._read_and_handle()
         except request_ends.CallerFailure as failure:
@@ -123,6 +134,9 @@
         except request_reading.BadRequest as bad:
             self._refuse(bad.status)
             return False
+        except held_bytes.NoRoom as failure:
+            self._refuse_without_room(failure)
+            return False
         except h11.RemoteProtocolError as error:
             self._refuse(error.error_status_hint)
             return False
@@ -170,15 +184,42 @@
             self._pipelined_bytes += len(data)
             self._h11.receive_data(data)
 
-    def _refuse(self, status: int) -> None:
-        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+    def _make_room(self) -> None:
+        """Ends the request; called while its task waits for the caller."""
+        is_arriving = self._holding.phase is room_choice.Phase.ARRIVING
+        how = std_socket.SHUT_RD if is_arriving else std_socket.SHUT_RDWR
+        try:
+            # Its task wakes, and finds that the holding has ended.
+            self._sock.shutdown(how)
+        except OSError:
             return
+
+    def _refuse_without_room(self, failure: held_bytes.NoRoom) -> None:
+        events.info(
+            'request_refused',
+            id=self._end_log.request_id(self._progress),
+            reason=failure.reason,
+            has_run=False,
+            status=STATUS_NOT_RUN,
+        )
+        self._answer_and_linger(STATUS_NOT_RUN, [RETRY_AFTER])
+
+    def _refuse(self, status: int) -> None:
         events.info(
             'request_malformed',
             id=self._end_log.request_id(self._progress),
             status=status,
         )
-        self.answer(status, [(b'connection', b'close')], b'')
+        self._answer_and_linger(status, [])
+
+    def _answer_and_linger(
+        self, status: int, headers: http_messages.Headers
+    ) -> None:
+        """Sends a refusal that ends the connection."""
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        self._holding.begin()
+        self.answer(status, [*headers, (b'connection', b'close')], b'')
         self._linger()
 
     def _linger(self) -> None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -11,6 +11,7 @@
 from gevent import socket
 
 from . import desired_state
+from . import held_bytes
 from . import http_connection
 from . import http_messages
 from . import request_ends
@@ -36,6 +37,8 @@
         each request.
     :param end_log: gets each end of a request; by default one that knows no
         ids of requests.
+    :param account: memory that callers hold, shared by the servers of a
+        process; by default one of its own.
     """
 
     def __init__(
@@ -45,12 +48,14 @@
         timer: timers.TimerService,
         limits: Callable[[], desired_state.Limits] = desired_state.Limits,
         end_log: request_ends.EndLog | None = None,
+        account: held_bytes.HeldBytes | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._handler = handler
         self._timer = timer
         self._limits = limits
         self._end_log = end_log or request_ends.without_ids()
+        self._account = account or held_bytes.unshared(timer)
         self._connections = ordered_set.OrderedSet[
             http_connection.HttpConnection
         ]()
@@ -100,6 +105,7 @@
             self._limits,
             lambda: self.is_closing,
             self._end_log,
+            self._account,
         )
         self._connections.add(connection)
         try:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -19,6 +19,7 @@
 from . import gossip_handler
 from . import graceful_shutdown
 from . import handler_assembly
+from . import held_bytes
 from . import http_server
 from . import immediate_news
 from . import instance_mirrors
@@ -81,12 +82,16 @@
         self._down = parts.shared.down
         self._failing = parts.shared.failing
         self._ejections = parts.ejections
+        self.held_bytes = held_bytes.HeldBytes(
+            held_bytes.callers_bytes(settings.memory_mb), timer, metric
+        )
         self._entry = http_server.HttpServer(
             settings.entry_address,
             handler_assembly.build_request_handler(parts.shared).handle,
             timer,
             lambda: self.in_force.limits,
             request_ends.EndLog(bindings.header_dialect.request_id, metric),
+            self.held_bytes,
         )
         own = membership.Instance(
             settings.name,
@@ -170,6 +175,7 @@
             copies.CopyHandler(self._mirror_by_prefix).handle,
             timer,
             end_log=request_ends.without_ids(metric),
+            account=self.held_bytes,
         )
         self._copy_puller = copies.CopyPuller(
             self._mirror_by_prefix, timer, rng, self._mirrors.store_answered_at
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
@@ -34,6 +34,7 @@
         restored store lacks; until then missing entries aren't removed.
     :ivar link_mbps: bandwidth of the machine's link, 0 if unknown.
     :ivar cores: processor time that may be used, 0 if unknown.
+    :ivar memory_mb: memory that the process may take, 0 if unknown.
     """
 
     name: str
@@ -50,6 +51,7 @@
     stop_within_s: float
     link_mbps: float = 0.0
     cores: float = 0.0
+    memory_mb: float = 0.0
     restored_settle_s: float = RESTORED_SETTLE_S
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_body.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_body.py
@@ -1,5 +1,7 @@
 """The body of a request while it arrives, kept in one block of memory."""
 
+from collections.abc import Callable
+
 from . import http_messages
 
 # Bytes of a body that may be framing, whatever its size: the receive buffer
@@ -14,10 +16,12 @@
     """Collects a body; what it takes doesn't depend on the size of its chunks.
 
     :param max_bytes: limit on the body without its framing.
+    :param hold: is called with the new size before the body grows.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, hold: Callable[[int], None]) -> None:
         self._max_bytes = max_bytes
+        self._hold = hold
         self._data = bytearray()
         self._received_bytes = 0
 
@@ -43,8 +47,10 @@
 
         :param data: a part of the body without its framing.
         """
-        if len(self._data) + len(data) > self._max_bytes:
+        size = len(self._data) + len(data)
+        if size > self._max_bytes:
             raise http_messages.BadRequest(413)
+        self._hold(size)
         self._data += data
 
     def take(self) -> bytes:
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -8,9 +8,11 @@
 import h11
 
 from . import desired_state
+from . import held_bytes
 from . import http_messages
 from . import request_body
 from . import request_ends
+from . import room_choice
 
 RECEIVE_BYTES = 65536
 # Limit on reading a whole body. The idle timeout alone would let a client that
@@ -24,6 +26,7 @@
     """Reads the requests of one connection.
 
     :param limits: returns the limits in force; called for each request.
+    :param holding: is asked for room for what is kept.
     """
 
     def __init__(
@@ -32,11 +35,13 @@
         framing: h11.Connection,
         timer: timers.TimerService,
         limits: Callable[[], desired_state.Limits],
+        holding: held_bytes.Holding,
     ) -> None:
         self._sock = sock
         self._h11 = framing
         self._timer = timer
         self._limits = limits
+        self._holding = holding
         self._turns = turns.Turns()
 
     def read(
@@ -46,7 +51,8 @@
     ) -> http_messages.Request | None:
         """Returns the next complete request, ``None`` if there is none.
 
-        Raises :class:`BadRequest`, :class:`h11.RemoteProtocolError` and
+        Raises :class:`BadRequest`, :class:`h11.RemoteProtocolError`,
+        :class:`held_bytes.NoRoom` and
         :class:`request_ends.RequestIncomplete`.
 
         :param write: sends an interim response.
@@ -61,7 +67,10 @@
         _check_framing(headers)
         limits = self._limits()
         _check_size(head, limits.header_bytes)
-        _check_length(headers, limits.body_bytes)
+        length = _announced_bytes(headers)
+        if length > limits.body_bytes:
+            raise BadRequest(413)
+        self._holding.expect(length)
         if self._h11.they_are_waiting_for_100_continue:
             write(h11.InformationalResponse(status_code=100, headers=[]))
         body = self._read_body(progress)
@@ -78,25 +87,39 @@
         idle = not self._h11.trailing_data[0]
         timeout_s = limits.idle_timeout_s if idle else limits.header_timeout_s
         deadline = self._timer.now() + timeout_s
+        size = 0
         while True:
             event = self._h11.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            left_s = deadline - self._timer.now()
-            data = self.receive(left_s)
-            if not data:
+            received_bytes = self._receive_head(deadline - self._timer.now())
+            if not received_bytes:
                 return None
+            size += received_bytes
+            self._holding.resize(size)
             if idle:
                 idle = False
                 deadline = self._timer.now() + limits.header_timeout_s
+
+    def _receive_head(self, timeout_s: float) -> int:
+        """Passes on received bytes; returns how many there were."""
+        try:
+            data = self._receive_unless_ended(timeout_s)
+        except OSError:
+            return 0
+        if data:
             self._h11.receive_data(data)
+        return len(data)
 
     def _read_body(self, progress: request_ends.RequestProgress) -> bytes:
-        body = request_body.RequestBody(self._limits().body_bytes)
+        body = request_body.RequestBody(
+            self._limits().body_bytes, self._holding.resize
+        )
         try:
             self._fill(body, progress)
+            self._holding.enter(room_choice.Phase.IN_SERVICE)
             return body.take()
         finally:
             # An exception keeps this frame, and with it the body.
@@ -128,7 +151,7 @@
     ) -> None:
         """Passes on received bytes; raises ``RequestIncomplete``."""
         try:
-            data = self._receive(timeout_s)
+            data = self._receive_unless_ended(timeout_s)
         except TimeoutError as error:
             raise request_ends.RequestIncomplete(
                 request_ends.Cause.BODY_TIMEOUT, ''
@@ -154,6 +177,13 @@
         except OSError:
             return b''
 
+    def _receive_unless_ended(self, timeout_s: float) -> bytes:
+        """Returns received bytes; also raises :class:`held_bytes.NoRoom`."""
+        try:
+            return self._receive(timeout_s)
+        finally:
+            self._holding.check()
+
     def _receive(self, timeout_s: float) -> bytes:
         """Returns received bytes, empty at the end; raises ``OSError``."""
         if timeout_s <= 0:
@@ -174,13 +204,9 @@
         raise BadRequest(431)
 
 
-def _check_length(
-    headers: tuple[http_messages.Header, ...], max_bytes: int
-) -> None:
-    """Rejects a body that is announced to be over the limit."""
-    announced = http_messages.first_value(headers, b'content-length')
-    if announced is not None and int(announced) > max_bytes:
-        raise BadRequest(413)
+def _announced_bytes(headers: tuple[http_messages.Header, ...]) -> int:
+    """Returns the length of the body, 0 if none is announced."""
+    return int(http_messages.first_value(headers, b'content-length') or 0)
 
 
 def _check_framing(headers: tuple[http_messages.Header, ...]) -> None:
--- a/packages/cactusmux-relay/tests/test_endless_answers.py
+++ b/packages/cactusmux-relay/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import event_forwarding
+from cactusmux_relay import held_bytes
 from cactusmux_relay import request_ends
 from cactusmux_relay import request_reading
 from cactusmux_relay import target_calls
@@ -198,8 +199,13 @@
         b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
     )
     limits = relay_rig.desired_state.Limits(body_bytes=5000)
+    timer = timers.GeventTimers()
     reader = request_reading.RequestReader(
-        _Flood(b'1\r\nx\r\n'), framing, timers.GeventTimers(), lambda: limits
+        _Flood(b'1\r\nx\r\n'),
+        framing,
+        timer,
+        lambda: limits,
+        held_bytes.unshared(timer).open(lambda: None),
     )
     pauses = _count_pauses(monkeypatch)
     with pytest.raises(request_reading.BadRequest):
--- a/packages/cactusmux-relay/tests/test_request_body.py
+++ b/packages/cactusmux-relay/tests/test_request_body.py
@@ -7,9 +7,13 @@
 RECEIVED_BYTES = 65536
 
 
+def _hold(size):
+    """Has room for any body."""
+
+
 def test_body_in_chunks_of_one_byte_is_kept_to_the_limit():
     """The framing of a body inside the limits has to be allowed."""
-    body = request_body.RequestBody(BODY_BYTES)
+    body = request_body.RequestBody(BODY_BYTES, _hold)
     data_per_receive = RECEIVED_BYTES // (CHUNK_FRAMING + 1)
     while body.size + data_per_receive <= BODY_BYTES:
         body.record_received(RECEIVED_BYTES)
@@ -21,7 +25,7 @@
 
 # Guards against chunk extensions that are read without end.
 def test_framing_out_of_proportion_to_its_body_is_refused():
-    body = request_body.RequestBody(BODY_BYTES)
+    body = request_body.RequestBody(BODY_BYTES, _hold)
     with pytest.raises(http_messages.BadRequest) as refused:
         for _ in range(100):
             body.record_received(16384)
@@ -31,7 +35,7 @@
 
 
 def test_body_over_the_limit_is_refused():
-    body = request_body.RequestBody(10)
+    body = request_body.RequestBody(10, _hold)
     body.append(b'x' * 10)
     with pytest.raises(http_messages.BadRequest) as refused:
         body.append(b'x')
@@ -39,6 +43,6 @@
 
 
 def test_taken_body_is_released():
-    body = request_body.RequestBody(10)
+    body = request_body.RequestBody(10, _hold)
     body.append(b'abc')
     assert (body.take(), body.size) == (b'abc', 0)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -41,6 +41,20 @@
     assert settings.parse(TEXT + limits).unwrap().cores == 0.5
 
 
+def test_memory_of_the_machine_is_read_and_unknown_without_it():
+    assert settings.parse(TEXT).unwrap().memory_mb == 0.0
+    limit = 'limits.memory_mb=300\n'
+    assert settings.parse(TEXT + limit).unwrap().memory_mb == 300.0
+
+
+@pytest.mark.parametrize('value', ['much', '-1', 'nan', 'inf'])
+def test_invalid_memory_of_the_machine_is_reported(value):
+    match settings.parse(f'{TEXT}limits.memory_mb={value}\n'):
+        case result.Failure(settings.SettingInvalid(name='limits.memory_mb')):
+            return
+    pytest.fail(value)
+
+
 @pytest.mark.parametrize(
     'name, value',
     [
