--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -135,18 +135,20 @@
         head = h11.Request(
             method=request.method, target=request.path, headers=request.headers
         )
-        data = self._h11.send(head) or b''
+        parts = [self._h11.send(head) or b'']
         if request.body:
-            data += self._h11.send(h11.Data(data=request.body)) or b''
-        data += self._h11.send(h11.EndOfMessage()) or b''
+            parts.append(self._h11.send(h11.Data(data=request.body)) or b'')
+        parts.append(self._h11.send(h11.EndOfMessage()) or b'')
         if len(request.body) > BACKGROUND_SEND_BYTES:
-            self._sender = gevent.spawn(self._send_all, data)
+            # Joined, they would be a second copy of the body.
+            self._sender = gevent.spawn(self._send_all, *parts)
             return
-        self._send_all(data)
+        self._send_all(b''.join(parts))
 
-    def _send_all(self, data: bytes) -> None:
+    def _send_all(self, *parts: bytes) -> None:
         try:
-            self._sock.sendall(data)
+            for part in parts:
+                self._sock.sendall(part)
         except OSError:
             # Reading shows whether a response arrived nevertheless.
             return
--- a/packages/cactusmux-relay/tests/test_target_calls.py
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -1,7 +1,10 @@
+import tracemalloc
+
 from cactusmux_base import timers
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import target_calls
 import gevent
+from gevent import socket
 import pytest
 
 REQUEST = target_calls.OutgoingRequest(
@@ -64,6 +67,28 @@
     assert _send(connections, target) == (200, b'ok')
 
 
+# Guards against a second copy of a body while a target is slow to read it.
+def test_long_body_is_not_copied_to_be_sent(connections):
+    listener = socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen()
+    body = b'x' * 4_000_000
+    request = REQUEST._replace(
+        headers=[(b'host', b'h'), (b'content-length', b'4000000')], body=body
+    )
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    tracemalloc.start()
+    try:
+        call = connections.call(address, request, True)
+        gevent.sleep(0.05)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    call.close()
+    listener.close()
+    assert peak_bytes < len(body) // 2
+
+
 @pytest.mark.parametrize(
     'data',
     [
