--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -12,6 +12,7 @@
 
 from . import connection_limits
 from . import desired_state
+from . import held_bytes
 from . import http_connection
 from . import http_messages
 from . import request_ends
@@ -40,6 +41,8 @@
     :param end_log: gets each end of a request; by default one that knows no
         ids of requests.
     :param listener: counts its connections; without a limit by default.
+    :param account: memory that callers hold, shared by the servers of a
+        process; by default one of its own.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         limits: Callable[[], desired_state.Limits] = desired_state.Limits,
         end_log: request_ends.EndLog | None = None,
         listener: connection_limits.Listener | None = None,
+        account: held_bytes.HeldBytes | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._handler = handler
@@ -57,6 +61,7 @@
         self._limits = limits
         self._end_log = end_log or request_ends.without_ids()
         self._listener = listener or connection_limits.unlimited()
+        self._account = account or held_bytes.unshared(timer)
         self._connections = ordered_set.OrderedSet[
             http_connection.HttpConnection
         ]()
@@ -112,6 +117,7 @@
             self._limits,
             lambda: self.is_closing,
             self._end_log,
+            self._account,
         )
         seat = self._listener.admit(connection, peer[0])
         if seat is None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -21,6 +21,7 @@
 from . import gossip_handler
 from . import graceful_shutdown
 from . import handler_assembly
+from . import held_bytes
 from . import http_server
 from . import immediate_news
 from . import instance_mirrors
@@ -90,6 +91,9 @@
         self._connections = connection_limits.ConnectionAccount(
             self._budget.shared, timer, metric
         )
+        self.held_bytes = held_bytes.HeldBytes(
+            held_bytes.callers_bytes(settings.memory_mb), timer, metric
+        )
         self._entry = http_server.HttpServer(
             settings.entry_address,
             handler_assembly.build_request_handler(parts.shared).handle,
@@ -97,6 +101,7 @@
             lambda: self.in_force.limits,
             request_ends.EndLog(bindings.header_dialect.request_id, metric),
             self._connections.listener('entry'),
+            self.held_bytes,
         )
         own = membership.Instance(
             settings.name,
@@ -181,6 +186,7 @@
             timer,
             listener=self.listener('copies'),
             end_log=request_ends.without_ids(metric),
+            account=self.held_bytes,
         )
         self._copy_puller = copies.CopyPuller(
             self._mirror_by_prefix, timer, rng, self._mirrors.store_answered_at
--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_settings.py
@@ -38,6 +38,7 @@
     :ivar cores: processor time that may be used, 0 if unknown.
     :ivar descriptors: limit of the machine on descriptors, 0 if unknown.
     :ivar descriptors_for_files: how many of them are kept for files.
+    :ivar memory_mb: memory that the process may take, 0 if unknown.
     """
 
     name: str
@@ -56,6 +57,7 @@
     cores: float = 0.0
     descriptors: int = 0
     descriptors_for_files: int = DESCRIPTORS_FOR_FILES
+    memory_mb: float = 0.0
     restored_settle_s: float = RESTORED_SETTLE_S
 
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -9,30 +9,25 @@
 
 from . import connection_limits
 from . import desired_state
+from . import held_bytes
 from . import http_messages
+from . import request_body
 from . import request_ends
+from . import room_choice
 
 RECEIVE_BYTES = 65536
 # Limit on reading a whole body. The idle timeout alone would let a client that
 # sends a byte now and then hold its connection without end.
 BODY_TIMEOUT_S = 60.0
 
-
-class BadRequest(Exception):
-    """A request that violates the protocol or exceeds a limit.
-
-    :ivar status: HTTP status of the response.
-    """
-
-    def __init__(self, status: int) -> None:
-        super().__init__(f'status {status}')
-        self.status = status
+BadRequest = http_messages.BadRequest
 
 
 class RequestReader:
     """Reads the requests of one connection.
 
     :param limits: returns the limits in force; called for each request.
+    :param holding: is asked for room for what is kept.
     :param record_stage: told what the connection does from now on.
     """
 
@@ -42,6 +37,7 @@
         framing: h11.Connection,
         timer: timers.TimerService,
         limits: Callable[[], desired_state.Limits],
+        holding: held_bytes.Holding,
         record_stage: Callable[[connection_limits.Stage], None] = (
             lambda stage: None
         ),
@@ -50,6 +46,7 @@
         self._h11 = framing
         self._timer = timer
         self._limits = limits
+        self._holding = holding
         self._record_stage = record_stage
         self._turns = turns.Turns()
 
@@ -60,7 +57,8 @@
     ) -> http_messages.Request | None:
         """Returns the next complete request, ``None`` if there is none.
 
-        Raises :class:`BadRequest`, :class:`h11.RemoteProtocolError` and
+        Raises :class:`BadRequest`, :class:`h11.RemoteProtocolError`,
+        :class:`held_bytes.NoRoom` and
         :class:`request_ends.RequestIncomplete`.
 
         :param write: sends an interim response.
@@ -74,7 +72,12 @@
         headers = tuple(head.headers)
         progress.headers = headers
         _check_framing(headers)
-        _check_size(head, self._limits().header_bytes)
+        limits = self._limits()
+        _check_size(head, limits.header_bytes)
+        length = _announced_bytes(headers)
+        if length > limits.body_bytes:
+            raise BadRequest(413)
+        self._holding.expect(length)
         if self._h11.they_are_waiting_for_100_continue:
             write(h11.InformationalResponse(status_code=100, headers=[]))
         body = self._read_body(progress)
@@ -96,45 +99,72 @@
         )
         timeout_s = limits.idle_timeout_s if idle else limits.header_timeout_s
         deadline = self._timer.now() + timeout_s
+        size = 0
         while True:
             event = self._h11.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            left_s = deadline - self._timer.now()
-            data = self.receive(left_s)
-            if not data:
+            received_bytes = self._receive_head(deadline - self._timer.now())
+            if not received_bytes:
                 return None
+            size += received_bytes
+            self._holding.resize(size)
             if idle:
                 idle = False
                 self._record_stage(connection_limits.Stage.HEAD)
                 deadline = self._timer.now() + limits.header_timeout_s
+
+    def _receive_head(self, timeout_s: float) -> int:
+        """Passes on received bytes; returns how many there were."""
+        try:
+            data = self._receive_unless_ended(timeout_s)
+        except OSError:
+            return 0
+        if data:
             self._h11.receive_data(data)
+        return len(data)
 
     def _read_body(self, progress: request_ends.RequestProgress) -> bytes:
-        limits = self._limits()
+        body = request_body.RequestBody(
+            self._limits().body_bytes, self._holding.resize
+        )
+        try:
+            self._fill(body, progress)
+            self._holding.enter(room_choice.Phase.IN_SERVICE)
+            return body.take()
+        finally:
+            # An exception keeps this frame, and with it the body.
+            body.clear()
+
+    def _fill(
+        self,
+        body: request_body.RequestBody,
+        progress: request_ends.RequestProgress,
+    ) -> None:
+        """Reads a body to its end."""
+        idle_timeout_s = self._limits().idle_timeout_s
         deadline = self._timer.now() + BODY_TIMEOUT_S
-        parts: list[bytes] = []
         while True:
             event = self._h11.next_event()
             self._turns.record()
             if isinstance(event, h11.EndOfMessage):
                 progress.is_request_whole = True
-                return b''.join(parts)
+                return
             if isinstance(event, h11.Data):
-                progress.request_bytes += len(event.data)
-                if progress.request_bytes > limits.body_bytes:
-                    raise BadRequest(413)
-                parts.append(bytes(event.data))
+                body.append(event.data)
+                progress.request_bytes = body.size
                 continue
             left_s = deadline - self._timer.now()
-            self._receive_body(min(limits.idle_timeout_s, left_s))
+            self._receive_body(body, min(idle_timeout_s, left_s))
 
-    def _receive_body(self, timeout_s: float) -> None:
+    def _receive_body(
+        self, body: request_body.RequestBody, timeout_s: float
+    ) -> None:
         """Passes on received bytes; raises ``RequestIncomplete``."""
         try:
-            data = self._receive(timeout_s)
+            data = self._receive_unless_ended(timeout_s)
         except TimeoutError as error:
             raise request_ends.RequestIncomplete(
                 request_ends.Cause.BODY_TIMEOUT, ''
@@ -147,6 +177,7 @@
             raise request_ends.RequestIncomplete(
                 request_ends.Cause.BODY_CUT, ''
             )
+        body.record_received(len(data))
         self._h11.receive_data(data)
 
     def receive(self, timeout_s: float) -> bytes:
@@ -159,6 +190,13 @@
         except OSError:
             return b''
 
+    def _receive_unless_ended(self, timeout_s: float) -> bytes:
+        """Returns received bytes; also raises :class:`held_bytes.NoRoom`."""
+        try:
+            return self._receive(timeout_s)
+        finally:
+            self._holding.check()
+
     def _receive(self, timeout_s: float) -> bytes:
         """Returns received bytes, empty at the end; raises ``OSError``."""
         if timeout_s <= 0:
@@ -179,6 +217,11 @@
         raise BadRequest(431)
 
 
+def _announced_bytes(headers: tuple[http_messages.Header, ...]) -> int:
+    """Returns the length of the body, 0 if none is announced."""
+    return int(http_messages.first_value(headers, b'content-length') or 0)
+
+
 def _check_framing(headers: tuple[http_messages.Header, ...]) -> None:
     """Rejects ambiguous framing, which allows request smuggling."""
     names = [name for name, _ in headers]
--- a/packages/cactusmux-relay/tests/test_descriptors.py
+++ b/packages/cactusmux-relay/tests/test_descriptors.py
@@ -12,6 +12,7 @@
 from cactusmux_relay import connection_probes
 from cactusmux_relay import connection_races
 from cactusmux_relay import desired_state
+from cactusmux_relay import held_bytes
 from cactusmux_relay import http_connection
 from cactusmux_relay import http_server
 from cactusmux_relay import request_ends
@@ -95,6 +96,7 @@
         desired_state.Limits,
         lambda: False,
         request_ends.without_ids(),
+        held_bytes.unshared(timers.GeventTimers()),
     )
 
 
--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -135,6 +135,23 @@
     assert server.requests == []
 
 
+# Guards against bodies over the limit that are read before they are refused.
+def test_announced_body_over_the_limit_is_refused_at_its_head(server):
+    sock = server.connect()
+    sock.sendall(HEAD + b'Content-Length: 1001\r\n\r\n')
+    assert _statuses(sock.recv(1000)) == [413]
+    sock.close()
+
+
+# Guards against an invitation to send a body that is then refused.
+def test_body_over_the_limit_is_not_asked_for(server):
+    sock = server.connect()
+    expects = b'Expect: 100-continue\r\nContent-Length: 1001\r\n\r\n'
+    sock.sendall(HEAD + expects)
+    assert _statuses(sock.recv(1000)) == [413]
+    sock.close()
+
+
 def test_unfinished_header_and_idle_connection_are_closed(server):
     assert server.ask(HEAD) == b''
     assert server.ask(b'') == b''
@@ -201,6 +218,21 @@
     assert server.disconnected.wait(timeout=2.0)
 
 
+# Guards against bytes that wait in the kernel while a handler runs.
+def test_bytes_after_a_request_that_runs_are_bounded(server):
+    server.wait_s = 30.0
+    sock = server.connect()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+    sock.settimeout(1.0)
+    sock.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
+    accepted = 0
+    with pytest.raises(TimeoutError):
+        while accepted < 4_000_000:
+            accepted += sock.send(b'x' * 65536)
+    assert accepted < 600_000
+    sock.close()
+
+
 def test_request_that_has_just_arrived_at_a_stop_is_served(server):
     """Its connection, idle until then, was closed and reset."""
     sock = server.connect()
