--- a/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/live_streams.py
@@ -301,18 +301,17 @@
 
     def _replace(self, stream: LiveStream) -> bool:
         """Begins a replacement if one is due; whether one is in progress."""
-        now = self._timer.now()
-        if stream.is_replacing:
-            return True
-        if stream.call is None or stream.was_interrupted:
-            return False
-        if now < stream.next_replacement_at or not self._is_lost(stream):
-            return False
-        if self._has_moved_on(stream, stream.call):
-            return False
-        stream.next_replacement_at = now + RECOVERY_PERIOD_S
+        if not self._is_due(stream, self._may_replace):
+            return stream.is_replacing
+        stream.next_replacement_at = self._timer.now() + RECOVERY_PERIOD_S
         return stream.replace_lost(stream)
 
+    def _may_replace(self, stream: LiveStream) -> bool:
+        if stream.is_replacing or stream.was_interrupted:
+            return False
+        is_early = self._timer.now() < stream.next_replacement_at
+        return not is_early and self._is_lost(stream)
+
     def _is_lost(self, stream: LiveStream) -> bool:
         """Whether a stream can be assumed to wait for a lost stage."""
         now = self._timer.now()
@@ -323,32 +322,40 @@
             return False
         return not stream.time_until_overdue_s(now)
 
-    def _has_moved_on(
-        self, stream: LiveStream, call: target_calls.TargetCall
+    def _is_due(
+        self, stream: LiveStream, check: Callable[[LiveStream], bool]
     ) -> bool:
-        """Whether a stream has unread bytes, or ended during this check."""
-        return call.has_unread() or stream not in self._streams
+        """Whether a check holds for a stream that has no unread bytes.
+
+        Unread bytes show that this instance's event loop or the caller is
+        slow, not the target. Other tasks may run while they are looked for;
+        they may recover or end the stream.
+        """
+        if stream.call is None or not self._holds(stream, check):
+            return False
+        return not stream.call.has_unread() and self._holds(stream, check)
+
+    def _holds(
+        self, stream: LiveStream, check: Callable[[LiveStream], bool]
+    ) -> bool:
+        return stream in self._streams and check(stream)
 
     def resume_on_other_path(self, stream: LiveStream) -> None:
         """Interrupts a stream if it is silent and can be resumed."""
-        now = self._timer.now()
-        if stream.call is None or stream.was_interrupted:
-            return
-        if stream.is_replacing:
-            return
-        if (
-            not stream.may_have_lost_stage(now)
-            or now < stream.next_resume_check_at
-        ):
+        if not self._is_due(stream, self._may_resume):
             return
-        if self._has_moved_on(stream, stream.call):
-            # This instance's event loop or the caller is slow, not the target.
-            return
-        stream.next_resume_check_at = now + RECOVERY_PERIOD_S
-        if stream.reserve_next():
+        stream.next_resume_check_at = self._timer.now() + RECOVERY_PERIOD_S
+        if stream.reserve_next() and stream.call is not None:
             stream.was_interrupted = True
             stream.call.abort()
 
+    def _may_resume(self, stream: LiveStream) -> bool:
+        if stream.is_replacing or stream.was_interrupted:
+            return False
+        now = self._timer.now()
+        is_early = now < stream.next_resume_check_at
+        return not is_early and stream.may_have_lost_stage(now)
+
 
 def _has_lost(stream: LiveStream, down_ids: frozenset[str]) -> bool:
     if stream.restarted_ids:
--- a/packages/cactusmux-relay/tests/test_failure_detection.py
+++ b/packages/cactusmux-relay/tests/test_failure_detection.py
@@ -244,6 +244,64 @@
     assert not stream.call.is_cut
 
 
+def _check_again_meanwhile(watched, stream, number):
+    """Has another task check a stream during a check, counted from 1."""
+    checks = []
+
+    def has_unread():
+        checks.append(1)
+        if len(checks) == number:
+            watched.live.look_again(stream)
+        return False
+
+    stream.call.has_unread = has_unread
+
+
+def test_stream_that_two_tasks_check_is_replaced_once():
+    watched = _Watched()
+    replacing = _Replacing(watched.timer)
+    stream = watched.add('x', 'y', replace_lost=replacing)
+    _check_again_meanwhile(watched, stream, 1)
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert len(replacing.requested_at) == 1
+    assert not stream.call.is_cut
+
+
+def test_stream_that_two_tasks_check_reserves_one_path():
+    reserved = []
+    watched = _Watched()
+    stream = watched.add('x', secure_next=lambda: reserved.append(1) or True)
+    _check_again_meanwhile(watched, stream, 2)
+    watched.down.mark(sample_engine.target('x'), 'test')
+    assert reserved == [1]
+    assert stream.call.is_cut
+
+
+def test_stream_that_ended_before_its_check_is_left_alone(monkeypatch):
+    watched = _Watched()
+    ended = watched.add('x', 'y')
+    other = watched.add('x', 'y')
+    errors = []
+    monkeypatch.setattr(
+        live_streams.events, 'error', lambda name, **_: errors.append(name)
+    )
+
+    def fail():
+        raise ValueError('the socket is closed')
+
+    def end_the_other():
+        ended.call.has_unread = fail
+        watched.live.remove(ended)
+        return False
+
+    watched.live.remove(ended)
+    watched.live.add(ended)
+    other.call.has_unread = end_the_other
+    watched.down.mark(sample_engine.target('y'), 'test')
+    assert other.call.is_cut
+    assert errors == []
+
+
 def test_stream_is_replaced_once_its_event_is_overdue():
     """Waiting for the silence limit would lengthen the pause by 40 ms."""
     watched = _Watched()
