Spare streams that begin before a quarantine takes them back (LOST, review)

Cause: a quarantine picks the requests whose targets haven't begun to write, and aborts them a turn of the event loop later, as aborts mustn't run within the report. A response that begins in between was aborted although its head may have been sent on: the stream is refused as quarantined then, and its caller sees it closed without its end.

Change: the abort checks again that no response has begun.

Test that failed before: test_stream_that_begins_before_its_late_abort_goes_on (the call was aborted). By a test with stand-ins; not seen with real processes. test_target_crashes.py, test_quarantine_streams.py and test_plain_quarantine.py pass.

--- a/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_crashes.py
@@ -114,7 +114,12 @@
         return self.has_just_begun and self._crashes.is_suspect(self.requester)
 
     def abort(self) -> None:
-        """Interrupts the attempt; the target isn't to blame for it."""
+        """Interrupts the attempt unless its target has begun to write.
+
+        The target isn't to blame for it.
+        """
+        if self.live.response_at is not None:
+            return
         if self.live.call is not None and not self.live.was_interrupted:
             self.live.was_interrupted = True
             self.live.call.abort()
