--- a/packages/cactusmux-relay/src/cactusmux_relay/target_registry.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_registry.py
@@ -33,7 +33,9 @@
         """Replaces the target list and recomputes the segments.
 
         Targets that announced that they are leaving stay marked as leaving,
-        whatever the list says.
+        whatever the list says. Services that are no longer configured keep
+        their segments while they have targets: streams that began under an
+        earlier version need them to go on elsewhere.
         """
         known_by_id = self.target_by_id
         self.target_by_id = {
@@ -41,10 +43,22 @@
             for each in all_targets
         }
         self._leaving.prune(self.target_by_id)
-        self._service_by_name = service_by_name
+        self._service_by_name = {
+            **self._services_with_targets(),
+            **service_by_name,
+        }
         self._rebuild_index()
         self._notify_state_lost(known_by_id)
 
+    def _services_with_targets(self) -> dict[str, desired_state.Service]:
+        """Returns the known services that still have targets."""
+        names = {each.service for each in self.target_by_id.values()}
+        return {
+            name: service
+            for name, service in self._service_by_name.items()
+            if name in names
+        }
+
     def subscribe_state_lost(self, callback: StateLostCallback) -> None:
         """Calls ``callback`` with known targets that have lost state.
 
--- a/packages/cactusmux-relay/tests/test_stream_run.py
+++ b/packages/cactusmux-relay/tests/test_stream_run.py
@@ -107,6 +107,22 @@
     assert body == b''.join(EVENTS)
 
 
+@pytest.mark.parametrize('count', [0, 3])
+def test_version_without_the_service_does_not_end_a_running_stream(rig, count):
+    def script(sock, _request):
+        rig.book.replace(list(rig.book.target_by_id.values()), {})
+        if count:
+            sock.sendall(HEAD + _chunks(EVENTS[:count]))
+        return False
+
+    first = scripted_target.ScriptedTarget(script)
+    second = _target(HEAD + _chunks(EVENTS[count:]) + END)
+    rig.use_engines(first.address, second.address)
+    _, body, complete = _ask(rig)
+    assert complete
+    assert body == b''.join(EVENTS)
+
+
 def _add_card(rig, *addresses):
     """Puts a card in force that a target which was there already has."""
     rig.use_engines(*addresses)
