Serve a stream route whose service has no engine

A version may move a route of streams to a service without an engine, whose requests the plain relay serves. The sender left the body of such a response unread, as that of a stream, and the relay took it for a failure: each request ran as often as the route allows, and its caller got 502. The calls weren't closed either. The sender now reads the whole response.

The test failed before: status 502 in place of 200.

--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -154,7 +154,9 @@
                 target.address, 'response has no signature'
             )
         is_stream = exchange.route.kind.value == 'stream'
-        if is_stream and head.status == STATUS_OK:
+        # A version may move a route of streams to a service that has none.
+        has_engine = exchange.service.engine is not None
+        if is_stream and has_engine and head.status == STATUS_OK:
             return outcomes.StreamingResponse(head, call)
         return outcomes.CompleteResponse(
             head, call.read_body(MAX_BUFFERED_BYTES)
--- a/packages/cactusmux-relay/tests/test_plain_relay.py
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -2,6 +2,7 @@
 
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import desired_state
 from cactusmux_relay import target_calls
 import gevent
 import pytest
@@ -109,6 +110,19 @@
     assert [len(each.received) for each in found] == [2, 2]
 
 
+def test_stream_route_of_a_service_without_an_engine_is_served(rig):
+    state = relay_rig.make_desired_state(version=2)
+    kind = desired_state.RequestKind.STREAM
+    moved = relay_rig.route('/stream/', kind, relay_rig.PLAIN_SERVICE, True)
+    rig.in_force.replace(state._replace(routes=(moved,)))
+    target = _target(_ok(b'events'))
+    rig.use_plain(target.address)
+    received = rig.ask(relay_rig.request('/stream/'))
+    assert _status(received) == 200
+    assert received.endswith(b'events')
+    assert len(target.received) == 1
+
+
 def test_failure_of_the_last_target_is_passed_on_with_its_signature(rig):
     failing = _target(scripted_target.answer(b'sorry', 500, SIGNED))
     rig.use_plain(failing.address)
