--- a/packages/cactusmux-peers/tests/test_grpc_transport.py
+++ b/packages/cactusmux-peers/tests/test_grpc_transport.py
@@ -14,6 +14,8 @@
 from cactusmux_peers import peer_service  # noqa: E402
 from cactusmux_peers import peers_pb2  # noqa: E402
 from cactusmux_peers import transport  # noqa: E402
+from gevent import event  # noqa: E402
+import grpc  # noqa: E402
 import pytest  # noqa: E402
 from returns import result  # noqa: E402
 
@@ -212,3 +214,32 @@
         instances.transports[0].address, 'large', b'', TIMEOUT_S
     )
     assert isinstance(outcome.failure(), transport.MessageTooLarge)
+
+
+def test_calls_without_their_message_do_not_hold_up_others() -> None:
+    server = grpc_transport.GrpcTransport(
+        '127.0.0.1:0', metrics.MemoryMetrics()
+    )
+    server.serve(lambda method, request: request)
+    client = grpc_transport.GrpcTransport(
+        '127.0.0.1:0', metrics.MemoryMetrics()
+    )
+    never = event.Event()
+
+    def no_message() -> Iterator[bytes]:
+        never.wait()
+        yield from ()
+
+    with grpc.insecure_channel(server.address) as channel:
+        open_call = channel.stream_unary('/cactusmux_peers.Peers/Probe')
+        held = [open_call.future(no_message()) for _ in range(40)]
+        timers.GeventTimers().sleep(0.5)
+        outcome = client.call(
+            server.address, transport.Method.PROBE, b'x', TIMEOUT_S
+        )
+        for call in held:
+            call.cancel()
+        never.set()
+    client.close()
+    server.close()
+    assert outcome == result.Success(b'x')
--- a/packages/cactusmux-relay/tests/test_copy_packing.py
+++ b/packages/cactusmux-relay/tests/test_copy_packing.py
@@ -52,3 +52,12 @@
     packed = zlib.compress(bytes(copy_packing.MAX_UNPACKED_BYTES + 1), 9)
     failure = copy_packing.unpack(packed, 0).failure()
     assert failure.cause == 'too large'
+
+
+def test_copy_of_too_many_entries_is_a_failure():
+    entry = msgspec.msgpack.encode(stores.Entry('', b'', 0))
+    count = (copy_packing.MAX_UNPACKED_BYTES - 100) // len(entry)
+    head = b'\x94\xdd' + count.to_bytes(4, 'big')
+    packed = zlib.compress(head + entry * count + bytes(3), 9)
+    failure = copy_packing.unpack(packed, 0).failure()
+    assert isinstance(failure, copy_packing.CopyUnreadable)
