--- a/packages/cactusmux-relay/src/cactusmux_relay/copy_packing.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/copy_packing.py
@@ -4,7 +4,7 @@
 does the time for which their transfer occupies the link of a small instance.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 import zlib
 
 from cactusmux_base import decoding
@@ -19,6 +19,9 @@
 LEVEL = 1
 # Far above any mirrored prefix, and small enough for an instance's memory.
 MAX_UNPACKED_BYTES = 16_000_000
+# Far above the entries of any prefix; an entry in memory takes far more than
+# the few bytes that it may take packed.
+MAX_ENTRIES = 100_000
 
 
 class _PackedCopy(NamedTuple):
@@ -27,7 +30,9 @@
     They refuse further ones, so the era is sent beside the packed copy.
     """
 
-    entries: tuple[stores.Entry, ...]
+    entries: Annotated[
+        tuple[stores.Entry, ...], msgspec.Meta(max_length=MAX_ENTRIES)
+    ]
     revision: int
     last_change_revision: int
     settles_in_s: float = 0.0
@@ -61,7 +66,7 @@
 def unpack(
     packed: bytes, era: int
 ) -> result.Result[store_mirror.Copy, CopyUnreadable]:
-    """Unpacks a copy of at most :data:`MAX_UNPACKED_BYTES`.
+    """Unpacks a copy within the limits of this module.
 
     :param era: era of the copy's positions.
     """
