--- a/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
@@ -1,13 +1,11 @@
 """HTTP calls whose failures say whether the request was sent."""
 
-import errno
 import socket
 from typing import Any, NamedTuple
 
 from cactusmux_base import failures
 import gevent
 from geventhttpclient import client
-from geventhttpclient import connectionpool
 from geventhttpclient import response
 from returns import result
 
@@ -127,32 +125,13 @@
     """No connection was made within the connect timeout."""
 
 
-class _BoundedSocket(yielding_socket.YieldingSocket):
-    """Socket that receives a response of bounded length."""
-
-    remaining_bytes = MAX_RESPONSE_BYTES
-
-    def recv(self, *args: Any) -> bytes:
-        """Receives data; raises :class:`OSError` beyond the limit."""
-        data: bytes = super().recv(*args)
-        self.remaining_bytes -= len(data)
-        if self.remaining_bytes < 0:
-            raise OSError(errno.EMSGSIZE, 'response exceeds the size limit')
-        return data
-
-
-class _Pool(connectionpool.ConnectionPool):
+class _Pool(yielding_socket.YieldingPool):
     def __init__(
         self, *args: Any, max_response_bytes: int, **kwargs: Any
     ) -> None:
         super().__init__(*args, **kwargs)
         self._max_response_bytes = max_response_bytes
 
-    def _create_tcp_socket(
-        self, family: int, socktype: int, protocol: int
-    ) -> _BoundedSocket:
-        return _BoundedSocket(family, socktype, protocol)
-
     def after_connect(self, sock: gevent.socket.socket) -> None:
         # With Nagle's algorithm, the end of a large request would wait
         # 40 ms for a delayed ACK.
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
@@ -11,6 +11,8 @@
 from . import yielding_socket
 
 MAX_RESPONSE_BYTES = 1024 * 1024
+# Far above the head of any answer.
+MAX_HEAD_BYTES = 262_144
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 64
 MAX_POOLED_ADDRESSES = 256
@@ -27,7 +29,11 @@
     """Connection pool that tells failures to connect from later ones."""
 
     def __init__(
-        self, host: str, port: int, may_send: Callable[[], bool]
+        self,
+        host: str,
+        port: int,
+        may_send: Callable[[], bool],
+        max_received_bytes: int,
     ) -> None:
         super().__init__(
             host,
@@ -41,6 +47,7 @@
         self.size = NO_RETRIES_POOL_SIZE
         self.checked_out = 0
         self._may_send = may_send
+        self._max_received_bytes = max_received_bytes
 
     def get_socket(self) -> gevent.socket.socket:
         try:
@@ -51,14 +58,23 @@
             self.release_socket(sock)
             raise _ConnectFailed('authority to send has ended')
         self.checked_out += 1
+        sock.remaining_bytes = self._max_received_bytes
         return sock
 
 
 class _Client(http_client.HTTPClient):
-    def __init__(self, address: str, may_send: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        address: str,
+        may_send: Callable[[], bool],
+        max_response_bytes: int,
+    ) -> None:
         host, _, port = address.rpartition(':')
         super().__init__(host, int(port))
-        self.pool = _Pool(host, int(port), may_send)
+        framed_bytes = yielding_socket.MAX_BYTES_PER_BYTE * max_response_bytes
+        self.pool = _Pool(
+            host, int(port), may_send, MAX_HEAD_BYTES + framed_bytes
+        )
         self._connection_pool = self.pool
 
 
@@ -85,7 +101,7 @@
             detail = f'path {call.path!r} is not in ASCII'
             return result.Failure(plain_services.NotSent(address, detail))
         if once:
-            client = _Client(address, may_send)
+            client = _Client(address, may_send, self._max_response_bytes)
         elif not may_send():
             detail = 'authority to send has ended'
             return result.Failure(plain_services.NotSent(address, detail))
@@ -106,7 +122,9 @@
     def _pooled_client(self, address: str) -> _Client:
         client = self._client_by_address.get(address)
         if client is None:
-            client = _Client(address, plain_services.always)
+            client = _Client(
+                address, plain_services.always, self._max_response_bytes
+            )
             self._client_by_address[address] = client
         if len(self._client_by_address) > MAX_POOLED_ADDRESSES:
             # Instances are replaced every day, so entries of old addresses
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 2.0
 MAX_BODY_BYTES = 1_048_576
+# Far above the heads and the lines of any engine.
+MAX_HEAD_BYTES = 262_144
+MAX_LINE_BYTES = 1_048_576
 HTTP_OK = 200
 # An engine sends an empty line at once to accept a request.
 EMPTY_LINE = b'\n'
@@ -147,6 +150,27 @@
             exchange.close()
 
 
+class _OneSocketPool(yielding_socket.YieldingPool):
+    """Limits the bytes that its only socket receives."""
+
+    _remaining_bytes: int | None = None
+    _socket: yielding_socket.BoundedSocket | None = None
+
+    def limit(self, remaining_bytes: int) -> None:
+        """Sets how many more bytes may arrive."""
+        self._remaining_bytes = remaining_bytes
+        if self._socket is not None:
+            self._socket.remaining_bytes = remaining_bytes
+
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> yielding_socket.BoundedSocket:
+        sock = super()._create_tcp_socket(family, socktype, protocol)
+        sock.remaining_bytes = self._remaining_bytes
+        self._socket = sock
+        return sock
+
+
 class _Exchange:
     """One request and its response on a dedicated connection."""
 
@@ -154,7 +178,7 @@
         host, _, port = address.rpartition(':')
         self.address = address
         self._client = http_client.HTTPClient(host, int(port))
-        self._client._connection_pool = yielding_socket.YieldingPool(
+        self._pool = _OneSocketPool(
             host,
             int(port),
             host,
@@ -164,6 +188,7 @@
             # A socket timeout would start a timer for each token.
             network_timeout=None,
         )
+        self._client._connection_pool = self._pool
         self._timeout_s = timeout_s
         self._response: http_response.HTTPSocketPoolResponse | None = None
 
@@ -171,6 +196,7 @@
         self, method: str, path: str, body: bytes
     ) -> result.Result[None, targets.TargetError]:
         """Sends the request and reads the response head."""
+        self._pool.limit(MAX_HEAD_BYTES)
         try:
             with gevent.Timeout(self._timeout_s, TimeoutError):
                 response = self._client.request(method, path, body)
@@ -189,6 +215,7 @@
         """Returns the next line; empty at the end of the response."""
         if self._response is None:
             return b''
+        self._pool.limit(MAX_LINE_BYTES)
         return bytes(self._response.readline(b'\n'))
 
     def read_report(
@@ -222,6 +249,7 @@
     def _read_body(self) -> bytes:
         if self._response is None:
             return b''
+        self._pool.limit(yielding_socket.MAX_BYTES_PER_BYTE * MAX_BODY_BYTES)
         return bytes(self._response.read(MAX_BODY_BYTES))
 
     def _refusal(
