--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
@@ -0,0 +1,94 @@
+"""HTTP server for callers that may exceed every limit."""
+
+from collections.abc import Callable
+import contextlib
+import io
+from typing import Any
+
+import gevent
+from gevent import pywsgi
+from gevent import socket
+
+from . import caller_input
+from . import http_input
+
+# A caller that still sends its body gets the refusal if it stops within this
+# time and size; else its connection may be reset before it has read it.
+LINGER_S = 1.0
+LINGER_BYTES = 1_048_576
+RECEIVE_BYTES = 65_536
+CLOSE_HEADER = ('Connection', 'close')
+
+
+class CallerHandler(pywsgi.WSGIHandler):
+    """Serves the requests of one connection."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._input = caller_input.CallerInput(self.socket)
+        self.rfile = io.BufferedReader(self._input)
+        self._is_body_whole = False
+
+    def get_environ(self) -> dict[str, Any]:
+        self._is_body_whole = False
+        environ: dict[str, Any] = super().get_environ()
+        environ[http_input.ON_WHOLE_BODY] = self._record_whole_body
+        return environ
+
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: Any = None,
+    ) -> Callable[[bytes], None]:
+        """Starts the answer; one that comes before the body is the last."""
+        if not self._is_body_whole and self._has_body():
+            headers = [*headers, CLOSE_HEADER]
+            self.close_connection = True
+            self._input.stop()
+        write: Callable[[bytes], None] = super().start_response(
+            status, headers, exc_info
+        )
+        return write
+
+    def handle_one_response(self) -> Any:
+        handled = super().handle_one_response()
+        if self._input.is_stopped:
+            self._linger()
+        return handled
+
+    def _record_whole_body(self) -> None:
+        self._is_body_whole = True
+
+    def _has_body(self) -> bool:
+        body = self.wsgi_input
+        return bool(body.chunked_input or body.content_length)
+
+    def _linger(self) -> None:
+        """Discards a little of an unread body, so that no reset is sent."""
+        left = LINGER_BYTES
+        with (
+            contextlib.suppress(OSError),
+            gevent.Timeout(LINGER_S, False),
+        ):
+            self.socket.shutdown(socket.SHUT_WR)
+            while left > 0:
+                discarded = len(self.socket.recv(RECEIVE_BYTES))
+                if not discarded:
+                    return
+                left -= discarded
+
+
+class CallerServer(pywsgi.WSGIServer):
+    """Listens for callers and runs a WSGI application.
+
+    :param address: ``host:port``
+    """
+
+    handler_class = CallerHandler
+
+    def __init__(self, address: str, application: Any) -> None:
+        host, _, port = address.rpartition(':')
+        super().__init__(
+            (host, int(port)), application, log=None, error_log=None
+        )
--- a/packages/cactusmux-entry/src/cactusmux_entry/http_input.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/http_input.py
@@ -11,6 +11,8 @@
 
 READ_BYTES = 65_536
 HEADER_PREFIX = 'HTTP_'
+# Key of a function that is called when a body has been read to its end.
+ON_WHOLE_BODY = 'cactusmux.on_whole_body'
 
 
 def path_segments(environ: dict[str, Any]) -> list[str]:
@@ -67,9 +69,14 @@
             f'body has {len(body)} of {length} bytes',
             HTTPStatus.BAD_REQUEST,
         )
+    environ.get(ON_WHOLE_BODY, _ignore)()
     return body
 
 
+def _ignore() -> None:
+    """Stands in where nobody asks for the end of the body."""
+
+
 def _read_at_most(stream: Any, max_bytes: int) -> bytes:
     parts = []
     size = 0
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -4,10 +4,10 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_entry import caller_server
 from cactusmux_peers import grpc_transport
 import gevent
 from gevent import event
-from gevent import pywsgi
 
 from . import external_clients
 from . import instance as instance_lib
@@ -27,10 +27,7 @@
     sink = make_metrics(settings)
     clients = external_clients.connect(settings, sink)
     instance = instance_lib.Instance(settings, timer, sink, clients)
-    host, _, port = settings.address.rpartition(':')
-    server = pywsgi.WSGIServer(
-        (host, int(port)), instance.surface, log=None, error_log=None
-    )
+    server = caller_server.CallerServer(settings.address, instance.surface)
     batching = io_batching.IoBatching(lambda: instance.surface.in_flight)
     stopping = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
