--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
@@ -5,6 +5,8 @@
 import io
 from typing import Any
 
+from cactusmux_base import events
+from cactusmux_base import metrics
 import gevent
 from gevent import pywsgi
 from gevent import socket
@@ -17,6 +19,10 @@
 LINGER_S = 1.0
 LINGER_BYTES = 1_048_576
 RECEIVE_BYTES = 65_536
+HEAD_TOO_LARGE = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
 CLOSE_HEADER = ('Connection', 'close')
 
 
@@ -25,11 +31,26 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self._input = caller_input.CallerInput(self.socket)
+        self._input = caller_input.CallerInput(
+            self.socket, self.server.max_head_bytes
+        )
         self.rfile = io.BufferedReader(self._input)
         self._is_body_whole = False
 
+    def read_requestline(self) -> str:
+        self._input.begin_head()
+        line: str = super().read_requestline()
+        return line
+
+    def handle_one_request(self) -> Any:
+        handled = super().handle_one_request()
+        if self._input.is_head_too_large:
+            self._refuse_head()
+            return None
+        return handled
+
     def get_environ(self) -> dict[str, Any]:
+        self._input.end_head()
         self._is_body_whole = False
         environ: dict[str, Any] = super().get_environ()
         environ[http_input.ON_WHOLE_BODY] = self._record_whole_body
@@ -57,6 +78,13 @@
             self._linger()
         return handled
 
+    def _refuse_head(self) -> None:
+        self.server.metrics.count('entry.refused.head_too_large')
+        events.info('refused', reason='head_too_large', outcome='not_run')
+        with contextlib.suppress(OSError):
+            self.socket.sendall(HEAD_TOO_LARGE)
+        self._linger()
+
     def _record_whole_body(self) -> None:
         self._is_body_whole = True
 
@@ -83,11 +111,20 @@
     """Listens for callers and runs a WSGI application.
 
     :param address: ``host:port``
+    :param max_head_bytes: longest head of a request.
     """
 
     handler_class = CallerHandler
 
-    def __init__(self, address: str, application: Any) -> None:
+    def __init__(
+        self,
+        address: str,
+        application: Any,
+        max_head_bytes: int,
+        sink: metrics.Metrics,
+    ) -> None:
+        self.max_head_bytes = max_head_bytes
+        self.metrics = sink
         host, _, port = address.rpartition(':')
         super().__init__(
             (host, int(port)), application, log=None, error_log=None
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -27,7 +27,12 @@
     sink = make_metrics(settings)
     clients = external_clients.connect(settings, sink)
     instance = instance_lib.Instance(settings, timer, sink, clients)
-    server = caller_server.CallerServer(settings.address, instance.surface)
+    server = caller_server.CallerServer(
+        settings.address,
+        instance.surface,
+        settings.limits.max_head_bytes,
+        sink,
+    )
     batching = io_batching.IoBatching(lambda: instance.surface.in_flight)
     stopping = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -22,6 +22,7 @@
 OK = 200
 NOT_RUN = 503
 TOO_LARGE = 413
+HEAD_TOO_LARGE = 431
 
 
 def post(body: bytes) -> bytes:
@@ -187,3 +188,11 @@
                 break
             time.sleep(0.1)
         check(instance)
+
+
+def test_head_over_the_limit_is_refused(tmp_path: pathlib.Path) -> None:
+    line = b'a: ' + b'x' * 30_000 + b'\r\n'
+    with started(tmp_path) as instance:
+        answer = instance.ask(b'GET /healthz HTTP/1.1\r\n' + line * 3)
+        assert answer.status == HEAD_TOO_LARGE
+        check(instance)
