--- /dev/null
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_connections.py
@@ -0,0 +1,153 @@
+"""Decides which connections of callers to close when there are too many."""
+
+from collections.abc import Callable
+import enum
+import resource
+
+from cactusmux_base import events
+from cactusmux_base import metrics
+from cactusmux_base import timers
+
+# Of the process's descriptors, those for peers, stores and logs.
+RESERVED_DESCRIPTORS = 64
+# A running request has a connection of its caller and one to a target.
+DESCRIPTORS_PER_CONNECTION = 2
+MIN_CONNECTIONS = 16
+REPORT_PERIOD_S = 1.0
+# Bytes a second of a younger request tell nothing of its caller.
+MIN_READING_S = 1.0
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = enum.auto()
+    READING = enum.auto()
+    RUNNING = enum.auto()
+    DROPPED = enum.auto()
+
+
+class Connection:
+    """One connection of a caller.
+
+    :param close: ends the input of the connection at once.
+    :ivar since: when the phase began, in seconds.
+    :ivar received_bytes: bytes of the request that is being read or run.
+    """
+
+    def __init__(self, close: Callable[[], None], now: float) -> None:
+        self.close = close
+        self.phase = Phase.IDLE
+        self.since = now
+        self.received_bytes = 0
+
+    @property
+    def is_dropped(self) -> bool:
+        """Whether it was chosen to be closed."""
+        return self.phase is Phase.DROPPED
+
+    def enter(self, phase: Phase, now: float) -> None:
+        """Changes the phase; a dropped connection stays dropped."""
+        if not self.is_dropped:
+            self.phase = phase
+            self.since = now
+
+
+class CallerConnections:
+    """The connections of all callers, at most ``max_connections``.
+
+    Whoever has to give way is the connection that has been idle for longest;
+    without idle ones, that with the least progress of its request. A request
+    that has been received is never closed.
+    """
+
+    def __init__(
+        self,
+        max_connections: int,
+        timer: timers.TimerService,
+        sink: metrics.Metrics,
+    ) -> None:
+        self._max_connections = max_connections
+        self._timer = timer
+        self._metrics = sink
+        self._connections: dict[Connection, None] = {}
+        self._reported_at = -REPORT_PERIOD_S
+        self._closed_count = 0
+
+    def open(self, close: Callable[[], None]) -> Connection | None:
+        """Adds a connection; ``None`` if all others run requests."""
+        if len(self._connections) >= self._max_connections:
+            victim = self._longest_idle() or self._slowest_reading()
+            if victim is None:
+                self._record('connection_refused')
+                return None
+            self._drop(victim, 'too_many_connections')
+        connection = Connection(close, self._timer.now())
+        self._connections[connection] = None
+        return connection
+
+    def release(self, connection: Connection) -> None:
+        """Removes a connection that has ended."""
+        self._connections.pop(connection, None)
+
+    def receive(self, connection: Connection, size: int) -> None:
+        """Counts bytes of a request that were received."""
+        if connection.phase is Phase.IDLE:
+            connection.enter(Phase.READING, self._timer.now())
+        connection.received_bytes += size
+
+    def begin_run(self, connection: Connection) -> None:
+        """Records that a whole request has been received."""
+        connection.enter(Phase.RUNNING, self._timer.now())
+
+    def end_request(self, connection: Connection) -> None:
+        """Records that a request has been answered."""
+        connection.received_bytes = 0
+        connection.enter(Phase.IDLE, self._timer.now())
+
+    def _longest_idle(self) -> Connection | None:
+        idle = [c for c in self._connections if c.phase is Phase.IDLE]
+        return min(idle, key=lambda each: each.since, default=None)
+
+    def _slowest_reading(self) -> Connection | None:
+        reading = [c for c in self._connections if c.phase is Phase.READING]
+        return min(reading, key=self._progress, default=None)
+
+    def _progress(self, connection: Connection) -> tuple[bool, float]:
+        """Sorts by bytes a second, young requests last, large ones first."""
+        reading_s = self._timer.now() - connection.since
+        if reading_s < MIN_READING_S:
+            return True, -connection.received_bytes
+        return False, connection.received_bytes / reading_s
+
+    def _drop(self, victim: Connection, reason: str) -> None:
+        victim.enter(Phase.DROPPED, self._timer.now())
+        del self._connections[victim]
+        self._record(reason)
+        victim.close()
+
+    def _record(self, reason: str) -> None:
+        """Counts a connection that gave way; logs once a second."""
+        self._metrics.count(f'entry.closed.{reason}')
+        self._closed_count += 1
+        now = self._timer.now()
+        if now - self._reported_at < REPORT_PERIOD_S:
+            return
+        events.warning(
+            'callers_closed',
+            reason=reason,
+            count=self._closed_count,
+            connections=len(self._connections),
+        )
+        self._reported_at = now
+        self._closed_count = 0
+
+
+def usable_connections(max_connections: int) -> int:
+    """Returns how many connections the descriptor limit allows at most."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return max_connections
+    usable = descriptors - RESERVED_DESCRIPTORS
+    usable = max(MIN_CONNECTIONS, usable // DESCRIPTORS_PER_CONNECTION)
+    return min(max_connections, usable)
--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_input.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_input.py
@@ -1,5 +1,6 @@
 """The bytes that a caller sends over one connection."""
 
+from collections.abc import Callable
 import errno
 import io
 
@@ -11,17 +12,31 @@
     """The head of a request is longer than allowed."""
 
 
+class InputDropped(OSError):
+    """The connection had to give way to others."""
+
+
 class CallerInput(io.RawIOBase):
     """Receives for as long as the bytes are wanted.
 
     Lets other tasks run while a flood of bytes arrives.
 
     :param max_head_bytes: longest head of a request.
+    :param on_received: called with the size of what was received.
+    :param is_dropped: returns whether the connection had to give way.
     """
 
-    def __init__(self, connection: socket.socket, max_head_bytes: int) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        max_head_bytes: int,
+        on_received: Callable[[int], None],
+        is_dropped: Callable[[], bool],
+    ) -> None:
         super().__init__()
         self._connection = connection
+        self._on_received = on_received
+        self._is_dropped = is_dropped
         self._max_head_bytes = max_head_bytes
         # Of the head that is being read, ``None`` while a body is.
         self._head_bytes: int | None = 0
@@ -36,10 +51,16 @@
         """Receives into ``buffer``; 0 at the end or once stopped.
 
         :raises HeadTooLarge: for the bytes beyond the limit.
+        :raises InputDropped: once the connection had to give way.
         """
         if self.is_stopped:
             return 0
         received: int = self._connection.recv_into(buffer)
+        if received:
+            self._on_received(received)
+        if self._is_dropped():
+            self.stop()
+            raise InputDropped(errno.ECONNABORTED, 'gave way to others')
         self._turns.record(received)
         self._count_head(received)
         return received
--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
@@ -11,6 +11,7 @@
 from gevent import pywsgi
 from gevent import socket
 
+from . import caller_connections
 from . import caller_input
 from . import http_input
 
@@ -23,6 +24,10 @@
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
 )
+NO_ROOM = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
 CLOSE_HEADER = ('Connection', 'close')
 
 
@@ -31,13 +36,30 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        self._connections = self.server.connections
+        self._connection = self._connections.open(self._end_input)
         self._input = caller_input.CallerInput(
-            self.socket, self.server.max_head_bytes
+            self.socket,
+            self.server.max_head_bytes,
+            self._record_received,
+            self._is_dropped,
         )
         self.rfile = io.BufferedReader(self._input)
         self._is_body_whole = False
+        self._is_in_head = True
+
+    def handle(self) -> None:
+        """Serves the connection, if there is room for it."""
+        if self._connection is None:
+            self._refuse_connection()
+            return
+        try:
+            super().handle()
+        finally:
+            self._connections.release(self._connection)
 
     def read_requestline(self) -> str:
+        self._is_in_head = True
         self._input.begin_head()
         line: str = super().read_requestline()
         return line
@@ -47,9 +69,13 @@
         if self._input.is_head_too_large:
             self._refuse_head()
             return None
+        if self._is_in_head and self._is_dropped():
+            # A tuple would be sent as the answer to a bad request.
+            return None
         return handled
 
     def get_environ(self) -> dict[str, Any]:
+        self._is_in_head = False
         self._input.end_head()
         self._is_body_whole = False
         environ: dict[str, Any] = super().get_environ()
@@ -74,8 +100,9 @@
 
     def handle_one_response(self) -> Any:
         handled = super().handle_one_response()
-        if self._input.is_stopped:
+        if self._input.is_stopped and not self._is_dropped():
             self._linger()
+        self._connections.end_request(self._connection)
         return handled
 
     def _refuse_head(self) -> None:
@@ -87,6 +114,21 @@
 
     def _record_whole_body(self) -> None:
         self._is_body_whole = True
+        self._connections.begin_run(self._connection)
+
+    def _record_received(self, size: int) -> None:
+        self._connections.receive(self._connection, size)
+
+    def _is_dropped(self) -> bool:
+        return self._connection.is_dropped
+
+    def _end_input(self) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RD)
+
+    def _refuse_connection(self) -> None:
+        with contextlib.suppress(OSError), self.socket:
+            self.socket.send(NO_ROOM)
 
     def _has_body(self) -> bool:
         body = self.wsgi_input
@@ -112,6 +154,7 @@
 
     :param address: ``host:port``
     :param max_head_bytes: longest head of a request.
+    :param connections: decides which connections give way.
     """
 
     handler_class = CallerHandler
@@ -121,8 +164,10 @@
         address: str,
         application: Any,
         max_head_bytes: int,
+        connections: caller_connections.CallerConnections,
         sink: metrics.Metrics,
     ) -> None:
+        self.connections = connections
         self.max_head_bytes = max_head_bytes
         self.metrics = sink
         host, _, port = address.rpartition(':')
--- a/packages/cactusmux-entry/src/cactusmux_entry/http_input.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/http_input.py
@@ -7,8 +7,10 @@
 from cactusmux_base import decimals
 import gevent
 
+from . import caller_input
 from . import problems
 
+RETRY_AFTER_NO_ROOM_S = 1.0
 READ_BYTES = 65_536
 HEADER_PREFIX = 'HTTP_'
 # Key of a function that is called when a body has been read to its end.
@@ -59,6 +61,14 @@
             f'body did not arrive within {timeout_s} s',
             HTTPStatus.REQUEST_TIMEOUT,
         ) from error
+    except caller_input.InputDropped as error:
+        raise problems.RequestFailed(
+            problems.refused(
+                'no_room',
+                'its body made the least progress',
+                retry_after_s=RETRY_AFTER_NO_ROOM_S,
+            )
+        ) from error
     except OSError as error:
         raise _request_failed(
             'body_cut_short', str(error), HTTPStatus.BAD_REQUEST
--- a/packages/cactusmux-entry/tests/test_caller_input.py
+++ b/packages/cactusmux-entry/tests/test_caller_input.py
@@ -12,6 +12,11 @@
 
     def __init__(self) -> None:
         self.received = 0
+        self.counts: list[int] = []
+        self.is_dropped = False
+
+    def drops(self) -> bool:
+        return self.is_dropped
 
     def recv_into(self, buffer: bytearray) -> int:
         self.received += len(buffer)
@@ -25,7 +30,9 @@
 
 @pytest.fixture
 def reader(connection: EndlessConnection) -> caller_input.CallerInput:
-    return caller_input.CallerInput(connection, MAX_HEAD_BYTES)
+    return caller_input.CallerInput(
+        connection, MAX_HEAD_BYTES, connection.counts.append, connection.drops
+    )
 
 
 def test_head_without_an_end_is_refused(reader, connection) -> None:
@@ -61,3 +68,13 @@
     reader.stop()
     assert reader.read(1024) == b''
     assert connection.received == 0
+
+
+def test_dropped_connection_ends_its_input(reader, connection) -> None:
+    reader.end_head()
+    reader.read(1024)
+    connection.is_dropped = True
+    with pytest.raises(caller_input.InputDropped):
+        reader.read(1024)
+    assert reader.read(1024) == b''
+    assert sum(connection.counts) == connection.received
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -4,6 +4,7 @@
 
 from cactusmux_base import metrics
 from cactusmux_base import timers
+from cactusmux_entry import caller_connections
 from cactusmux_entry import caller_server
 from cactusmux_peers import grpc_transport
 import gevent
@@ -31,6 +32,13 @@
         settings.address,
         instance.surface,
         settings.limits.max_head_bytes,
+        caller_connections.CallerConnections(
+            caller_connections.usable_connections(
+                settings.limits.max_connections
+            ),
+            timer,
+            sink,
+        ),
         sink,
     )
     batching = io_batching.IoBatching(lambda: instance.surface.in_flight)
--- a/packages/cactusmux/src/cactusmux/settings_check.py
+++ b/packages/cactusmux/src/cactusmux/settings_check.py
@@ -52,6 +52,9 @@
 @pydantic.with_config(validation.STRICT)
 class _Limits(TypedDict):
     max_requests: NotRequired[Annotated[int, pydantic.Field(ge=1, le=100_000)]]
+    max_connections: NotRequired[
+        Annotated[int, pydantic.Field(ge=16, le=100_000)]
+    ]
     max_head_bytes: NotRequired[
         Annotated[int, pydantic.Field(ge=8_192, le=1_048_576)]
     ]
