--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_connections.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_connections.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import enum
 import resource
+from typing import NamedTuple
 
 from cactusmux_base import events
 from cactusmux_base import metrics
@@ -53,30 +54,41 @@
             self.since = now
 
 
+class Limits(NamedTuple):
+    """Limits of all callers together.
+
+    :ivar max_bytes: bytes of the requests that are being read or run.
+    """
+
+    max_connections: int
+    max_bytes: int
+
+
 class CallerConnections:
-    """The connections of all callers, at most ``max_connections``.
+    """The connections of all callers and the bytes that they hold.
 
     Whoever has to give way is the connection that has been idle for longest;
-    without idle ones, that with the least progress of its request. A request
-    that has been received is never closed.
+    without idle ones, that with the least progress of its request. For bytes
+    only the latter do. A request that has been received is never closed.
     """
 
     def __init__(
         self,
-        max_connections: int,
+        limits: Limits,
         timer: timers.TimerService,
         sink: metrics.Metrics,
     ) -> None:
-        self._max_connections = max_connections
+        self._limits = limits
         self._timer = timer
         self._metrics = sink
+        self._held_bytes = 0
         self._connections: dict[Connection, None] = {}
         self._reported_at = -REPORT_PERIOD_S
         self._closed_count = 0
 
     def open(self, close: Callable[[], None]) -> Connection | None:
         """Adds a connection; ``None`` if all others run requests."""
-        if len(self._connections) >= self._max_connections:
+        if len(self._connections) >= self._limits.max_connections:
             victim = self._longest_idle() or self._slowest_reading()
             if victim is None:
                 self._record('connection_refused')
@@ -88,13 +100,25 @@
 
     def release(self, connection: Connection) -> None:
         """Removes a connection that has ended."""
+        self._forget_bytes(connection)
         self._connections.pop(connection, None)
 
     def receive(self, connection: Connection, size: int) -> None:
-        """Counts bytes of a request that were received."""
+        """Counts bytes of a request that were received.
+
+        Beyond the limit requests give way, which may be this one.
+        """
         if connection.phase is Phase.IDLE:
             connection.enter(Phase.READING, self._timer.now())
+        if connection.is_dropped:
+            return
         connection.received_bytes += size
+        self._held_bytes += size
+        while self._held_bytes > self._limits.max_bytes:
+            victim = self._slowest_reading()
+            if victim is None:
+                return
+            self._drop(victim, 'too_many_bytes')
 
     def begin_run(self, connection: Connection) -> None:
         """Records that a whole request has been received."""
@@ -102,7 +126,7 @@
 
     def end_request(self, connection: Connection) -> None:
         """Records that a request has been answered."""
-        connection.received_bytes = 0
+        self._forget_bytes(connection)
         connection.enter(Phase.IDLE, self._timer.now())
 
     def _longest_idle(self) -> Connection | None:
@@ -122,10 +146,15 @@
 
     def _drop(self, victim: Connection, reason: str) -> None:
         victim.enter(Phase.DROPPED, self._timer.now())
+        self._forget_bytes(victim)
         del self._connections[victim]
         self._record(reason)
         victim.close()
 
+    def _forget_bytes(self, connection: Connection) -> None:
+        self._held_bytes -= connection.received_bytes
+        connection.received_bytes = 0
+
     def _record(self, reason: str) -> None:
         """Counts a connection that gave way; logs once a second."""
         self._metrics.count(f'entry.closed.{reason}')
@@ -138,6 +167,7 @@
             reason=reason,
             count=self._closed_count,
             connections=len(self._connections),
+            held_bytes=self._held_bytes,
         )
         self._reported_at = now
         self._closed_count = 0
--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_input.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_input.py
@@ -55,7 +55,7 @@
         """
         if self.is_stopped:
             return 0
-        received: int = self._connection.recv_into(buffer)
+        received = self._receive(buffer)
         if received:
             self._on_received(received)
         if self._is_dropped():
@@ -65,6 +65,16 @@
         self._count_head(received)
         return received
 
+    def _receive(self, buffer: memoryview) -> int:
+        try:
+            received: int = self._connection.recv_into(buffer)
+        except OSError:
+            if self._is_dropped():
+                # Whoever dropped it ended a pending read.
+                return 0
+            raise
+        return received
+
     def begin_head(self) -> None:
         """Counts what follows as the head of a request."""
         self._head_bytes = 0
--- a/packages/cactusmux-entry/tests/test_caller_input.py
+++ b/packages/cactusmux-entry/tests/test_caller_input.py
@@ -1,5 +1,7 @@
 """What a caller sends is read within bounds, and in turns."""
 
+import errno
+
 from cactusmux_base import turns
 from cactusmux_entry import caller_input
 import pytest
@@ -14,11 +16,15 @@
         self.received = 0
         self.counts: list[int] = []
         self.is_dropped = False
+        self.fails_when_dropped = False
 
     def drops(self) -> bool:
         return self.is_dropped
 
     def recv_into(self, buffer: bytearray) -> int:
+        if self.fails_when_dropped:
+            self.is_dropped = True
+            raise OSError(errno.EBADF, 'closed in another greenlet')
         self.received += len(buffer)
         return len(buffer)
 
@@ -78,3 +84,11 @@
         reader.read(1024)
     assert reader.read(1024) == b''
     assert sum(connection.counts) == connection.received
+
+
+def test_pending_read_of_a_dropped_connection_is_told_apart(
+    reader, connection
+) -> None:
+    connection.fails_when_dropped = True
+    with pytest.raises(caller_input.InputDropped):
+        reader.read(1024)
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -33,8 +33,11 @@
         instance.surface,
         settings.limits.max_head_bytes,
         caller_connections.CallerConnections(
-            caller_connections.usable_connections(
-                settings.limits.max_connections
+            caller_connections.Limits(
+                caller_connections.usable_connections(
+                    settings.limits.max_connections
+                ),
+                settings.limits.max_held_bytes,
             ),
             timer,
             sink,
--- a/packages/cactusmux/src/cactusmux/settings.py
+++ b/packages/cactusmux/src/cactusmux/settings.py
@@ -11,6 +11,7 @@
 
     max_requests: int = 2_000
     max_connections: int = 10_000
+    max_held_bytes: int = 134_217_728
     max_head_bytes: int = 65_536
     max_body_bytes: int = 4_194_304
     body_timeout_s: float = 10.0
--- a/packages/cactusmux/src/cactusmux/settings_check.py
+++ b/packages/cactusmux/src/cactusmux/settings_check.py
@@ -55,6 +55,9 @@
     max_connections: NotRequired[
         Annotated[int, pydantic.Field(ge=16, le=100_000)]
     ]
+    max_held_bytes: NotRequired[
+        Annotated[int, pydantic.Field(ge=1_048_576, le=1 << 40)]
+    ]
     max_head_bytes: NotRequired[
         Annotated[int, pydantic.Field(ge=8_192, le=1_048_576)]
     ]
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -196,3 +196,22 @@
         answer = instance.ask(b'GET /healthz HTTP/1.1\r\n' + line * 3)
         assert answer.status == HEAD_TOO_LARGE
         check(instance)
+
+
+def test_body_that_gives_way_is_refused_as_not_run(
+    tmp_path: pathlib.Path,
+) -> None:
+    limits = {'max_held_bytes': MIB}
+    request = post(b'x' * 600_000)[:-1]
+    with started(tmp_path, limits) as instance, crowd(instance, 2) as clients:
+        for client in clients:
+            client.sendall(request)
+        answers = []
+        for client in clients:
+            client.settimeout(1.0)
+            with contextlib.suppress(TimeoutError):
+                answers.append(instance_process.read_answer(client))
+        assert [answer.status for answer in answers] == [NOT_RUN]
+        assert b'"no_room"' in answers[0].body
+        assert b'"not_run"' in answers[0].body
+        check(instance)
