--- a/packages/cactusmux-entry/src/cactusmux_entry/surface.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/surface.py
@@ -57,6 +57,7 @@
         serves: Callable[[], bool] = lambda: True,
     ) -> None:
         self.in_flight = 0
+        self._reading = 0
         self._instance_id = instance_id
         self._handler_by_segment = handler_by_segment
         self._timer = timer
@@ -115,17 +116,10 @@
                     retry_after_s=RETRY_AFTER_BUSY_S,
                 )
             )
-        if self.in_flight > self._limits.max_requests:
-            raise problems.RequestFailed(
-                problems.refused(
-                    'too_many_requests',
-                    f'more than {self._limits.max_requests} at a time',
-                    retry_after_s=RETRY_AFTER_BUSY_S,
-                )
-            )
-        body = http_input.read_body(
-            environ, self._limits.max_body_bytes, self._limits.body_timeout_s
-        )
+        self._check_room()
+        body = self._read_body(environ)
+        # Others may have taken the room meanwhile.
+        self._check_room()
         call = Call(
             request_id,
             environ['REQUEST_METHOD'],
@@ -136,6 +130,28 @@
         )
         return handler(call)
 
+    def _check_room(self) -> None:
+        if self.in_flight - self._reading > self._limits.max_requests:
+            raise problems.RequestFailed(
+                problems.refused(
+                    'too_many_requests',
+                    f'more than {self._limits.max_requests} at a time',
+                    retry_after_s=RETRY_AFTER_BUSY_S,
+                )
+            )
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes:
+        """Reads the body; a request counts as running only afterwards."""
+        self._reading += 1
+        try:
+            return http_input.read_body(
+                environ,
+                self._limits.max_body_bytes,
+                self._limits.body_timeout_s,
+            )
+        finally:
+            self._reading -= 1
+
     def _refuse(
         self, problem: problems.Problem, request_id: str
     ) -> responses.Response:
