--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_connections.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_connections.py
@@ -124,6 +124,10 @@
         """Records that a whole request has been received."""
         connection.enter(Phase.RUNNING, self._timer.now())
 
+    def record_stalled(self) -> None:
+        """Records that a caller takes nothing of its answer."""
+        self._record('answer_not_taken')
+
     def end_request(self, connection: Connection) -> None:
         """Records that a request has been answered."""
         self._forget_bytes(connection)
--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import errno
 import io
 from typing import Any
 
@@ -20,6 +21,7 @@
 LINGER_S = 1.0
 LINGER_BYTES = 1_048_576
 RECEIVE_BYTES = 65_536
+SEND_BYTES = 65_536
 HEAD_TOO_LARGE = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
@@ -112,6 +114,22 @@
             self.socket.sendall(HEAD_TOO_LARGE)
         self._linger()
 
+    def _sendall(self, data: bytes) -> None:
+        """Sends data, for as long as the caller takes some of it."""
+        view = memoryview(data)
+        self.socket.settimeout(self.server.send_stall_s)
+        try:
+            while view:
+                view = view[self.socket.send(view[:SEND_BYTES]) :]
+        except TimeoutError as error:
+            self._connections.record_stalled()
+            # The only errors that the server takes for a caller that left.
+            raise ConnectionResetError(
+                errno.ECONNRESET, 'caller takes nothing'
+            ) from error
+        finally:
+            self.socket.settimeout(None)
+
     def _record_whole_body(self) -> None:
         self._is_body_whole = True
         self._connections.begin_run(self._connection)
@@ -155,6 +173,7 @@
     :param address: ``host:port``
     :param max_head_bytes: longest head of a request.
     :param connections: decides which connections give way.
+    :param send_stall_s: seconds for which a caller may take nothing.
     """
 
     handler_class = CallerHandler
@@ -165,8 +184,10 @@
         application: Any,
         max_head_bytes: int,
         connections: caller_connections.CallerConnections,
+        send_stall_s: float,
         sink: metrics.Metrics,
     ) -> None:
+        self.send_stall_s = send_stall_s
         self.connections = connections
         self.max_head_bytes = max_head_bytes
         self.metrics = sink
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -42,6 +42,7 @@
             timer,
             sink,
         ),
+        settings.limits.body_timeout_s,
         sink,
     )
     batching = io_batching.IoBatching(lambda: instance.surface.in_flight)
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -179,15 +179,19 @@
     tmp_path: pathlib.Path,
 ) -> None:
     limits = {'max_requests': 4, 'body_timeout_s': 0.5}
-    with started(tmp_path, limits) as instance, crowd(instance, 8) as clients:
-        for client in clients:
-            client.settimeout(1.0)
-            instance_process.send_all_taken(client, STATE * 20_000)
-        for _ in range(100):
-            if instance.ask(HEALTH).status == OK:
-                break
-            time.sleep(0.1)
-        check(instance)
+    with started(tmp_path, limits) as instance:
+        instance.ask(HEALTH)
+        descriptors = instance.descriptors
+        with crowd(instance, 8) as clients:
+            for client in clients:
+                client.settimeout(1.0)
+                instance_process.send_all_taken(client, STATE * 20_000)
+            for _ in range(100):
+                if instance.descriptors <= descriptors:
+                    break
+                time.sleep(0.1)
+            assert instance.descriptors <= descriptors
+            check(instance)
 
 
 def test_head_over_the_limit_is_refused(tmp_path: pathlib.Path) -> None:
