--- a/packages/cactusmux-peers/src/cactusmux_peers/grpc_transport.py
+++ b/packages/cactusmux-peers/src/cactusmux_peers/grpc_transport.py
@@ -4,11 +4,12 @@
 :func:`use_gevent` before it creates a transport.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent import futures
 import functools
 
 from cactusmux_base import metrics as metrics_lib
+import gevent
 import grpc
 from grpc.experimental import gevent as grpc_gevent
 from returns import result
@@ -16,7 +17,13 @@
 from . import transport
 
 _SERVICE = 'cactusmux_peers.Peers'
-_SERVER_WORKERS = 16
+# With gevent each is a greenlet that starts when it is needed.
+_SERVER_WORKERS = 256
+# Far above what a fleet sends at a time; further calls are refused.
+_MAX_CALLS = 1024
+_TOO_MANY_CALLS_TEXT = 'concurrent rpc limit'
+# Peers wait no longer for their answers.
+_MESSAGE_TIMEOUT_S = 5.0
 _CLOSE_GRACE_S = 0.5
 _OPTIONS = (
     ('grpc.max_receive_message_length', transport.MAX_MESSAGE_BYTES),
@@ -54,7 +61,9 @@
     ) -> None:
         self._metrics = metrics
         self._server = grpc.server(
-            futures.ThreadPoolExecutor(_SERVER_WORKERS), options=_OPTIONS
+            futures.ThreadPoolExecutor(_SERVER_WORKERS),
+            options=_OPTIONS,
+            maximum_concurrent_rpcs=_MAX_CALLS,
         )
         port = self._server.add_insecure_port(listen_address)
         host = listen_address.rpartition(':')[0]
@@ -121,7 +130,8 @@
     handler: transport.Handler, metrics: metrics_lib.Metrics
 ) -> grpc.GenericRpcHandler:
     handler_by_method = {
-        method.value: grpc.unary_unary_rpc_method_handler(
+        # A unary handler would wait for its message for as long as it takes.
+        method.value: grpc.stream_unary_rpc_method_handler(
             _unary_handler(handler, method, metrics)
         )
         for method in transport.Method
@@ -133,10 +143,12 @@
     handler: transport.Handler,
     method: transport.Method,
     metrics: metrics_lib.Metrics,
-) -> Callable[[bytes, grpc.ServicerContext], bytes]:
-    def handle(request: bytes, context: grpc.ServicerContext) -> bytes:
+) -> Callable[[Iterator[bytes], grpc.ServicerContext], bytes]:
+    def handle(
+        requests: Iterator[bytes], context: grpc.ServicerContext
+    ) -> bytes:
         try:
-            return handler(method, request)
+            return handler(method, _receive(requests))
         except transport.CallRefused as error:
             metrics.count(f'peers.refused.{method.lower()}')
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
@@ -145,6 +157,19 @@
     return handle
 
 
+def _receive(requests: Iterator[bytes]) -> bytes:
+    """Returns the message of a call.
+
+    :raises transport.CallRefused: if it doesn't arrive in time.
+    """
+    request = None
+    with gevent.Timeout(_MESSAGE_TIMEOUT_S, False):
+        request = next(requests, None)
+    if request is None:
+        raise transport.CallRefused('no message')
+    return request
+
+
 def _to_failure(
     peer_address: str, error: grpc.RpcError
 ) -> transport.PeerError:
@@ -152,6 +177,8 @@
     detail = error.details() or ''
     if code is grpc.StatusCode.INVALID_ARGUMENT:
         return transport.PeerRefused(peer_address, detail)
+    if _TOO_MANY_CALLS_TEXT in detail.lower():
+        return transport.PeerRefused(peer_address, detail)
     if code is grpc.StatusCode.RESOURCE_EXHAUSTED:
         return transport.MessageTooLarge(peer_address, detail)
     if code is grpc.StatusCode.UNAVAILABLE and any(
--- a/packages/cactusmux-peers/tests/test_grpc_transport.py
+++ b/packages/cactusmux-peers/tests/test_grpc_transport.py
@@ -216,30 +216,67 @@
     assert isinstance(outcome.failure(), transport.MessageTooLarge)
 
 
-def test_calls_without_their_message_do_not_hold_up_others() -> None:
-    server = grpc_transport.GrpcTransport(
-        '127.0.0.1:0', metrics.MemoryMetrics()
-    )
-    server.serve(lambda method, request: request)
-    client = grpc_transport.GrpcTransport(
-        '127.0.0.1:0', metrics.MemoryMetrics()
-    )
-    never = event.Event()
+class CallsWithoutMessage:
+    """A server, a client, and calls to it whose message never comes."""
 
-    def no_message() -> Iterator[bytes]:
-        never.wait()
-        yield from ()
-
-    with grpc.insecure_channel(server.address) as channel:
-        open_call = channel.stream_unary('/cactusmux_peers.Peers/Probe')
-        held = [open_call.future(no_message()) for _ in range(40)]
+    def __init__(self, count: int) -> None:
+        self.server = grpc_transport.GrpcTransport(
+            '127.0.0.1:0', metrics.MemoryMetrics()
+        )
+        self.server.serve(lambda method, request: request)
+        self._client = grpc_transport.GrpcTransport(
+            '127.0.0.1:0', metrics.MemoryMetrics()
+        )
+        self._never = event.Event()
+        self._channel = grpc.insecure_channel(self.server.address)
+        open_call = self._channel.stream_unary('/cactusmux_peers.Peers/Probe')
+        self.held = [
+            open_call.future(self._no_message()) for _ in range(count)
+        ]
         timers.GeventTimers().sleep(0.5)
-        outcome = client.call(
-            server.address, transport.Method.PROBE, b'x', TIMEOUT_S
+
+    def probe(self) -> result.Result[bytes, transport.PeerError]:
+        """Makes an ordinary call."""
+        return self._client.call(
+            self.server.address, transport.Method.PROBE, b'x', TIMEOUT_S
         )
-        for call in held:
+
+    def close(self) -> None:
+        """Ends all calls and the server."""
+        for call in self.held:
             call.cancel()
-        never.set()
-    client.close()
-    server.close()
+        self._never.set()
+        self._channel.close()
+        self._client.close()
+        self.server.close()
+
+    def _no_message(self) -> Iterator[bytes]:
+        self._never.wait()
+        yield from ()
+
+
+def test_calls_without_their_message_do_not_hold_up_others() -> None:
+    calls = CallsWithoutMessage(40)
+    outcome = calls.probe()
+    calls.close()
     assert outcome == result.Success(b'x')
+
+
+def test_call_without_its_message_is_refused_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(grpc_transport, '_MESSAGE_TIMEOUT_S', 0.2)
+    calls = CallsWithoutMessage(2)
+    codes = {call.exception(TIMEOUT_S).code() for call in calls.held}
+    calls.close()
+    assert codes == {grpc.StatusCode.INVALID_ARGUMENT}
+
+
+def test_call_beyond_the_limit_is_refused_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(grpc_transport, '_MAX_CALLS', 4)
+    calls = CallsWithoutMessage(4)
+    outcome = calls.probe()
+    calls.close()
+    assert isinstance(outcome.failure(), transport.PeerRefused)
