--- a/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/relay_instance.py
@@ -159,6 +159,7 @@
             self._apply_gossip,
             rng,
             self._mirrors.apply_delta,
+            lambda name: name in self._fleet.instance_by_name,
         )
         self._immediate_news = immediate_news.ImmediateNews(
             timer, rng, self._fleet.peer_addresses, self._exchange.send_to
--- a/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/soft_exchange.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from . import deltas
+from . import gossip_senders
 from . import targets
 
 PERIOD_S = 0.25
@@ -86,6 +87,10 @@
             return None
 
 
+def _is_never_listed(_name: str) -> bool:
+    return False
+
+
 class SoftExchange:
     """Sends gossip to peers and passes on what they send.
 
@@ -93,6 +98,7 @@
     :param peers: returns the peers' addresses.
     :param on_message: called with each message received.
     :param on_delta: called with each delta received.
+    :param is_listed: returns whether an instance of this name is listed.
     """
 
     def __init__(
@@ -104,6 +110,7 @@
         on_message: Callable[[GossipMessage], None],
         rng: random.Random,
         on_delta: Callable[[deltas.Delta], None] = deltas.ignore,
+        is_listed: Callable[[str], bool] = _is_never_listed,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._timer = timer
@@ -119,7 +126,7 @@
         )
         self._last_sent = b''
         self._sent_at = 0.0
-        self.heard_at_by_name: dict[str, float] = {}
+        self._senders = gossip_senders.GossipSenders(timer, is_listed)
         self._heard_at = 0.0
 
     def start(self) -> None:
@@ -128,6 +135,11 @@
         self._server.start()
         self._timer.every(PERIOD_S, self.send)
 
+    @property
+    def heard_at_by_name(self) -> dict[str, float]:
+        """When each instance was last heard from."""
+        return self._senders.heard_at_by_name
+
     @property
     def port(self) -> int:
         """The UDP port, once started."""
@@ -159,7 +171,7 @@
         is_unchanged = data == self._last_sent and not is_forced
         if is_unchanged and now - self._sent_at < HEARTBEAT_PERIOD_S:
             return
-        self.heard_at_by_name[message.name] = now
+        self._senders.record(message.name)
         self._last_sent = data
         self._sent_at = now
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -197,5 +209,5 @@
         if isinstance(message, deltas.Delta):
             self._on_delta(message)
             return
-        self.heard_at_by_name[message.name] = self._heard_at
-        self._on_message(message)
+        if self._senders.record(message.name):
+            self._on_message(message)
