Test requests in service beyond the descriptors before a real process

800 clients whose target doesn't answer; readiness and addresses are answered beside them, an ordinary request after they have left.

--- a/tests/crowds/test_open_connections.py
+++ b/tests/crowds/test_open_connections.py
@@ -25,6 +25,8 @@
 
 IDLE = ()
 HALF_HEAD = (b'GET /plain/x HTTP/1.1\r\nHost: h.example\r\n',)
+# Their target doesn't answer.
+SILENT = (process_rig.request_head('/plain/silent', b'Content-Length: 0'),)
 CROWDS = pytest.mark.parametrize(
     'sent', [IDLE, HALF_HEAD], ids=['idle', 'half_head']
 )
@@ -81,6 +83,10 @@
     rig.check()
     used = rig.peak_descriptors
     assert used < rig.machine.file_descriptors - FOR_FILES
+    _check_surfaces(rig)
+
+
+def _check_surfaces(rig):
     _, ready, directory, *_ = rig.ports
     assert _get(rig, ready, '/readiness') == STATUS_OK
     path = '/resolution?availability_zone=a'
@@ -116,3 +122,12 @@
     statuses = [_ask_at_once(rig), _ask_at_once(rig)]
     assert statuses == [[STATUS_OK] * ROUND] * 2
     _check(rig)
+
+
+def test_requests_in_service_beyond_the_descriptors(rig, clients):
+    _limit_by_kernel(rig)
+    clients.join(CLIENTS, lambda: SILENT)
+    clients.settle()
+    _check_surfaces(rig)
+    clients.leave()
+    _check(rig)
