--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -94,6 +94,11 @@
         self._progress.record_end(request_ends.Cause.DISPLACED)
         self.close()
 
+    def log_unfinished(self) -> None:
+        """Logs the present request as ended by the stop of the process."""
+        self._progress.record_end(request_ends.Cause.STOPPED)
+        self._end_log.record(self._progress)
+
     def close(self) -> None:
         """Closes the socket at once."""
         try:
