--- a/packages/cactusmux-relay/tests/test_crowded_server.py
+++ b/packages/cactusmux-relay/tests/test_crowded_server.py
@@ -4,6 +4,8 @@
 from cactusmux_base import timers
 from cactusmux_relay import connection_limits
 from cactusmux_relay import http_server
+from cactusmux_relay import request_ends
+import gevent
 from gevent import event
 from gevent import socket
 import pytest
@@ -24,8 +26,9 @@
 class _World:
     def __init__(self):
         timer = timers.GeventTimers()
+        self.metric = metrics.MemoryMetrics()
         self.account = connection_limits.ConnectionAccount(
-            ROOM, timer, metrics.MemoryMetrics()
+            ROOM, timer, self.metric
         )
         self.may_answer = event.Event()
         self.entry = self._server('entry', 0, self._handle)
@@ -37,6 +40,7 @@
             '127.0.0.1:0',
             handler,
             timers.GeventTimers(),
+            end_log=request_ends.without_ids(self.metric),
             listener=self.account.listener(name, reserved),
         )
         server.start()
@@ -97,3 +101,14 @@
 def test_readiness_is_answered_beside_requests_in_service(world):
     world.join(3 * ROOM, b'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n')
     assert world.ask(world.ready).startswith(b'HTTP/1.1 200')
+
+
+def test_displaced_request_is_logged_as_such(world):
+    world.join(3 * ROOM, HALF_BODY)
+    world.ask()
+    count_by_name = world.metric.counter_by_name
+    displaced = count_by_name['connections.closed.body']
+    assert displaced > 0
+    with gevent.Timeout(10.0):
+        while count_by_name['relay.ended.displaced'] < displaced:
+            gevent.sleep(0.01)
