--- a/packages/cactusmux-fakes/src/cactusmux_fakes/rate_limit_play.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/rate_limit_play.py
@@ -6,7 +6,7 @@
 
 import bisect
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import functools
 import itertools
 import random
@@ -102,6 +102,9 @@
     def read_body(self, max_bytes: int) -> bytes:
         return b''
 
+    def body_chunks(self) -> Iterator[bytes]:
+        return iter(())
+
     def close(self) -> None:
         pass
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/held_bytes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/held_bytes.py
@@ -93,22 +93,28 @@
         if excess_bytes <= 0:
             return
         choice = self._choose(asker, excess_bytes)
-        for key in choice.ended_keys:
-            self._holding_by_key[key].end()
-        self._report(choice)
         if not choice.is_granted:
             raise NoRoom('memory for callers is in use')
+        for key in choice.ended_keys:
+            self._holding_by_key[key].end()
+        self._metric.count('callers.memory.ended', len(choice.ended_keys))
+        self._ended_count += len(choice.ended_keys)
+        self._report()
 
     def check_room(self, asker: room_choice.Held, growth: int) -> None:
         """Raises :class:`NoRoom` if there would be none; ends nobody."""
         excess_bytes = self._excess_bytes(asker, growth)
         if excess_bytes <= 0:
             return
-        choice = self._choose(asker, excess_bytes)
-        if not choice.is_granted:
-            self._report(choice)
+        if not self._choose(asker, excess_bytes).is_granted:
             raise NoRoom('memory for callers is in use')
 
+    def record_refused(self) -> None:
+        """Records that a request is refused for want of room."""
+        self._metric.count('callers.memory.refused')
+        self._refused_count += 1
+        self._report()
+
     def _excess_bytes(self, asker: room_choice.Held, growth: int) -> int:
         limit_bytes = self._limit_bytes_for(asker.held_bytes)
         return self.total_bytes + growth - limit_bytes
@@ -128,13 +134,8 @@
         ]
         return room_choice.choose(asker, others, excess_bytes)
 
-    def _report(self, choice: room_choice.RoomChoice) -> None:
-        """Counts what the limit did; logs a line now and then."""
-        self._metric.count('callers.memory.ended', len(choice.ended_keys))
-        self._ended_count += len(choice.ended_keys)
-        if not choice.is_granted:
-            self._metric.count('callers.memory.refused')
-            self._refused_count += 1
+    def _report(self) -> None:
+        """Logs what the limit did since the last line, now and then."""
         now = self.timer.now()
         if now - self._reported_at < REPORT_PERIOD_S:
             return
@@ -154,6 +155,7 @@
     """What one connection makes the process hold.
 
     :ivar size: bytes held.
+    :ivar is_ended: whether it had to make room.
     """
 
     def __init__(
@@ -165,7 +167,7 @@
         self._end = end
         self._phase = room_choice.Phase.ARRIVING
         self._began_at = account.timer.now()
-        self._is_ended = False
+        self.is_ended = False
         self._period_began_at = self._began_at
         self._period_bytes = 0
         self._last_period_bytes = 0
@@ -191,9 +193,15 @@
         self.check()
         self._phase = phase
 
+    def answer(self) -> None:
+        """Begins the phase in which the caller is to read an answer."""
+        self._phase = room_choice.Phase.ANSWERING
+        # Otherwise it could count as unread before it could be read.
+        self.record_progress(1)
+
     def check(self) -> None:
         """Raises :class:`NoRoom` if the connection has been ended."""
-        if self._is_ended:
+        if self.is_ended:
             raise NoRoom('the connection was ended to make room')
 
     def resize(self, size: int) -> None:
@@ -205,6 +213,10 @@
             self.record_progress(growth)
         self._set_size(size)
 
+    def take(self, size: int) -> None:
+        """Holds ``size`` bytes without asking; others may find no room."""
+        self._set_size(size)
+
     def expect(self, size: int) -> None:
         """Raises :class:`NoRoom` if ``size`` bytes have no room now."""
         self.check()
@@ -216,6 +228,10 @@
         """Whether ``size`` bytes would have room without other callers."""
         return self._account.can_ever_hold(size)
 
+    def record_refused(self) -> None:
+        """Records that the request is refused for want of room."""
+        self._account.record_refused()
+
     def record_progress(self, size: int) -> None:
         """Records bytes that the caller sent or read."""
         self._turn_period()
@@ -223,7 +239,7 @@
 
     def end(self) -> None:
         """Ends the connection, to make room for others."""
-        self._is_ended = True
+        self.is_ended = True
         self._set_size(0)
         self._end()
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -32,6 +32,10 @@
 SEND_PIECE_BYTES = 65536
 # How long bytes in flight are read after a response that ends a connection.
 LINGER_S = 0.5
+# How long a response waits for room; a caller that doesn't read one gives way
+# within two seconds.
+ROOM_WAIT_S = 3.0
+ROOM_POLL_S = 0.05
 STATUS_NOT_RUN = 503
 # By then, bodies in progress are likely to have arrived.
 RETRY_AFTER = (b'retry-after', b'1')
@@ -75,6 +79,7 @@
         )
         self.is_busy = False
         self._pipelined_bytes = 0
+        self._request_bytes = 0
         self._is_closed = False
 
     def has_unread(self) -> bool:
@@ -143,6 +148,7 @@
         if request is None:
             return False
         self.is_busy = True
+        self._request_bytes = self._holding.size
         watcher = gevent.spawn(self._watch_caller, gevent.getcurrent())
         # Pipelined bytes of earlier requests are no longer buffered.
         self._pipelined_bytes = len(self._h11.trailing_data[0])
@@ -202,6 +208,8 @@
             has_run=False,
             status=STATUS_NOT_RUN,
         )
+        if not self._holding.is_ended:
+            self._holding.record_refused()
         self._answer_and_linger(STATUS_NOT_RUN, [RETRY_AFTER])
 
     def _refuse(self, status: int) -> None:
@@ -239,9 +247,31 @@
         length = str(len(body)).encode()
         self.start(status, [*headers, (b'content-length', length)])
         if body:
+            self._enter_answering(len(body))
             self._write(h11.Data(data=body))
         self.finish()
 
+    def hold(self, size: int, may_wait: bool) -> None:
+        until = self._timer.now() + (ROOM_WAIT_S if may_wait else 0.0)
+        held = self._request_bytes + size
+        while True:
+            try:
+                self._holding.resize(held)
+                return
+            except held_bytes.NoRoom:
+                is_over = self._timer.now() >= until
+                if is_over or not self._holding.can_ever_hold(held):
+                    self._holding.record_refused()
+                    raise
+            self._timer.sleep(ROOM_POLL_S)
+
+    def _enter_answering(self, size: int) -> None:
+        """Counts an answer that its caller is to read."""
+        held = self._request_bytes + size
+        if held > self._holding.size:
+            self._holding.take(held)
+        self._holding.answer()
+
     def start(self, status: int, headers: http_messages.Headers) -> None:
         if self._is_closing():
             headers = [*headers, (b'connection', b'close')]
@@ -274,6 +304,7 @@
             self._send_piece(piece)
             if has_body:
                 self._progress.response_bytes += len(piece)
+                self._holding.record_progress(len(piece))
         if isinstance(event, h11.EndOfMessage):
             self._progress.is_response_whole = True
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_messages.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_messages.py
@@ -69,6 +69,17 @@
     def finish(self) -> None:
         """Completes the body that :meth:`start` began."""
 
+    def hold(self, size: int, may_wait: bool) -> None:
+        """Asks for room for a response that is read before it is sent.
+
+        Without a limit there is always room. Raises
+        :class:`held_bytes.NoRoom`.
+
+        :param size: bytes of the body of the response.
+        :param may_wait: whether to wait for room for some time.
+        """
+        return
+
     @abc.abstractmethod
     def abort(self) -> None:
         """Closes the connection: the caller sees an incomplete response."""
--- a/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/outcomes.py
@@ -26,6 +26,7 @@
     REPEATS_SPENT = 'repeats_spent'
     QUARANTINED = 'quarantined'
     RATE_LIMITED = 'rate_limited'
+    MEMORY_LIMIT = 'memory_limit'
 
 
 class NotRun(NamedTuple):
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_handling.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_handling.py
@@ -338,5 +338,8 @@
     def finish(self) -> None:
         self._answerer.finish()
 
+    def hold(self, size: int, may_wait: bool) -> None:
+        self._answerer.hold(size, may_wait)
+
     def abort(self) -> None:
         self._answerer.abort()
--- a/packages/cactusmux-relay/src/cactusmux_relay/sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/sending.py
@@ -7,10 +7,12 @@
 from . import cost_model
 from . import dialect
 from . import event_ids
+from . import held_bytes
 from . import leaving_targets
 from . import live_streams
 from . import outcomes
 from . import rate_limiter
+from . import response_body
 from . import target_calls
 from . import target_registry
 from . import targets
@@ -152,5 +154,26 @@
         if is_stream and head.status == STATUS_OK:
             return outcomes.StreamingResponse(head, call)
         return outcomes.CompleteResponse(
-            head, call.read_body(MAX_BUFFERED_BYTES)
+            head, self._read_body(exchange, target, call, head)
         )
+
+    def _read_body(
+        self,
+        exchange: context.Exchange,
+        target: targets.Target,
+        call: target_calls.TargetCall,
+        head: target_calls.ResponseHead,
+    ) -> bytes:
+        """Reads a whole response; refuses the request if it has no room.
+
+        That is no failure of the target.
+        """
+        body = response_body.ResponseBody(
+            head, exchange.answerer, MAX_BUFFERED_BYTES
+        )
+        try:
+            return body.read(call, target.address)
+        except held_bytes.NoRoom as failure:
+            raise context.RequestRefused(
+                outcomes.Refusal.MEMORY_LIMIT, True
+            ) from failure
--- a/packages/cactusmux-relay/tests/test_callers_memory.py
+++ b/packages/cactusmux-relay/tests/test_callers_memory.py
@@ -20,10 +20,11 @@
 class _Process:
     """Two servers that share one account."""
 
-    def __init__(self):
+    def __init__(self, limit_bytes=LIMIT_BYTES, answer=b''):
         timer = timers.GeventTimers()
         self.metric = metrics.MemoryMetrics()
-        self.account = held_bytes.HeldBytes(LIMIT_BYTES, timer, self.metric)
+        self.account = held_bytes.HeldBytes(limit_bytes, timer, self.metric)
+        self._answer = answer
         self.bodies = []
         self._socks = []
         self.servers = [
@@ -41,7 +42,9 @@
 
     def _handle(self, request, answerer):
         self.bodies.append(request.body)
-        answerer.answer(200, [], b'')
+        if self._answer:
+            answerer.hold(len(self._answer), may_wait=True)
+        answerer.answer(200, [], self._answer)
 
     def send(self, server, body, missing=0, chunked=False):
         """Sends a request with a body that lacks its last bytes."""
@@ -80,6 +83,21 @@
     process.stop()
 
 
+@pytest.fixture(name='answering')
+def _answering():
+    """A process with room for one of its answers at a time."""
+    process = _Process(32 * MB, b'a' * 16 * MB)
+    yield process
+    process.stop()
+
+
+def _read_all(sock):
+    received = 0
+    while data := sock.recv(65536):
+        received += len(data)
+    return received
+
+
 def _head(sock):
     return sock.recv(4096).lower()
 
@@ -129,3 +147,18 @@
     with gevent.Timeout(WAIT_S):
         while process.account.total_bytes:
             gevent.sleep(0.01)
+
+
+# Guards against answers that are kept for callers who don't read them.
+def test_unread_answer_gives_way_to_one_that_waits(answering):
+    answering.send(0, b'')
+    answering.await_held(16 * MB)
+    assert _read_all(answering.send(1, b'')) > 16 * MB
+    assert answering.metric.counter_by_name['callers.memory.ended'] == 1
+
+
+def test_answers_that_are_read_wait_for_each_other(answering):
+    asked = [gevent.spawn(_read_all, answering.send(0, b'')) for _ in range(3)]
+    gevent.joinall(asked, timeout=WAIT_S)
+    assert all(each.value > 16 * MB for each in asked)
+    assert answering.metric.counter_by_name['callers.memory.ended'] == 0
--- a/packages/cactusmux-relay/tests/test_held_bytes.py
+++ b/packages/cactusmux-relay/tests/test_held_bytes.py
@@ -63,7 +63,21 @@
     with pytest.raises(held_bytes.NoRoom):
         late.resize(2 * MB)
     assert world.ended == []
-    assert world.metric.counter_by_name['callers.memory.refused'] == 2
+
+
+def test_what_the_limit_does_is_counted_and_logged_now_and_then(world, caplog):
+    world.open('stalled').resize(4 * MB)
+    world.timer.advance(3.0)
+    asker = world.open('asker')
+    asker.resize(4 * MB)
+    for _ in range(1000):
+        asker.record_refused()
+    assert world.metric.counter_by_name['callers.memory.ended'] == 1
+    assert world.metric.counter_by_name['callers.memory.refused'] == 1000
+    assert caplog.text.count('callers_memory_limited') == 1
+    world.timer.advance(held_bytes.REPORT_PERIOD_S)
+    asker.record_refused()
+    assert 'refused=1001 ended=0' in caplog.text
 
 
 def test_ordinary_request_has_room_beside_heavy_ones_in_service(world):
--- a/packages/cactusmux/src/cactusmux/log_explanation.py
+++ b/packages/cactusmux/src/cactusmux/log_explanation.py
@@ -57,6 +57,7 @@
     'repeats_spent': 'the budget of repeats was spent',
     'quarantined': 'it, or a part of its prompt, has ended several targets',
     'rate_limited': 'the targets that could take it have named rate limits',
+    'memory_limit': 'callers held as much memory as they may',
 }
 
 
