--- a/packages/cactusmux/src/cactusmux/log_explanation.py
+++ b/packages/cactusmux/src/cactusmux/log_explanation.py
@@ -68,6 +68,7 @@
     'caller_disconnected': 'the caller closed its connection',
     'caller_stalled': 'the caller read nothing of its response for too long',
     'caller_unreachable': 'the connection to the caller failed',
+    'displaced': 'its connection made room for another one',
     'handler_failed': 'an exception that nobody foresaw',
     'response_invalid': 'its response would have broken the protocol',
     'response_unfinished': 'its handler left its response incomplete',
