--- a/packages/cactusmux-relay/src/cactusmux_relay/steady_sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/steady_sending.py
@@ -30,9 +30,12 @@
 ) -> None:
     """Sends all of ``data``; raises :class:`PeerStalled` and ``OSError``.
 
+    Takes the timeout off the socket: those of reads hold for sends as well.
+
     :param stall_timeout_s: how long the peer may acknowledge nothing while no
         more bytes can be sent.
     """
+    sock.settimeout(None)
     while data:
         sent = _send_some(sock, data, stall_timeout_s)
         data = data[sent:]
