--- a/packages/cactusmux-relay/src/cactusmux_relay/steady_sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/steady_sending.py
@@ -59,12 +59,12 @@
 def _unacknowledged_bytes(sock: socket.socket) -> int:
     """Returns the bytes in the kernel that the peer hasn't acknowledged.
 
-    Without an answer of the kernel it is the largest number, so that the
-    peer counts as idle.
+    Without an answer of the kernel, as for a closed socket, it is the largest
+    number, so that the peer counts as idle.
     """
     buffer = bytearray(_INT.size)
     try:
         fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, buffer)
-    except OSError:
+    except (OSError, ValueError):
         return sys.maxsize
     return int(_INT.unpack(buffer)[0])
