--- a/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/down_targets.py
@@ -151,7 +151,7 @@
             cause=cause,
         )
         for callback in self._callbacks:
-            callback(target.id)
+            _call(callback, target.id)
 
     def update(self, target_by_id: dict[str, targets.Target]) -> None:
         """Applies a new target list; removed and restarted targets are up."""
@@ -300,3 +300,13 @@
         self._not_rechecked_ids.discard(target_id)
         if self._target_by_id.pop(target_id, None) is not None:
             events.info('target_up', target=target_id, cause=cause)
+
+
+def _call(callback: Callback, target_id: str) -> None:
+    """Calls a subscriber; if it fails, the others are still called."""
+    try:
+        callback(target_id)
+    except Exception as error:
+        events.error(
+            'lost_target_not_handled', target=target_id, cause=repr(error)
+        )
--- a/packages/cactusmux-relay/tests/test_failure_detection.py
+++ b/packages/cactusmux-relay/tests/test_failure_detection.py
@@ -174,6 +174,19 @@
     assert notified == ['y']
 
 
+def test_failed_subscriber_keeps_no_other_from_a_lost_target():
+    down = _down_targets(timers.ManualTimers())
+    notified = []
+
+    def fail(target_id):
+        raise ValueError('test')
+
+    down.subscribe(fail)
+    down.subscribe(notified.append)
+    down.mark(sample_engine.target('y'), 'test')
+    assert notified == ['y']
+
+
 class _CountingDown(down_targets.DownTargets):
     """Counts how often the set of down targets is built."""
 
