Pass on the timeouts of callers of plain services (review)

Cause: the client of plain services took any timeout that ended its call for its own, also one that a caller had set around it: that caller's timeout was lost, and its request went on.

Change: only its own becomes a result, as in http_calls; another one is raised again after the connection was discarded.

Test that failed before: test_timeout_of_the_caller_is_not_taken_for_its_own (DID NOT RAISE Timeout). The own interface sets no timeout around these calls today, as far as a search of the sources shows.

--- a/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
@@ -125,14 +125,17 @@
         plain_services.PlainResponse, plain_services.PlainError
     ]:
         checked_out = client.pool.checked_out
+        timeout = gevent.Timeout(timeout_s)
         try:
-            with gevent.Timeout(timeout_s):
+            with timeout:
                 return self._exchange(client, address, call)
         except (_ConnectFailed, ValueError) as error:
             # The library raises ValueError for an invalid request.
             return result.Failure(plain_services.NotSent(address, str(error)))
-        except gevent.Timeout:
+        except gevent.Timeout as raised:
             self._discard(address, client)
+            if raised is not timeout:
+                raise
             if client.pool.checked_out == checked_out:
                 return result.Failure(
                     plain_services.NotSent(address, 'connect timed out')
--- a/packages/cactusmux-platform/tests/test_http_plain_services.py
+++ b/packages/cactusmux-platform/tests/test_http_plain_services.py
@@ -6,6 +6,7 @@
 from cactusmux_fakes import plain_server
 from cactusmux_platform import http_plain_services
 from cactusmux_platform import plain_services
+import gevent
 import pytest
 
 TIMEOUT_S = 10.0
@@ -74,6 +75,16 @@
     assert type(failure) is plain_services.PlainOutcomeUnknown
 
 
+def test_timeout_of_the_caller_is_not_taken_for_its_own(
+    server, client
+) -> None:
+    server.fault = plain_server.Fault.SLOW
+    outer = gevent.Timeout(0.1)
+    with pytest.raises(gevent.Timeout) as raised, outer:
+        client.call(server.address, ORDER, TIMEOUT_S, False)
+    assert raised.value is outer
+
+
 def test_refusal_by_service_means_not_run(server, client) -> None:
     server.fault = plain_server.Fault.REFUSE
     failure = client.call(server.address, ORDER, TIMEOUT_S, True).failure()
