--- a/packages/cactusmux-relay/src/cactusmux_relay/steady_sending.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/steady_sending.py
@@ -30,9 +30,12 @@
 ) -> None:
     """Sends all of ``data``; raises :class:`PeerStalled` and ``OSError``.
 
+    Takes the timeout off the socket: those of reads hold for sends as well.
+
     :param stall_timeout_s: how long the peer may acknowledge nothing while no
         more bytes can be sent.
     """
+    sock.settimeout(None)
     while data:
         sent = _send_some(sock, data, stall_timeout_s)
         data = data[sent:]
@@ -56,12 +59,12 @@
 def _unacknowledged_bytes(sock: socket.socket) -> int:
     """Returns the bytes in the kernel that the peer hasn't acknowledged.
 
-    Without an answer of the kernel it is the largest number, so that the
-    peer counts as idle.
+    Without an answer of the kernel, as for a closed socket, it is the largest
+    number, so that the peer counts as idle.
     """
     buffer = bytearray(_INT.size)
     try:
         fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, buffer)
-    except OSError:
+    except (OSError, ValueError):
         return sys.maxsize
     return int(_INT.unpack(buffer)[0])
