--- a/packages/cactusmux-relay/src/cactusmux_relay/held_bytes.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/held_bytes.py
@@ -155,6 +155,7 @@
     """What one connection makes the process hold.
 
     :ivar size: bytes held.
+    :ivar ahead_bytes: of these, bytes sent ahead of a response.
     :ivar is_ended: whether it had to make room.
     """
 
@@ -162,6 +163,7 @@
         self, account: HeldBytes, key: int, end: Callable[[], None]
     ) -> None:
         self.size = 0
+        self.ahead_bytes = 0
         self._account = account
         self._key = key
         self._end = end
@@ -185,6 +187,7 @@
     def begin(self) -> None:
         """Begins the next request; releases what is held."""
         self._set_size(0)
+        self.ahead_bytes = 0
         self._phase = room_choice.Phase.ARRIVING
         self._began_at = self._account.timer.now()
 
@@ -228,6 +231,17 @@
         """Whether ``size`` bytes would have room without other callers."""
         return self._account.can_ever_hold(size)
 
+    def read_ahead(self, size: int) -> None:
+        """Holds more bytes sent ahead; raises :class:`NoRoom`.
+
+        What an ordinary caller sends ahead is held without asking.
+        """
+        self.ahead_bytes += size
+        if self.ahead_bytes <= room_choice.ORDINARY_AHEAD_BYTES:
+            self.take(self.size + size)
+            return
+        self.resize(self.size + size)
+
     def record_refused(self) -> None:
         """Records that the request is refused for want of room."""
         self._account.record_refused()
@@ -252,7 +266,12 @@
         self._turn_period()
         recent_bytes = self._period_bytes + self._last_period_bytes + growth
         return room_choice.Held(
-            self._key, self._phase, size, recent_bytes, self._began_at
+            self._key,
+            self._phase,
+            size,
+            recent_bytes,
+            self._began_at,
+            self.ahead_bytes,
         )
 
     def _set_size(self, size: int) -> None:
--- a/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_connection.py
@@ -81,6 +81,7 @@
         self._pipelined_bytes = 0
         self._request_bytes = 0
         self._is_closed = False
+        self._task: gevent.Greenlet | None = None
 
     def has_unread(self) -> bool:
         """Whether unread bytes of a request have arrived."""
@@ -94,6 +95,7 @@
 
     def run(self) -> None:
         """Serves requests until the connection ends."""
+        self._task = gevent.getcurrent()
         try:
             while self._serve_one():
                 self._h11.start_next_cycle()
@@ -188,15 +190,37 @@
                 gevent.kill(handler_task, http_messages.CallerDisconnected)
                 return
             self._pipelined_bytes += len(data)
+            if not self._has_room_ahead(len(data)):
+                return
             self._h11.receive_data(data)
+        # From here on they wait in the kernel.
+        self._has_room_ahead(RECEIVE_BUFFER_BYTES)
+
+    def _has_room_ahead(self, size: int) -> bool:
+        """Holds bytes sent ahead; without room, ends the connection."""
+        try:
+            self._holding.read_ahead(size)
+        except held_bytes.NoRoom:
+            self._holding.record_refused()
+            self._make_room()
+            return False
+        return True
 
     def _make_room(self) -> None:
-        """Ends the request; called while its task waits for the caller."""
-        is_arriving = self._holding.phase is room_choice.Phase.ARRIVING
-        how = std_socket.SHUT_RD if is_arriving else std_socket.SHUT_RDWR
+        """Ends the request; doesn't block."""
+        if self._holding.phase is room_choice.Phase.ARRIVING:
+            self._wake_reader()
+            return
+        self._progress.record_end(request_ends.Cause.MEMORY_LIMIT)
+        self._is_closed = True
+        self.close()
+        if self.is_busy:
+            gevent.kill(self._task, http_messages.CallerDisconnected)
+
+    def _wake_reader(self) -> None:
+        """Makes the task that reads find that its holding has ended."""
         try:
-            # Its task wakes, and finds that the holding has ended.
-            self._sock.shutdown(how)
+            self._sock.shutdown(std_socket.SHUT_RD)
         except OSError:
             return
 
@@ -253,8 +277,8 @@
 
     def hold(self, size: int, may_wait: bool) -> None:
         until = self._timer.now() + (ROOM_WAIT_S if may_wait else 0.0)
-        held = self._request_bytes + size
         while True:
+            held = self._held_with(size)
             try:
                 self._holding.resize(held)
                 return
@@ -265,9 +289,13 @@
                     raise
             self._timer.sleep(ROOM_POLL_S)
 
+    def _held_with(self, size: int) -> int:
+        """Returns the bytes held with an answer of this size."""
+        return self._request_bytes + self._holding.ahead_bytes + size
+
     def _enter_answering(self, size: int) -> None:
         """Counts an answer that its caller is to read."""
-        held = self._request_bytes + size
+        held = self._held_with(size)
         if held > self._holding.size:
             self._holding.take(held)
         self._holding.answer()
--- a/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
@@ -31,6 +31,7 @@
     CALLER_STALLED = 'caller_stalled'
     CALLER_UNREACHABLE = 'caller_unreachable'
     HANDLER_FAILED = 'handler_failed'
+    MEMORY_LIMIT = 'memory_limit'
     RESPONSE_INVALID = 'response_invalid'
     RESPONSE_UNFINISHED = 'response_unfinished'
     STOPPED = 'stopped'
--- a/packages/cactusmux-relay/src/cactusmux_relay/room_choice.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/room_choice.py
@@ -1,8 +1,8 @@
 """Chooses who loses its memory when callers hold as much as they may.
 
-A request that has arrived whole may be running, so it is never ended here. Of
-the others, those go first that got the least further lately for the bytes
-that they hold.
+A request that has arrived whole may be running, so it isn't ended here unless
+its caller sends on far ahead. Of the others, those go first that got the least
+further lately for the bytes that they hold.
 """
 
 from collections.abc import Iterable
@@ -14,6 +14,9 @@
 LAG_FRACTION = 0.125
 # An ordinary request holds no more; heavier ones are ended before it.
 LIGHT_BYTES = 65536
+# An ordinary caller sends no more ahead while its request is served: the head
+# of the next one.
+ORDINARY_AHEAD_BYTES = 16384
 
 
 class Phase(enum.Enum):
@@ -30,6 +33,7 @@
     :ivar held_bytes: bytes held; of the one that asks, with what it asks for.
     :ivar recent_bytes: bytes that it received or had read lately.
     :ivar began_at: when its request began, in seconds.
+    :ivar ahead_bytes: bytes sent ahead while its request is served.
     """
 
     key: int
@@ -37,6 +41,7 @@
     held_bytes: int
     recent_bytes: int
     began_at: float
+    ahead_bytes: int = 0
 
 
 class RoomChoice(NamedTuple):
@@ -51,9 +56,10 @@
 
     LAGGING = 0
     UNREAD = 1
-    HEAVY = 2
-    LIGHT = 3
-    NEVER = 4
+    AHEAD = 2
+    HEAVY = 3
+    LIGHT = 4
+    NEVER = 5
 
 
 def choose(
@@ -77,7 +83,8 @@
 
 def _rank(held: Held) -> _Rank:
     if held.phase is Phase.IN_SERVICE:
-        return _Rank.NEVER
+        is_ordinary = held.ahead_bytes <= ORDINARY_AHEAD_BYTES
+        return _Rank.NEVER if is_ordinary else _Rank.AHEAD
     if held.phase is Phase.ANSWERING:
         return _Rank.NEVER if held.recent_bytes else _Rank.UNREAD
     if held.recent_bytes < held.held_bytes * LAG_FRACTION:
@@ -91,7 +98,7 @@
     if rank is _Rank.LAGGING:
         progress = held.recent_bytes / held.held_bytes
         return (rank, progress, -held.held_bytes)
-    if rank is _Rank.UNREAD:
+    if rank in (_Rank.UNREAD, _Rank.AHEAD):
         return (rank, 0.0, -held.held_bytes)
     if rank is _Rank.NEVER:
         return (rank, math.inf, 0.0)
--- a/packages/cactusmux-relay/tests/test_held_bytes.py
+++ b/packages/cactusmux-relay/tests/test_held_bytes.py
@@ -125,3 +125,38 @@
     holding = world.open('one')
     assert holding.can_ever_hold(HEAVY_BYTES)
     assert not holding.can_ever_hold(HEAVY_BYTES + 1)
+
+
+def test_request_whose_caller_sends_ahead_gives_way(world):
+    ahead = world.open('ahead')
+    ahead.resize(HEAVY_BYTES - 65536)
+    ahead.enter(room_choice.Phase.IN_SERVICE)
+    ahead.read_ahead(65536)
+    world.open('asker').resize(MB)
+    assert world.ended == ['ahead']
+    assert world.account.total_bytes == MB
+
+
+def test_next_request_begins_without_what_was_sent_ahead(world):
+    holding = world.open('one')
+    holding.read_ahead(65536)
+    holding.begin()
+    assert holding.held.ahead_bytes == 0
+
+
+# Guards against a running request that ends for the head of the next one.
+def test_ordinary_bytes_sent_ahead_are_held_without_room(world):
+    heavy = world.open('heavy')
+    heavy.resize(HEAVY_BYTES)
+    heavy.enter(room_choice.Phase.IN_SERVICE)
+    ordinary = world.open('ordinary')
+    ordinary.resize(65536)
+    ordinary.enter(room_choice.Phase.IN_SERVICE)
+    while world.account.total_bytes < LIMIT_BYTES:
+        filling = world.open('filling')
+        filling.resize(65536)
+        filling.enter(room_choice.Phase.IN_SERVICE)
+    ordinary.read_ahead(2_000)
+    with pytest.raises(held_bytes.NoRoom):
+        ordinary.read_ahead(room_choice.ORDINARY_AHEAD_BYTES)
+    assert world.ended == []
--- a/tests/crowds/test_connections.py
+++ b/tests/crowds/test_connections.py
@@ -37,6 +37,12 @@
     rig.check()
 
 
+def test_bytes_after_many_requests_that_wait(rig, clients):
+    clients.join(900, _pipelined)
+    clients.settle()
+    rig.check()
+
+
 def test_heads_that_stay_incomplete(rig, clients):
     clients.join(300, _incomplete_head)
     clients.settle()
