--- a/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_ends.py
@@ -32,6 +32,7 @@
     CALLER_UNREACHABLE = 'caller_unreachable'
     DISPLACED = 'displaced'
     HANDLER_FAILED = 'handler_failed'
+    MEMORY_LIMIT = 'memory_limit'
     RESPONSE_INVALID = 'response_invalid'
     RESPONSE_UNFINISHED = 'response_unfinished'
     STOPPED = 'stopped'
