--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
@@ -22,6 +22,8 @@
 LINGER_BYTES = 1_048_576
 RECEIVE_BYTES = 65_536
 SEND_BYTES = 65_536
+# Of each connection; the system would let them grow to some megabytes.
+SOCKET_BUFFER_BYTES = 262_144
 HEAD_TOO_LARGE = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
@@ -111,7 +113,7 @@
         self.server.metrics.count('entry.refused.head_too_large')
         events.info('refused', reason='head_too_large', outcome='not_run')
         with contextlib.suppress(OSError):
-            self.socket.sendall(HEAD_TOO_LARGE)
+            self._sendall(HEAD_TOO_LARGE)
         self._linger()
 
     def _sendall(self, data: bytes) -> None:
@@ -195,3 +197,11 @@
         super().__init__(
             (host, int(port)), application, log=None, error_log=None
         )
+
+    def init_socket(self) -> None:
+        super().init_socket()
+        # Accepted sockets inherit these.
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
+            )
--- a/tests/instance_process.py
+++ b/tests/instance_process.py
@@ -101,6 +101,17 @@
         """The open descriptors of the process."""
         return len(os.listdir(f'/proc/{self._process.pid}/fd'))
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that callers have not taken from its socket buffers."""
+        port = f':{self._address[1]:04X}'
+        total = 0
+        for line in pathlib.Path('/proc/net/tcp').read_text().splitlines():
+            fields = line.split()
+            if fields[1].endswith(port):
+                total += int(fields[4].partition(':')[0], 16)
+        return total
+
     def connect(self) -> socket.socket:
         """Returns a connection of a client."""
         return socket.create_connection(self._address, GUARD_S)
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -219,3 +219,18 @@
         assert b'"no_room"' in answers[0].body
         assert b'"not_run"' in answers[0].body
         check(instance)
+
+
+def test_answers_that_nobody_reads_stay_small_in_socket_buffers(
+    tmp_path: pathlib.Path,
+) -> None:
+    with started(tmp_path) as instance, crowd(instance, 10) as clients:
+        for client in clients:
+            client.settimeout(0.3)
+            instance_process.send_all_taken(client, STATE * 20_000)
+        sizes = [instance.unsent_bytes]
+        while len(sizes) < 100 and sizes[-5:] != sizes[-1:] * 5:
+            time.sleep(0.2)
+            sizes.append(instance.unsent_bytes)
+        assert max(sizes) < 10 * MIB
+        check(instance)
