--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_connections.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_connections.py
@@ -1,5 +1,6 @@
 """Decides which connections of callers to close when there are too many."""
 
+import collections
 from collections.abc import Callable
 import enum
 import resource
@@ -84,14 +85,14 @@
         self._held_bytes = 0
         self._connections: dict[Connection, None] = {}
         self._reported_at = -REPORT_PERIOD_S
-        self._closed_count = 0
+        self._count_by_reason: collections.Counter[str] = collections.Counter()
 
     def open(self, close: Callable[[], None]) -> Connection | None:
         """Adds a connection; ``None`` if all others run requests."""
         if len(self._connections) >= self._limits.max_connections:
             victim = self._longest_idle() or self._slowest_reading()
             if victim is None:
-                self._record('connection_refused')
+                self.record('connection_refused')
                 return None
             self._drop(victim, 'too_many_connections')
         connection = Connection(close, self._timer.now())
@@ -124,10 +125,6 @@
         """Records that a whole request has been received."""
         connection.enter(Phase.RUNNING, self._timer.now())
 
-    def record_stalled(self) -> None:
-        """Records that a caller takes nothing of its answer."""
-        self._record('answer_not_taken')
-
     def end_request(self, connection: Connection) -> None:
         """Records that a request has been answered."""
         self._forget_bytes(connection)
@@ -152,29 +149,28 @@
         victim.enter(Phase.DROPPED, self._timer.now())
         self._forget_bytes(victim)
         del self._connections[victim]
-        self._record(reason)
+        self.record(reason)
         victim.close()
 
     def _forget_bytes(self, connection: Connection) -> None:
         self._held_bytes -= connection.received_bytes
         connection.received_bytes = 0
 
-    def _record(self, reason: str) -> None:
-        """Counts a connection that gave way; logs once a second."""
+    def record(self, reason: str) -> None:
+        """Counts what a limit did; logs it at most once a second."""
         self._metrics.count(f'entry.closed.{reason}')
-        self._closed_count += 1
+        self._count_by_reason[reason] += 1
         now = self._timer.now()
         if now - self._reported_at < REPORT_PERIOD_S:
             return
         events.warning(
             'callers_closed',
-            reason=reason,
-            count=self._closed_count,
             connections=len(self._connections),
             held_bytes=self._held_bytes,
+            **self._count_by_reason,
         )
         self._reported_at = now
-        self._closed_count = 0
+        self._count_by_reason.clear()
 
 
 def usable_connections(max_connections: int) -> int:
--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
@@ -6,8 +6,6 @@
 import io
 from typing import Any
 
-from cactusmux_base import events
-from cactusmux_base import metrics
 import gevent
 from gevent import pywsgi
 from gevent import socket
@@ -110,8 +108,7 @@
         return handled
 
     def _refuse_head(self) -> None:
-        self.server.metrics.count('entry.refused.head_too_large')
-        events.info('refused', reason='head_too_large', outcome='not_run')
+        self._connections.record('head_too_large')
         with contextlib.suppress(OSError):
             self._sendall(HEAD_TOO_LARGE)
         self._linger()
@@ -124,7 +121,7 @@
             while view:
                 view = view[self.socket.send(view[:SEND_BYTES]) :]
         except TimeoutError as error:
-            self._connections.record_stalled()
+            self._connections.record('answer_not_taken')
             # The only errors that the server takes for a caller that left.
             raise ConnectionResetError(
                 errno.ECONNRESET, 'caller takes nothing'
@@ -187,12 +184,10 @@
         max_head_bytes: int,
         connections: caller_connections.CallerConnections,
         send_stall_s: float,
-        sink: metrics.Metrics,
     ) -> None:
         self.send_stall_s = send_stall_s
         self.connections = connections
         self.max_head_bytes = max_head_bytes
-        self.metrics = sink
         host, _, port = address.rpartition(':')
         super().__init__(
             (host, int(port)), application, log=None, error_log=None
--- a/packages/cactusmux/src/cactusmux/serving.py
+++ b/packages/cactusmux/src/cactusmux/serving.py
@@ -28,23 +28,7 @@
     sink = make_metrics(settings)
     clients = external_clients.connect(settings, sink)
     instance = instance_lib.Instance(settings, timer, sink, clients)
-    server = caller_server.CallerServer(
-        settings.address,
-        instance.surface,
-        settings.limits.max_head_bytes,
-        caller_connections.CallerConnections(
-            caller_connections.Limits(
-                caller_connections.usable_connections(
-                    settings.limits.max_connections
-                ),
-                settings.limits.max_held_bytes,
-            ),
-            timer,
-            sink,
-        ),
-        settings.limits.body_timeout_s,
-        sink,
-    )
+    server = _make_server(settings, instance, timer, sink)
     batching = io_batching.IoBatching(lambda: instance.surface.in_flight)
     stopping = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -59,6 +43,30 @@
     return drained.cut
 
 
+def _make_server(
+    settings: settings_lib.Settings,
+    instance: instance_lib.Instance,
+    timer: timers.TimerService,
+    sink: metrics.Metrics,
+) -> caller_server.CallerServer:
+    limits = settings.limits
+    connections = caller_connections.CallerConnections(
+        caller_connections.Limits(
+            caller_connections.usable_connections(limits.max_connections),
+            limits.max_held_bytes,
+        ),
+        timer,
+        sink,
+    )
+    return caller_server.CallerServer(
+        settings.address,
+        instance.surface,
+        limits.max_head_bytes,
+        connections,
+        limits.body_timeout_s,
+    )
+
+
 def make_metrics(settings: settings_lib.Settings) -> metrics.MemoryMetrics:
     """Returns metrics, which are sent to statsd if it is configured."""
     if not settings.platform.statsd:
--- a/packages/cactusmux/src/cactusmux/settings_check.py
+++ b/packages/cactusmux/src/cactusmux/settings_check.py
@@ -15,6 +15,8 @@
 from . import settings
 
 MAX_PORT = 65_535
+# A body counts with the framing of its chunks.
+MIN_HELD_BODIES = 2
 CLAIM_MODES = (settings.DIRECT_CLAIMS, settings.BATCHED_CLAIMS)
 
 
@@ -72,6 +74,18 @@
     address_lifetime_s: NotRequired[_Seconds]
 
 
+def _check_held_bytes(limits: _Limits) -> _Limits:
+    defaults = settings.Limits()
+    held = limits.get('max_held_bytes', defaults.max_held_bytes)
+    body = limits.get('max_body_bytes', defaults.max_body_bytes)
+    if held < MIN_HELD_BODIES * body:
+        raise ValueError(
+            f'max_held_bytes {held} is less than {MIN_HELD_BODIES} '
+            f'max_body_bytes {body}'
+        )
+    return limits
+
+
 @pydantic.with_config(validation.STRICT)
 class _Platform(TypedDict):
     config_store: _Address
@@ -93,7 +107,9 @@
     seeds: NotRequired[list[_Address]]
     policy: NotRequired[_Policy]
     claims: NotRequired[_Claims]
-    limits: NotRequired[_Limits]
+    limits: NotRequired[
+        Annotated[_Limits, pydantic.AfterValidator(_check_held_bytes)]
+    ]
 
 
 _ADAPTER = pydantic.TypeAdapter(_Settings)
--- a/packages/cactusmux/tests/test_settings_check.py
+++ b/packages/cactusmux/tests/test_settings_check.py
@@ -36,6 +36,14 @@
         {'limits': {'token_gap_s': float('nan')}},
         ['$.limits.token_gap_s: not a finite number'],
     ),
+    (
+        {'limits': {'max_held_bytes': 4_194_304}},
+        ['$.limits: Value error, max_held_bytes 4194304 is less than 2'],
+    ),
+    (
+        {'limits': {'max_head_bytes': 0, 'max_connections': 0}},
+        ['$.limits.max_head_bytes: ', '$.limits.max_connections: '],
+    ),
     ({'platform': {}}, ['$.platform.config_store: required key is missing']),
 ]
 
