--- a/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
+++ b/packages/cactusmux-entry/src/cactusmux_entry/caller_server.py
@@ -6,8 +6,6 @@
 import io
 from typing import Any
 
-from cactusmux_base import events
-from cactusmux_base import metrics
 import gevent
 from gevent import pywsgi
 from gevent import socket
@@ -22,6 +20,8 @@
 LINGER_BYTES = 1_048_576
 RECEIVE_BYTES = 65_536
 SEND_BYTES = 65_536
+# Of each connection; the system would let them grow to some megabytes.
+SOCKET_BUFFER_BYTES = 262_144
 HEAD_TOO_LARGE = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
@@ -108,10 +108,9 @@
         return handled
 
     def _refuse_head(self) -> None:
-        self.server.metrics.count('entry.refused.head_too_large')
-        events.info('refused', reason='head_too_large', outcome='not_run')
+        self._connections.record('head_too_large')
         with contextlib.suppress(OSError):
-            self.socket.sendall(HEAD_TOO_LARGE)
+            self._sendall(HEAD_TOO_LARGE)
         self._linger()
 
     def _sendall(self, data: bytes) -> None:
@@ -122,7 +121,7 @@
             while view:
                 view = view[self.socket.send(view[:SEND_BYTES]) :]
         except TimeoutError as error:
-            self._connections.record_stalled()
+            self._connections.record('answer_not_taken')
             # The only errors that the server takes for a caller that left.
             raise ConnectionResetError(
                 errno.ECONNRESET, 'caller takes nothing'
@@ -185,13 +184,19 @@
         max_head_bytes: int,
         connections: caller_connections.CallerConnections,
         send_stall_s: float,
-        sink: metrics.Metrics,
     ) -> None:
         self.send_stall_s = send_stall_s
         self.connections = connections
         self.max_head_bytes = max_head_bytes
-        self.metrics = sink
         host, _, port = address.rpartition(':')
         super().__init__(
             (host, int(port)), application, log=None, error_log=None
         )
+
+    def init_socket(self) -> None:
+        super().init_socket()
+        # Accepted sockets inherit these.
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
+            )
