--- a/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/http_server.py
@@ -97,7 +97,8 @@
         self._server.stop(timeout=0)
         until = self._timer.now() + FINAL_READ_TIMEOUT_S
         while self._timer.now() < until and any(
-            each.is_busy or each.has_unread() for each in self._connections
+            each.is_busy or each.has_unread()
+            for each in list(self._connections)
         ):
             self._timer.sleep(FINAL_READ_POLL_S)
         for connection in list(self._connections):
