--- a/packages/cactusmux/src/cactusmux/log_explanation.py
+++ b/packages/cactusmux/src/cactusmux/log_explanation.py
@@ -71,6 +71,7 @@
     'caller_unreachable': 'the connection to the caller failed',
     'displaced': 'its connection made room for another one',
     'handler_failed': 'an exception that nobody foresaw',
+    'memory_limit': 'callers held as much memory as they may',
     'response_invalid': 'its response would have broken the protocol',
     'response_unfinished': 'its handler left its response incomplete',
     'stopped': 'the instance was stopped before it had ended',
