--- a/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
@@ -147,6 +147,7 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self._max_response_bytes = max_response_bytes
+        self._taken_by_task: dict[object, gevent.socket.socket] = {}
 
     def _create_tcp_socket(
         self, family: int, socktype: int, protocol: int
@@ -164,6 +165,7 @@
             with timeout:
                 sock = super().get_socket()
                 sock.remaining_bytes = self._max_response_bytes
+                self._taken_by_task[gevent.getcurrent()] = sock
                 return sock
         except (OSError, RuntimeError) as error:
             raise _NoConnection from error
@@ -172,6 +174,25 @@
                 raise
             raise _NoConnection from raised
 
+    def return_socket(self, sock: gevent.socket.socket) -> None:
+        self._forget(sock)
+        super().return_socket(sock)
+
+    def release_socket(self, sock: gevent.socket.socket) -> None:
+        self._forget(sock)
+        super().release_socket(sock)
+
+    def release_taken(self) -> None:
+        """Closes the connection that the calling task has, if any."""
+        sock = self._taken_by_task.get(gevent.getcurrent())
+        if sock is not None:
+            self.release_socket(sock)
+
+    def _forget(self, sock: gevent.socket.socket) -> None:
+        for task, taken in list(self._taken_by_task.items()):
+            if taken is sock:
+                del self._taken_by_task[task]
+
 
 class _Client(client.HTTPClient):
     def __init__(
@@ -194,3 +215,14 @@
             network_timeout=network_timeout,
             max_response_bytes=max_response_bytes,
         )
+
+    def request(self, *args: Any, **kwargs: Any) -> Any:
+        """Sends a request; frees its connection if that is interrupted.
+
+        The library only does so for a failure of the connection.
+        """
+        try:
+            return super().request(*args, **kwargs)
+        except (gevent.Timeout, gevent.GreenletExit):
+            self._connection_pool.release_taken()
+            raise
