--- a/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/request_reading.py
@@ -90,15 +90,13 @@
         )
 
     def _read_head(self) -> h11.Request | None:
-        limits = self._limits()
         idle = not self._h11.trailing_data[0]
         self._record_stage(
             connection_limits.Stage.IDLE
             if idle
             else connection_limits.Stage.HEAD
         )
-        timeout_s = limits.idle_timeout_s if idle else limits.header_timeout_s
-        deadline = self._timer.now() + timeout_s
+        began_at = self._timer.now()
         size = 0
         while True:
             event = self._h11.next_event()
@@ -106,7 +104,15 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            received_bytes = self._receive_head(deadline - self._timer.now())
+            ends_at = began_at + self._head_timeout_s(idle)
+            left_s = ends_at - self._timer.now()
+            if left_s <= 0:
+                return None
+            try:
+                received_bytes = self._receive_head(left_s)
+            except TimeoutError:
+                # A version may have raised the limit meanwhile.
+                continue
             if not received_bytes:
                 return None
             size += received_bytes
@@ -114,12 +120,22 @@
             if idle:
                 idle = False
                 self._record_stage(connection_limits.Stage.HEAD)
-                deadline = self._timer.now() + limits.header_timeout_s
+                began_at = self._timer.now()
+
+    def _head_timeout_s(self, is_idle: bool) -> float:
+        """Returns how long a head is waited for at present."""
+        limits = self._limits()
+        return limits.idle_timeout_s if is_idle else limits.header_timeout_s
 
     def _receive_head(self, timeout_s: float) -> int:
-        """Passes on received bytes; returns how many there were."""
+        """Passes on received bytes; returns how many there were.
+
+        Raises :class:`TimeoutError`.
+        """
         try:
             data = self._receive_unless_ended(timeout_s)
+        except TimeoutError:
+            raise
         except OSError:
             return 0
         if data:
