--- a/packages/cactusmux-relay/tests/test_http_server.py
+++ b/packages/cactusmux-relay/tests/test_http_server.py
@@ -280,7 +280,7 @@
     sock.connect(('127.0.0.1', served.port))
     sock.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
     received = 0
-    with gevent.Timeout(30.0):
+    with gevent.Timeout(20.0):
         while received < size:
             gevent.sleep(pause_s)
             data = sock.recv(piece_bytes)
