--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -5,7 +5,6 @@
 connection that carried unexpected data is not reused.
 """
 
-import collections
 from collections.abc import Iterator
 import socket as std_socket
 from typing import NamedTuple
@@ -19,6 +18,7 @@
 import h11
 
 from . import http_server
+from . import idle_connections
 from . import local_errors
 from . import unread_input
 
@@ -30,14 +30,12 @@
 LONG_BODY_BYTES = 32768
 # Limit on informational (1xx) responses; a target sends one at most.
 MAX_INFORMATIONAL_RESPONSES = 8
-MAX_IDLE_PER_TARGET = 32
 # Subtracted from the keep-alive time that a target announces, to allow for
 # data in transit.
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_KEEP_ALIVE_S = 4.0
 # Limits how long connections to removed targets stay open.
 MAX_KEEP_ALIVE_S = 30.0
-SWEEP_PERIOD_S = 2.0
 # Bytes unacknowledged for this long mean that the target is unreachable. The
 # kernel also counts the time in which a target reads nothing, so that it isn't
 # set while a long body is sent; the deadline of the request ends that.
@@ -113,11 +111,6 @@
         return len(self.body) > LONG_BODY_BYTES
 
 
-class _Idle(NamedTuple):
-    sock: socket.socket
-    expires_at: float
-
-
 class TargetCall:
     """One request to a target and its response.
 
@@ -227,7 +220,7 @@
 
     def has_unread(self) -> bool:
         """Whether bytes have arrived that haven't been read yet."""
-        return not _has_no_input(self._sock)
+        return unread_input.has_input(self._sock)
 
     def close(self) -> None:
         """Returns the connection to the pool, or closes it."""
@@ -286,20 +279,19 @@
 
 
 class TargetConnections:
-    """Pool of idle connections by target address."""
+    """Opens connections to targets, and reuses idle ones."""
 
     def __init__(self, timer: timers.TimerService) -> None:
-        self._timer = timer
-        self._idle_by_address: dict[str, collections.deque[_Idle]] = {}
+        self._idle = idle_connections.IdleConnections(timer)
 
     def start(self) -> None:
         """Starts the periodic closing of expired idle connections."""
-        self._timer.every(SWEEP_PERIOD_S, self._close_expired)
+        self._idle.start()
 
     @property
     def idle_count(self) -> int:
         """Number of idle connections."""
-        return sum(len(idle) for idle in self._idle_by_address.values())
+        return self._idle.count
 
     def call(
         self, address: str, request: OutgoingRequest, fresh: bool
@@ -313,7 +305,7 @@
             sock = self._connect(address)
             _set_user_timeout(sock, NO_USER_TIMEOUT_MS)
             return TargetCall(self, address, sock, request)
-        sock = None if fresh else self._take_idle(address)
+        sock = None if fresh else self._idle.take(address)
         if sock is None:
             sock = self._connect(address)
         return TargetCall(self, address, sock, request)
@@ -322,56 +314,17 @@
         self, address: str, sock: socket.socket, keep_alive_s: float
     ) -> None:
         """Returns a connection without a pending request to the pool."""
-        idle = self._idle_by_address.setdefault(address, collections.deque())
-        if keep_alive_s <= 0 or len(idle) >= MAX_IDLE_PER_TARGET:
-            sock.close()
-            return
-        idle.append(_Idle(sock, self._timer.now() + keep_alive_s))
-
-    def _close_expired(self) -> None:
-        now = self._timer.now()
-        kept_by_address = {}
-        for address, all_idle in self._idle_by_address.items():
-            kept: collections.deque[_Idle] = collections.deque()
-            for idle in all_idle:
-                if idle.expires_at <= now:
-                    idle.sock.close()
-                else:
-                    kept.append(idle)
-            if kept:
-                kept_by_address[address] = kept
-        self._idle_by_address = kept_by_address
-
-    def _take_idle(self, address: str) -> socket.socket | None:
-        while True:
-            # The sweep may have replaced the queue.
-            idle = self._idle_by_address.get(address)
-            if not idle:
-                return None
-            newest = idle.pop()
-            expired = newest.expires_at <= self._timer.now()
-            if not expired and _has_no_input(newest.sock):
-                return newest.sock
-            newest.sock.close()
+        self._idle.put(address, sock, keep_alive_s)
 
     def _new_socket(self, address: str) -> socket.socket:
         """Creates a socket; closes the idle ones if there is no other way."""
         try:
             return _create_socket(address)
         except NotSent:
-            if not self._close_idle():
+            if not self._idle.close_all():
                 raise
         return _create_socket(address)
 
-    def _close_idle(self) -> int:
-        """Closes all idle connections; returns how many there were."""
-        count = self.idle_count
-        for idle in self._idle_by_address.values():
-            while idle:
-                idle.pop().sock.close()
-        self._idle_by_address = {}
-        return count
-
     def _connect(self, address: str) -> socket.socket:
         host, _, port = address.rpartition(':')
         sock = self._new_socket(address)
@@ -400,8 +353,3 @@
         return socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     except OSError as error:
         raise NotSent(address, is_refused=False, is_local=True) from error
-
-
-def _has_no_input(sock: socket.socket) -> bool:
-    """Whether a connection has neither unread data nor been closed."""
-    return not unread_input.has_input(sock)
--- a/packages/cactusmux-relay/tests/test_target_calls.py
+++ b/packages/cactusmux-relay/tests/test_target_calls.py
@@ -3,6 +3,7 @@
 
 from cactusmux_base import timers
 from cactusmux_fakes import scripted_target
+from cactusmux_relay import idle_connections
 from cactusmux_relay import target_calls
 import gevent
 from gevent import server
@@ -161,7 +162,7 @@
         call.close()
     assert connections.idle_count == 2
     clock.advance(target_calls.DEFAULT_KEEP_ALIVE_S)
-    clock.advance(target_calls.SWEEP_PERIOD_S)
+    clock.advance(idle_connections.SWEEP_PERIOD_S)
     assert connections.idle_count == 0
 
 
@@ -175,7 +176,7 @@
     )
     assert _send(connections, _target(data, keep=True)) == (200, b'ok')
     clock.advance(target_calls.MAX_KEEP_ALIVE_S)
-    clock.advance(target_calls.SWEEP_PERIOD_S)
+    clock.advance(idle_connections.SWEEP_PERIOD_S)
     assert connections.idle_count == 0
 
 
@@ -274,7 +275,7 @@
     target = _target(scripted_target.answer(b'ok'), keep=True)
     _, latest = _two_idle_connections(connections, target)
     latest.shutdown(std_socket.SHUT_RDWR)
-    gevent.spawn(connections._close_expired)
+    gevent.spawn(connections._idle.close_expired)
     calls = [
         connections.call(target.address, REQUEST, False) for _ in range(2)
     ]
