--- a/packages/cactusmux-relay/tests/test_held_bytes.py
+++ b/packages/cactusmux-relay/tests/test_held_bytes.py
@@ -66,6 +66,7 @@
 
 
 def test_what_the_limit_does_is_counted_and_logged_now_and_then(world, caplog):
+    caplog.set_level('INFO', logger='absl')
     world.open('stalled').resize(4 * MB)
     world.timer.advance(3.0)
     asker = world.open('asker')
--- a/tests/instance_process.py
+++ b/tests/instance_process.py
@@ -124,7 +124,8 @@
 
     def _wait_until_it_listens(self) -> None:
         for _ in range(300):
-            assert self.is_running, self.log.read_text()
+            ended = f'ended with {self._process.poll()}'
+            assert self.is_running, f'{ended}: {self.log.read_text()}'
             try:
                 self.connect().close()
             except ConnectionRefusedError:
