--- a/packages/cactusmux-platform/src/cactusmux_platform/yielding_socket.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/yielding_socket.py
@@ -3,16 +3,16 @@
 import errno
 from typing import Any
 
+from cactusmux_base import client_sockets
 from cactusmux_base import turns
-from gevent import socket
 from geventhttpclient import connectionpool
 
 # A chunk of one byte takes six bytes without an extension.
 MAX_BYTES_PER_BYTE = 8
 
 
-class YieldingSocket(socket.socket):
-    """Receives like any socket, and pauses after enough bytes or calls."""
+class YieldingSocket(client_sockets.ClientSocket):
+    """A client socket that pauses after enough bytes or calls."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -20,7 +20,7 @@
 
     def recv(self, *args: Any) -> bytes:
         """Receives data; lets other tasks run if due."""
-        data: bytes = super().recv(*args)
+        data = super().recv(*args)
         self._turns.record(len(data))
         return data
 
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -9,6 +9,7 @@
 import socket as std_socket
 from typing import NamedTuple
 
+from cactusmux_base import client_sockets
 from cactusmux_base import decimals
 from cactusmux_base import failures
 from cactusmux_base import timers
@@ -350,6 +351,8 @@
 
 def _create_socket(address: str) -> socket.socket:
     try:
-        return socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+        return client_sockets.ClientSocket(
+            std_socket.AF_INET, std_socket.SOCK_STREAM
+        )
     except OSError as error:
         raise NotSent(address, is_refused=False, is_local=True) from error
--- a/packages/cactusmux-relay/tests/test_descriptors.py
+++ b/packages/cactusmux-relay/tests/test_descriptors.py
@@ -6,6 +6,7 @@
 import os
 import resource
 
+from cactusmux_base import client_sockets
 from cactusmux_base import timers
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
@@ -163,7 +164,9 @@
 
 
 def test_local_error_creating_a_socket_is_no_refusal(connections, monkeypatch):
-    found = _is_refused_by_errno(connections, monkeypatch, socket, 'socket')
+    found = _is_refused_by_errno(
+        connections, monkeypatch, client_sockets, 'ClientSocket'
+    )
     assert found == dict.fromkeys(LOCAL_ERRORS, False)
 
 
--- a/packages/cactusmux-relay/tests/test_plain_relay.py
+++ b/packages/cactusmux-relay/tests/test_plain_relay.py
@@ -1,9 +1,7 @@
-import types
-
+from cactusmux_base import client_sockets
 from cactusmux_fakes import relay_rig
 from cactusmux_fakes import scripted_target
 from cactusmux_relay import desired_state
-from cactusmux_relay import target_calls
 import gevent
 import pytest
 
@@ -257,9 +255,7 @@
 
 def test_full_local_link_does_not_eject_targets(rig, monkeypatch):
     """A connection that times out isn't certainly the target's failure."""
-
-    late = types.SimpleNamespace(socket=_LateSocket)
-    monkeypatch.setattr(target_calls, 'socket', late)
+    monkeypatch.setattr(client_sockets, 'ClientSocket', _LateSocket)
     rig.use_plain('127.0.0.1:1', '127.0.0.1:2')
     assert _status(rig.ask(relay_rig.request('/unsafe/'))) == 503
     assert rig.health.ejected() == frozenset()
