--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -18,6 +18,7 @@
 from gevent import socket
 import h11
 
+from . import head_lines
 from . import http_server
 from . import idle_connections
 from . import local_errors
@@ -133,6 +134,8 @@
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        # Dropped with the end of the response's head.
+        self._head_lines: head_lines.HeadLines | None = head_lines.HeadLines()
         self._has_long_body = request.has_long_body
         self._sender: gevent.Greenlet | None = None
         self._is_complete = False
@@ -169,8 +172,11 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                self._check_head_lines()
                 continue
             if isinstance(event, h11.Response):
+                self._check_head_lines()
+                self._head_lines = None
                 head = ResponseHead(event.status_code, tuple(event.headers))
                 self._record_keep_alive(head)
                 return head
@@ -257,6 +263,8 @@
                         self._address, 'aborted by this instance'
                     )
                 self._turns.record(len(data))
+                if self._head_lines is not None:
+                    self._head_lines.receive(data)
                 self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise AnswerBroken(self._address, str(error)) from error
@@ -266,6 +274,12 @@
             )
             raise AnswerBroken(self._address, detail) from error
 
+    def _check_head_lines(self) -> None:
+        if self._head_lines is None:
+            return
+        if self._head_lines.end_head(len(self._h11.trailing_data[0])):
+            raise AnswerBroken(self._address, 'continuation line in a head')
+
     def _record_keep_alive(self, head: ResponseHead) -> None:
         announced = head.header(b'keep-alive') or ''
         for part in announced.split(','):
