--- a/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_calls.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from cactusmux_base import failures
+from cactusmux_base import http_statuses
 import gevent
 from geventhttpclient import client
 from geventhttpclient import response
@@ -104,9 +105,7 @@
                     (name.lower(), value)
                     for name, value in http_response.headers
                 )
-                return result.Success(
-                    Response(http_response.status_code, body, headers)
-                )
+                status = http_response.status_code
         except _NoConnection:
             return result.Failure(CallNotSent(self._address, path))
         except (OSError, response.HTTPParseError):
@@ -115,6 +114,9 @@
             if raised is not timeout:
                 raise
             return result.Failure(AnswerLost(self._address, path))
+        if not http_statuses.is_final(status):
+            return result.Failure(AnswerLost(self._address, path))
+        return result.Success(Response(status, body, headers))
 
     def close(self) -> None:
         """Closes idle connections."""
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_plain_services.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from cactusmux_base import http_statuses
 import gevent
 from geventhttpclient import client as http_client
 from geventhttpclient import response as http_response
@@ -199,6 +200,11 @@
             return result.Failure(
                 plain_services.PlainOutcomeUnknown(address, 'answer cut off')
             )
+        if not http_statuses.is_final(response.status_code):
+            detail = f'status {response.status_code}'
+            return result.Failure(
+                plain_services.PlainOutcomeUnknown(address, detail)
+            )
         not_run = response.get(plain_services.NOT_RUN_HEADER)
         if not_run is not None:
             return result.Failure(
--- a/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
+++ b/packages/cactusmux-platform/src/cactusmux_platform/http_targets.py
@@ -4,6 +4,7 @@
 import socket
 
 from cactusmux_base import decoding
+from cactusmux_base import http_statuses
 from cactusmux_base import turns
 import gevent
 from geventhttpclient import client as http_client
@@ -209,6 +210,10 @@
         self._response = response
         if response.get_code() == HTTP_OK:
             return result.Success(None)
+        if not http_statuses.is_final(response.get_code()):
+            return result.Failure(
+                targets.StreamBroken(self.address, _status_reason(response))
+            )
         return result.Failure(self._refusal(response))
 
     def read_line(self) -> bytes:
@@ -264,5 +269,9 @@
             return targets.OrderFenced(self.address, body.reason)
         if body.not_run:
             return targets.TargetRefused(self.address, body.reason)
-        status = f'status_{response.get_code()}'
-        return targets.StreamBroken(self.address, body.reason or status)
+        reason = body.reason or _status_reason(response)
+        return targets.StreamBroken(self.address, reason)
+
+
+def _status_reason(response: http_response.HTTPSocketPoolResponse) -> str:
+    return f'status_{response.get_code()}'
--- a/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
+++ b/packages/cactusmux-relay/src/cactusmux_relay/target_calls.py
@@ -12,6 +12,7 @@
 from cactusmux_base import client_sockets
 from cactusmux_base import decimals
 from cactusmux_base import failures
+from cactusmux_base import http_statuses
 from cactusmux_base import timers
 from cactusmux_base import turns
 import gevent
@@ -177,6 +178,7 @@
             if isinstance(event, h11.Response):
                 self._check_head_lines()
                 self._head_lines = None
+                self._check_status(event.status_code)
                 head = ResponseHead(event.status_code, tuple(event.headers))
                 self._record_keep_alive(head)
                 return head
@@ -280,6 +282,10 @@
         if self._head_lines.end_head(len(self._h11.trailing_data[0])):
             raise AnswerBroken(self._address, 'continuation line in a head')
 
+    def _check_status(self, status: int) -> None:
+        if not http_statuses.is_final(status):
+            raise AnswerBroken(self._address, f'status {status}')
+
     def _record_keep_alive(self, head: ResponseHead) -> None:
         announced = head.header(b'keep-alive') or ''
         for part in announced.split(','):
--- a/packages/cactusmux-relay/tests/test_broken_heads.py
+++ b/packages/cactusmux-relay/tests/test_broken_heads.py
@@ -38,6 +38,20 @@
     'chunks': SIGNED + b'\tTransfer-Encoding: chunked\r\n',
     'signature': LENGTH + SIGNED + b' Request-Id: r1\r\n',
 }
+INVALID_STATUSES = {
+    'zero': b'000 Status',
+    'zero without a reason': b'000',
+    'below informational': b'099 Status',
+    'two digits': b'20 Status',
+    'four digits': b'2000 Status',
+    'leading zero': b'0200 Status',
+    'letter': b'2x0 Status',
+    'sign': b'-20 Status',
+    'switching protocols': b'101 Status',
+    'unfinished': b'199 Status',
+    'above all classes': b'600 Status',
+    'largest': b'999 Status',
+}
 EARLY = b'HTTP/1.1 103 Early\r\nA: b\r\n'
 DAMAGED_LINE = b' c: d\r\n'
 PATHS = ('/safe/', '/unsafe/', '/once/', '/stream/')
@@ -115,6 +129,37 @@
     assert _status(rig, address, path) == 502
 
 
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize(
+    'status', INVALID_STATUSES.values(), ids=INVALID_STATUSES
+)
+def test_response_with_an_invalid_status_is_not_passed_on(
+    rig, use_target, status, path
+):
+    head = b'HTTP/1.1 ' + status + b'\r\n' + SIGNED + LENGTH
+    address = use_target(head + b'\r\n' + BODY).address
+    assert _status(rig, address, path) == 502
+
+
+# Guards against a promise that isn't one: the request may have run.
+@pytest.mark.parametrize(
+    'status', INVALID_STATUSES.values(), ids=INVALID_STATUSES
+)
+def test_invalid_status_does_not_say_that_a_request_has_not_run(
+    rig, use_target, status
+):
+    head = b'HTTP/1.1 ' + status + b'\r\nNot-Run: 1\r\n' + SIGNED + LENGTH
+    address = use_target(head + b'\r\n' + BODY).address
+    assert _status(rig, address, '/unsafe/') == 502
+
+
+@pytest.mark.parametrize('status', [200, 299, 400, 500, 599])
+def test_status_of_each_class_is_passed_on(rig, use_target, status):
+    head = b'HTTP/1.1 %d Status\r\n' % status + SIGNED + LENGTH
+    address = use_target(head + b'\r\n' + BODY).address
+    assert _status(rig, address, '/unsafe/') == status
+
+
 # A head is searched wherever the bytes of it are split.
 def test_damaged_name_is_found_in_a_head_that_arrives_in_bytes(
     connections, use_target
