--- a/packages/cactusmux-fakes/src/cactusmux_fakes/early_target.py
+++ b/packages/cactusmux-fakes/src/cactusmux_fakes/early_target.py
@@ -36,7 +36,6 @@
         self._response = response
         self._ending = ending
         self._awaits_head = awaits_head
-        self.connections = 0
         listener = socket.socket()
         listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
@@ -56,7 +55,6 @@
         self._server.stop(timeout=0)
 
     def _serve(self, sock: socket.socket, _peer: object) -> None:
-        self.connections += 1
         if self._awaits_head:
             _read_head(sock)
         sock.sendall(self._response)
